Add the thin whole path: entry, agent, stand-ins and platform

Cause: the tree was empty. Change: a kernel module with plug-in registry, strict settings, Object API client and stand-in, segment log, leases, configuration log, job state, routing, admission, limits, retries and suspicion; an agent with inference and plain adapters and the gate; an entry with callers', operators' and peers' faces, dispatcher, shards, quotas and files; cicadadev, which runs all of it in one process over loopback.

--- /dev/null
+++ b/cicadadev/cicadastandin/ledger.go
@@ -0,0 +1,102 @@
+package cicadastandin
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+)
+
+// A Ledger is a stand-in for a plain service that keeps orders. Placing an
+// order twice makes two orders, as a service does that does not check keys.
+type Ledger struct {
+	mu     sync.Mutex
+	orders []order
+	byKey  map[string]int
+	delay  time.Duration
+}
+
+type order struct {
+	ID   int             `json:"id"`
+	Key  string          `json:"key,omitempty"`
+	Body json.RawMessage `json:"body"`
+}
+
+// A LedgerOption changes a Ledger as it is made.
+type LedgerOption func(*Ledger)
+
+// WithDelay sets how long placing an order takes.
+func WithDelay(d time.Duration) LedgerOption { return func(l *Ledger) { l.delay = d } }
+
+// NewLedger returns an empty ledger.
+func NewLedger(opts ...LedgerOption) *Ledger {
+	l := &Ledger{byKey: make(map[string]int)}
+	for _, opt := range opts {
+		opt(l)
+	}
+	return l
+}
+
+// Orders returns how many orders there are.
+func (l *Ledger) Orders() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.orders)
+}
+
+// Handler returns the ledger's HTTP interface: POST /orders, GET /orders,
+// GET /orders/ID and GET /by-key/KEY.
+func (l *Ledger) Handler() http.Handler {
+	router := httprouter.New()
+	router.GET("/health", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+		writeJSON(w, http.StatusOK, "ok")
+	})
+	router.POST("/orders", l.place)
+	router.GET("/orders", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		writeJSON(w, http.StatusOK, map[string]any{"orders": l.orders})
+	})
+	router.GET("/orders/:id", func(w http.ResponseWriter, _ *http.Request, ps httprouter.Params) {
+		id, err := strconv.Atoi(ps.ByName("id"))
+		l.answer(w, id, err == nil)
+	})
+	router.GET("/by-key/*key", func(w http.ResponseWriter, _ *http.Request, ps httprouter.Params) {
+		l.mu.Lock()
+		id, ok := l.byKey[ps.ByName("key")[1:]]
+		l.mu.Unlock()
+		l.answer(w, id, ok)
+	})
+	return router
+}
+
+func (l *Ledger) place(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil || !json.Valid(body) {
+		writeError(w, http.StatusBadRequest, "an order is a JSON value")
+		return
+	}
+	time.Sleep(l.delay)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	placed := order{ID: len(l.orders) + 1, Key: r.Header.Get("Idempotency-Key"), Body: body}
+	l.orders = append(l.orders, placed)
+	if placed.Key != "" {
+		l.byKey[placed.Key] = placed.ID
+	}
+	writeJSON(w, http.StatusCreated, placed)
+}
+
+func (l *Ledger) answer(w http.ResponseWriter, id int, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !ok || id < 1 || id > len(l.orders) {
+		writeError(w, http.StatusNotFound, "no such order")
+		return
+	}
+	writeJSON(w, http.StatusOK, l.orders[id-1])
+}
--- /dev/null
+++ b/cicadaentry/cicadacall/call_test.go
@@ -0,0 +1,16 @@
+package cicadacall
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestSplitService(t *testing.T) {
+	name, rest, ok := SplitService("/services/order-ledger/orders/7")
+	assert.Assert(t, ok)
+	assert.Equal(t, name, "order-ledger")
+	assert.Equal(t, rest, "/orders/7")
+	_, _, ok = SplitService("/v1/completions")
+	assert.Assert(t, !ok)
+}
--- /dev/null
+++ b/cicadaentry/cicadafleet/endpoint.go
@@ -0,0 +1,254 @@
+package cicadafleet
+
+import (
+	"sync"
+	"time"
+
+	"cicadalink.example/cicadakernel/cicadaplatform"
+	"cicadalink.example/cicadakernel/cicadaroute"
+	"cicadalink.example/cicadakernel/cicadawire"
+)
+
+const (
+	// quietAfter is how long an endpoint with attempts may stay silent before
+	// new work goes elsewhere.
+	quietAfter = 800 * time.Millisecond
+	// lostAfter is how long an endpoint may stay silent before it counts as
+	// lost.
+	lostAfter   = 2500 * time.Millisecond
+	paceWeight  = 0.2
+	slowRetry   = 2 * time.Second
+	sampleDecay = 10 * time.Second
+)
+
+// An Endpoint is what this entry knows of one endpoint. Its methods are safe
+// for concurrent use.
+type Endpoint struct {
+	name       string
+	address    string
+	group      string
+	dataCentre string
+	near       bool
+	now        func() time.Time
+
+	mu        sync.Mutex
+	load      *cicadawire.Load
+	connected bool
+	leaving   bool
+	lastHeard time.Time
+	online    int
+	batch     int
+	baseline  struct{ online, batch int }
+	waiting   map[*Attempt]time.Time
+	token     time.Duration
+	first     time.Duration
+	samples   int
+	sampledAt time.Time
+	ejected   bool
+	ejectedAt time.Time
+}
+
+// NewEndpoint returns an endpoint of the VM list. Near says that it stands in
+// the entry's own data centre.
+func NewEndpoint(vm cicadaplatform.VM, near bool) *Endpoint {
+	return &Endpoint{
+		name:       vm.Name,
+		address:    vm.Address,
+		group:      vm.Group,
+		dataCentre: vm.DataCentre,
+		near:       near,
+		now:        time.Now,
+		load:       &cicadawire.Load{},
+		waiting:    make(map[*Attempt]time.Time),
+	}
+}
+
+// Name returns the endpoint's name.
+func (e *Endpoint) Name() string { return e.name }
+
+// Address returns the agent's address.
+func (e *Endpoint) Address() string { return e.address }
+
+// Group returns the endpoint's group.
+func (e *Endpoint) Group() string { return e.group }
+
+// DataCentre returns where the endpoint stands.
+func (e *Endpoint) DataCentre() string { return e.dataCentre }
+
+// Heard records that a message came from the endpoint's agent.
+func (e *Endpoint) Heard() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.lastHeard = e.now()
+}
+
+// Report records a load report, as of now.
+func (e *Endpoint) Report(load *cicadawire.Load) {
+	if load == nil {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.connected = true
+	e.lastHeard = e.now()
+	e.load = load
+	e.leaving = e.leaving || load.GetLeaving()
+	e.baseline.online, e.baseline.batch = e.online, e.batch
+}
+
+// Disconnected records that the link to the agent broke.
+func (e *Endpoint) Disconnected() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.connected = false
+}
+
+// SetLeaving records whether the VM list or the agent says that the endpoint is
+// leaving.
+func (e *Endpoint) SetLeaving(leaving bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = leaving
+}
+
+// Load returns the last load report.
+func (e *Endpoint) Load() *cicadawire.Load {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.load
+}
+
+// State returns the endpoint's state in a word, for status.
+func (e *Endpoint) State() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch {
+	case e.leaving:
+		return "leaving"
+	case !e.connected || e.now().Sub(e.lastHeard) > lostAfter:
+		return "lost"
+	case !e.load.GetEngineUp():
+		return "engine-down"
+	case e.ejected:
+		return "slow"
+	}
+	return "live"
+}
+
+// View returns the endpoint as routing sees it.
+func (e *Endpoint) View() cicadaroute.View {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.now()
+	silent := now.Sub(e.lastHeard)
+	v := cicadaroute.View{
+		Name:          e.name,
+		Near:          e.near,
+		Slots:         int(e.load.GetSlots()),
+		Online:        max(int(e.load.GetOnlineRunning())+e.online-e.baseline.online, e.online, 0),
+		OnlineWaiting: int(e.load.GetOnlineWaiting()),
+		Batch:         max(int(e.load.GetBatchRunning())+e.batch-e.baseline.batch, e.batch, 0),
+		BatchWaiting:  int(e.load.GetBatchWaiting()),
+		Token:         e.token,
+		First:         e.first,
+		Samples:       e.samples,
+		Unusable:      e.leaving || !e.connected || !e.load.GetEngineUp() || silent > lostAfter,
+		Quiet:         e.online+e.batch > 0 && silent > quietAfter,
+		Ejected:       e.ejected && now.Sub(e.ejectedAt) < slowRetry,
+	}
+	for _, since := range e.waiting {
+		v.OldestWaiting = max(v.OldestWaiting, now.Sub(since))
+	}
+	if now.Sub(e.sampledAt) > sampleDecay {
+		v.Samples = 0
+	}
+	return v
+}
+
+// setEjected records the comparison with its peers.
+func (e *Endpoint) setEjected(ejected bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if ejected && (!e.ejected || e.now().Sub(e.ejectedAt) >= slowRetry) {
+		e.ejectedAt = e.now()
+	}
+	e.ejected = ejected
+}
+
+// An Attempt is one attempt on an endpoint, for its books.
+type Attempt struct {
+	endpoint *Endpoint
+	batch    bool
+	started  time.Time
+	last     time.Time
+	seen     bool
+	ended    bool
+}
+
+// Begin enters an attempt in the endpoint's books.
+func (e *Endpoint) Begin(batch bool) *Attempt {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.now()
+	if e.online+e.batch == 0 && now.Sub(e.lastHeard) < lostAfter {
+		e.lastHeard = now
+	}
+	a := &Attempt{endpoint: e, batch: batch, started: now, last: now}
+	if batch {
+		e.batch++
+	} else {
+		e.online++
+		e.waiting[a] = now
+	}
+	return a
+}
+
+// Token records a piece of the answer, and returns the time to it when it is
+// the first.
+func (a *Attempt) Token() (first time.Duration, isFirst bool) {
+	e := a.endpoint
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.now()
+	e.lastHeard = now
+	gap := now.Sub(a.last)
+	a.last = now
+	if a.batch {
+		return 0, false
+	}
+	delete(e.waiting, a)
+	if a.seen {
+		average(&e.token, gap)
+		return 0, false
+	}
+	a.seen = true
+	average(&e.first, gap)
+	e.samples++
+	e.sampledAt = now
+	return gap, true
+}
+
+func average(mean *time.Duration, sample time.Duration) {
+	if *mean == 0 {
+		*mean = sample
+		return
+	}
+	*mean += time.Duration(paceWeight * float64(sample-*mean))
+}
+
+// End takes the attempt out of the books.
+func (a *Attempt) End() {
+	e := a.endpoint
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if a.ended {
+		return
+	}
+	a.ended = true
+	delete(e.waiting, a)
+	if a.batch {
+		e.batch--
+	} else {
+		e.online--
+	}
+}
--- /dev/null
+++ b/cicadaentry/cicadafront/batches.go
@@ -0,0 +1,334 @@
+package cicadafront
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/julienschmidt/httprouter"
+
+	"cicadalink.example/cicadaentry/cicadacall"
+	"cicadalink.example/cicadaentry/cicadashard"
+	"cicadalink.example/cicadakernel/cicadaconfig"
+	"cicadalink.example/cicadakernel/cicadaerror"
+	"cicadalink.example/cicadakernel/cicadajob"
+	"cicadalink.example/cicadakernel/cicadawire"
+)
+
+const (
+	defaultWindow = 24 * time.Hour
+	minWindow     = time.Minute
+	maxWindow     = 14 * 24 * time.Hour
+	maxMetadata   = 16 << 10
+	jobIDBytes    = 12
+	defaultPage   = 20
+	dayMs         = 24 * 60 * 60 * 1000
+)
+
+type batchRequest struct {
+	InputFileID      string          `json:"input_file_id"`
+	Endpoint         string          `json:"endpoint"`
+	CompletionWindow string          `json:"completion_window"`
+	Metadata         json.RawMessage `json:"metadata"`
+}
+
+type batchBody struct {
+	ID               string          `json:"id"`
+	Object           string          `json:"object"`
+	Endpoint         string          `json:"endpoint"`
+	InputFileID      string          `json:"input_file_id"`
+	CompletionWindow string          `json:"completion_window"`
+	Status           string          `json:"status"`
+	OutputFileID     *string         `json:"output_file_id"`
+	ErrorFileID      *string         `json:"error_file_id"`
+	CreatedAt        int64           `json:"created_at"`
+	ExpiresAt        int64           `json:"expires_at"`
+	CompletedAt      *int64          `json:"completed_at"`
+	CancelledAt      *int64          `json:"cancelled_at"`
+	ExpiredAt        *int64          `json:"expired_at"`
+	RequestCounts    requestCounts   `json:"request_counts"`
+	Metadata         json.RawMessage `json:"metadata"`
+}
+
+type requestCounts struct {
+	Total     int64 `json:"total"`
+	Completed int64 `json:"completed"`
+	Failed    int64 `json:"failed"`
+}
+
+func batchOf(view *cicadawire.JobView) batchBody {
+	job := view.GetJob()
+	body := batchBody{
+		ID:               job.GetId(),
+		Object:           "batch",
+		Endpoint:         job.GetPath(),
+		InputFileID:      job.GetFile(),
+		CompletionWindow: job.GetWindow(),
+		Status:           view.GetState(),
+		CreatedAt:        job.GetCreatedMs() / 1000,
+		ExpiresAt:        job.GetDueMs() / 1000,
+		RequestCounts:    requestCounts{Total: job.GetItems(), Completed: view.GetCompleted(), Failed: view.GetFailed()},
+		Metadata:         json.RawMessage("null"),
+	}
+	if job.GetMetadata() != "" {
+		body.Metadata = json.RawMessage(job.GetMetadata())
+	}
+	if view.GetEndedMs() == 0 {
+		return body
+	}
+	ended := view.GetEndedMs() / 1000
+	switch view.GetState() {
+	case cicadajob.StateCompleted:
+		body.CompletedAt = &ended
+	case cicadajob.StateCancelled:
+		body.CancelledAt = &ended
+	case cicadajob.StateExpired:
+		body.ExpiredAt = &ended
+	}
+	if view.GetCompleted() > 0 {
+		id := outputPrefix + job.GetId()
+		body.OutputFileID = &id
+	}
+	if view.GetFailed() > 0 {
+		id := errorPrefix + job.GetId()
+		body.ErrorFileID = &id
+	}
+	return body
+}
+
+// createBatch accepts a batch job. The same request of the same customer is the
+// same job, also without an Idempotency-Key: a resend never makes a second one.
+func (f *Front) createBatch(w http.ResponseWriter, r *http.Request, _ httprouter.Params, account *cicadaconfig.Account) error {
+	data, err := f.readBody(w, r)
+	if err != nil {
+		return err
+	}
+	accepted, err := f.parseBatch(r, account, data)
+	if err != nil {
+		return notRun(err)
+	}
+	if err := f.checkBatchQuota(r, account, accepted); err != nil {
+		return err
+	}
+	reply, err := f.Shards.Job(r.Context(), &cicadawire.JobRequest{
+		Verb: cicadashard.VerbSubmit, Customer: account.Name(), Job: accepted,
+	})
+	if err != nil {
+		return err
+	}
+	return writeJSON(w, batchOf(reply.GetJobs()[0]))
+}
+
+func (f *Front) parseBatch(r *http.Request, account *cicadaconfig.Account, data []byte) (*cicadawire.JobAccepted, error) {
+	var in batchRequest
+	if err := json.Unmarshal(data, &in); err != nil {
+		return nil, cicadaerror.New(cicadaerror.BadRequest, "body is not a JSON object of a batch: %s", err)
+	}
+	if !cicadacall.IsInference(in.Endpoint) && !strings.HasPrefix(in.Endpoint, cicadacall.ServicePrefix) {
+		return nil, cicadaerror.New(cicadaerror.Unprocessable, "endpoint must be %s, %s or a path below %s",
+			cicadacall.PathCompletions, cicadacall.PathChat, cicadacall.ServicePrefix).Param("endpoint")
+	}
+	window, err := parseWindow(in.CompletionWindow)
+	if err != nil {
+		return nil, err
+	}
+	if len(in.Metadata) > maxMetadata {
+		return nil, cicadaerror.New(cicadaerror.TooLarge, "metadata is larger than %d bytes", maxMetadata).Param("metadata")
+	}
+	meta, err := f.Files.Get(r.Context(), account.Name(), in.InputFileID)
+	if err != nil {
+		return nil, err
+	}
+	if meta.GetLines() == 0 {
+		return nil, cicadaerror.New(cicadaerror.Unprocessable, "the input file has no lines").Param("input_file_id")
+	}
+	digest := xxhash.Sum64String(strings.Join([]string{in.InputFileID, in.Endpoint, window.String(), string(in.Metadata)}, "\x00"))
+	key := r.Header.Get(headerKey)
+	if len(key) > maxKeyLength {
+		return nil, cicadaerror.New(cicadaerror.BadRequest, "%s is longer than %d bytes", headerKey, maxKeyLength)
+	}
+	if key == "" {
+		key = "content-" + strconv.FormatUint(digest, 16)
+	}
+	now := time.Now()
+	return &cicadawire.JobAccepted{
+		Id:        jobID(account.Name(), key),
+		Customer:  account.Name(),
+		Key:       key,
+		Digest:    digest,
+		File:      in.InputFileID,
+		Path:      in.Endpoint,
+		Items:     meta.GetLines(),
+		CreatedMs: now.UnixMilli(),
+		DueMs:     now.Add(window).UnixMilli(),
+		Metadata:  string(in.Metadata),
+		Window:    in.CompletionWindow,
+	}, nil
+}
+
+// jobID follows from the customer and the key, so that a resend names the same
+// job at any entry.
+func jobID(customer, key string) string {
+	sum := sha256.Sum256([]byte(customer + "\x00" + key))
+	return "batch-" + hex.EncodeToString(sum[:jobIDBytes])
+}
+
+func parseWindow(text string) (time.Duration, error) {
+	if text == "" {
+		return defaultWindow, nil
+	}
+	window, err := time.ParseDuration(text)
+	if err != nil || window < minWindow || window > maxWindow {
+		return 0, cicadaerror.New(cicadaerror.Unprocessable, "completion_window must be a time such as 24h, from %s to %s", minWindow, maxWindow).
+			Param("completion_window")
+	}
+	return window, nil
+}
+
+// checkBatchQuota refuses a job that would take the customer over its batch
+// items of a day.
+func (f *Front) checkBatchQuota(r *http.Request, account *cicadaconfig.Account, accepted *cicadawire.JobAccepted) error {
+	limit := account.Parameters().BatchItemsPerDay
+	if limit == 0 {
+		return nil
+	}
+	total := accepted.GetItems()
+	after := ""
+	for {
+		reply, err := f.Shards.Job(r.Context(), &cicadawire.JobRequest{Verb: cicadashard.VerbList, Customer: account.Name(), After: after})
+		if err != nil {
+			return err
+		}
+		for _, view := range reply.GetJobs() {
+			after = view.GetJob().GetId()
+			if after == accepted.GetId() {
+				return nil
+			}
+			if view.GetJob().GetCreatedMs() > accepted.GetCreatedMs()-dayMs {
+				total += view.GetJob().GetItems()
+			}
+		}
+		if !reply.GetMore() {
+			break
+		}
+	}
+	if total > limit {
+		return cicadaerror.New(cicadaerror.RateLimited, "%d batch items in a day would exceed the limit of %d", total, limit).
+			NotRun().RetryAfter(time.Hour)
+	}
+	return nil
+}
+
+// job returns a customer's job.
+func (f *Front) job(r *http.Request, account *cicadaconfig.Account, id string) (*cicadawire.JobView, error) {
+	reply, err := f.Shards.Job(r.Context(), &cicadawire.JobRequest{Verb: cicadashard.VerbGet, Customer: account.Name(), Id: id})
+	if err != nil {
+		return nil, err
+	}
+	return reply.GetJobs()[0], nil
+}
+
+func (f *Front) getBatch(w http.ResponseWriter, r *http.Request, ps httprouter.Params, account *cicadaconfig.Account) error {
+	view, err := f.job(r, account, ps.ByName("id"))
+	if err != nil {
+		return err
+	}
+	return writeJSON(w, batchOf(view))
+}
+
+func (f *Front) listBatches(w http.ResponseWriter, r *http.Request, _ httprouter.Params, account *cicadaconfig.Account) error {
+	limit := defaultPage
+	if text := r.URL.Query().Get("limit"); text != "" {
+		n, err := strconv.Atoi(text)
+		if err != nil || n <= 0 {
+			return cicadaerror.New(cicadaerror.BadRequest, "limit must be a number above 0").Param("limit")
+		}
+		limit = n
+	}
+	reply, err := f.Shards.Job(r.Context(), &cicadawire.JobRequest{
+		Verb: cicadashard.VerbList, Customer: account.Name(), After: r.URL.Query().Get("after"), Limit: int32(min(limit, 1<<20)),
+	})
+	if err != nil {
+		return err
+	}
+	list := listBody[batchBody]{Object: "list", Data: []batchBody{}, HasMore: reply.GetMore()}
+	for _, view := range reply.GetJobs() {
+		list.Data = append(list.Data, batchOf(view))
+	}
+	return writeJSON(w, list)
+}
+
+func (f *Front) cancelBatch(w http.ResponseWriter, r *http.Request, ps httprouter.Params, account *cicadaconfig.Account) error {
+	reply, err := f.Shards.Job(r.Context(), &cicadawire.JobRequest{
+		Verb: cicadashard.VerbCancel, Customer: account.Name(), Id: ps.ByName("id"),
+	})
+	if err != nil {
+		return err
+	}
+	return writeJSON(w, batchOf(reply.GetJobs()[0]))
+}
+
+type resultLine struct {
+	ID       string          `json:"id"`
+	CustomID string          `json:"custom_id"`
+	Response *resultResponse `json:"response"`
+	Error    *resultError    `json:"error"`
+}
+
+type resultResponse struct {
+	StatusCode int32           `json:"status_code"`
+	RequestID  string          `json:"request_id"`
+	Body       json.RawMessage `json:"body"`
+}
+
+type resultError struct {
+	Code     string `json:"code"`
+	Message  string `json:"message"`
+	Attempts int32  `json:"attempts"`
+}
+
+func resultOf(item *cicadawire.ItemDone) resultLine {
+	id := item.GetJob() + "-" + strconv.FormatInt(item.GetIndex(), 10)
+	line := resultLine{ID: id, CustomID: item.GetCustomId()}
+	line.Response = &resultResponse{StatusCode: item.GetStatus(), RequestID: id, Body: json.RawMessage(item.GetBody())}
+	if len(item.GetBody()) == 0 {
+		line.Response.Body = json.RawMessage("null")
+	}
+	if !item.GetFailed() {
+		return line
+	}
+	var body cicadaerror.Body
+	_ = json.Unmarshal(item.GetBody(), &body)
+	message := body.Error.Message
+	if message == "" {
+		message = "status " + strconv.Itoa(int(item.GetStatus()))
+	}
+	line.Error = &resultError{Code: item.GetCode(), Message: message, Attempts: item.GetAttempts()}
+	return line
+}
+
+// writeResults streams the results of a job, segment by segment.
+func (f *Front) writeResults(w http.ResponseWriter, r *http.Request, account *cicadaconfig.Account, id string, failed bool) error {
+	view, err := f.job(r, account, id)
+	if err != nil {
+		return err
+	}
+	w.Header().Set("Content-Type", "application/jsonl")
+	out := &countingWriter{w: w}
+	encoder := json.NewEncoder(out)
+	err = f.Shards.Results(r.Context(), view, func(item *cicadawire.ItemDone) error {
+		if item.GetFailed() != failed {
+			return nil
+		}
+		return encoder.Encode(resultOf(item))
+	})
+	if err != nil {
+		return cutOr(out, w, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/cicadaentry/main.go
@@ -0,0 +1,31 @@
+// Command cicadaentry runs on an entry VM, behind the platform's balancer. It
+// serves callers and operators, routes requests to endpoints, owns shards of
+// the batch work, and relays the configuration.
+//
+// # Usage
+//
+//	cicadaentry --config entry.yaml
+//	cicadaentry --config entry.yaml --check
+package main
+
+import (
+	"context"
+
+	"github.com/ansel1/merry/v2"
+
+	"cicadalink.example/cicadaentry/cicadanode"
+	"cicadalink.example/cicadakernel"
+)
+
+func main() {
+	cfg := &cicadanode.Settings{}
+	cmd := cicadakernel.Command("cicadaentry", "serves callers and operators, routes requests, owns batch work", cfg,
+		func(ctx context.Context, p *cicadakernel.Process) error {
+			node, err := cicadanode.New(cfg, p)
+			if err != nil {
+				return merry.Errorf("set up entry: %w", err)
+			}
+			return node.Serve(ctx)
+		})
+	cicadakernel.Main(cmd)
+}
--- /dev/null
+++ b/cicadakernel/cicadaplatform/client.go
@@ -0,0 +1,281 @@
+package cicadaplatform
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/time/rate"
+)
+
+// A Class orders calls by what gives way first when the budget is short.
+type Class int
+
+// Classes of calls, the most urgent first.
+const (
+	ClassLease Class = iota
+	ClassConfig
+	ClassClaim
+	ClassResult
+	ClassUpload
+	classCount
+)
+
+var classNames = [classCount]string{"lease", "config", "claim", "result", "upload"}
+
+// classShares divides the write budget; what a class does not use is not lent,
+// so that a flood of uploads cannot delay a lease.
+var classShares = [classCount]float64{0.15, 0.10, 0.25, 0.30, 0.20}
+
+// String returns the class's name.
+func (c Class) String() string { return classNames[c] }
+
+const (
+	defaultWriteRate  = 100.0
+	defaultDeadline   = 2 * time.Second
+	firstBackoff      = 50 * time.Millisecond
+	maxBackoff        = 2 * time.Second
+	writeBurstSeconds = 0.5
+	minWriteBurst     = 4
+)
+
+// A Client makes calls to the platform within a budget. It decides lost
+// answers by reading back, and backs off with jitter while the store is down.
+type Client struct {
+	backend  Backend
+	deadline time.Duration
+	limits   [classCount]*rate.Limiter
+	scope    tally.Scope
+	writes   atomic.Int64
+	reads    atomic.Int64
+	readBack bool
+}
+
+// A ClientOption changes a Client as it is made.
+type ClientOption func(*Client)
+
+// WithWriteRate sets the client's write budget in writes a second.
+func WithWriteRate(perSecond float64) ClientOption {
+	return func(c *Client) {
+		for class := range classCount {
+			share := perSecond * classShares[class]
+			burst := max(int(share*writeBurstSeconds), minWriteBurst)
+			c.limits[class] = rate.NewLimiter(rate.Limit(share), burst)
+		}
+	}
+}
+
+// WithDeadline sets the time that one call may take.
+func WithDeadline(d time.Duration) ClientOption {
+	return func(c *Client) { c.deadline = d }
+}
+
+// WithScope sets where calls are counted.
+func WithScope(scope tally.Scope) ClientOption {
+	return func(c *Client) { c.scope = scope }
+}
+
+// WithoutReadBack makes lost answers count as failures. It exists so that
+// tests can show what read-back prevents.
+func WithoutReadBack() ClientOption {
+	return func(c *Client) { c.readBack = false }
+}
+
+// NewClient returns a client of a backend.
+func NewClient(backend Backend, opts ...ClientOption) *Client {
+	c := &Client{backend: backend, deadline: defaultDeadline, scope: tally.NoopScope, readBack: true}
+	WithWriteRate(defaultWriteRate)(c)
+	for _, opt := range opts {
+		opt(c)
+	}
+	return c
+}
+
+// Writes returns how many writes the client has made.
+func (c *Client) Writes() int64 { return c.writes.Load() }
+
+// Reads returns how many reads, lists and watches the client has made.
+func (c *Client) Reads() int64 { return c.reads.Load() }
+
+func (c *Client) countRead(kind string) {
+	c.reads.Add(1)
+	c.scope.Tagged(map[string]string{"call": kind}).Counter("platform_calls").Inc(1)
+}
+
+func (c *Client) countWrite(class Class) {
+	c.writes.Add(1)
+	c.scope.Tagged(map[string]string{"call": "write-" + class.String()}).Counter("platform_calls").Inc(1)
+}
+
+// Get returns an object, or ErrNotFound.
+func (c *Client) Get(ctx context.Context, name string) (Object, error) {
+	c.countRead("get")
+	ctx, cancel := context.WithTimeout(ctx, c.deadline)
+	defer cancel()
+	obj, err := c.backend.Get(ctx, name)
+	if err != nil {
+		return Object{}, merry.Errorf("read object: %w", err)
+	}
+	return obj, nil
+}
+
+// List returns a page of the objects under a prefix.
+func (c *Client) List(ctx context.Context, prefix, after string, limit int) (Page, error) {
+	c.countRead("list")
+	ctx, cancel := context.WithTimeout(ctx, c.deadline)
+	defer cancel()
+	page, err := c.backend.List(ctx, prefix, after, limit)
+	if err != nil {
+		return Page{}, merry.Errorf("list objects: %w", err)
+	}
+	return page, nil
+}
+
+// Watch waits for changes under a prefix after a version.
+func (c *Client) Watch(ctx context.Context, prefix string, from int64) (Page, error) {
+	c.countRead("watch")
+	page, err := c.backend.Watch(ctx, prefix, from)
+	if err != nil {
+		return Page{}, merry.Errorf("watch objects: %w", err)
+	}
+	return page, nil
+}
+
+// VMs returns the VM list.
+func (c *Client) VMs(ctx context.Context) ([]VM, error) {
+	c.countRead("vms")
+	ctx, cancel := context.WithTimeout(ctx, c.deadline)
+	defer cancel()
+	vms, err := c.backend.VMs(ctx)
+	if err != nil {
+		return nil, merry.Errorf("read VM list: %w", err)
+	}
+	return vms, nil
+}
+
+// Create writes an object that must not exist. It retries until the outcome is
+// known or ctx ends; ErrExists means that another writer's value stands there.
+func (c *Client) Create(ctx context.Context, class Class, name string, value []byte) (Object, error) {
+	obj, err := c.settle(ctx, class, name, value, func(ctx context.Context) (Object, error) {
+		return c.backend.Create(ctx, name, value)
+	})
+	if err != nil {
+		return Object{}, merry.Errorf("create object: %w", err)
+	}
+	return obj, nil
+}
+
+// Update writes an object that must be at a version. It retries until the
+// outcome is known or ctx ends; ErrConflict means that the object has moved on.
+func (c *Client) Update(ctx context.Context, class Class, name string, version int64, value []byte) (Object, error) {
+	obj, err := c.settle(ctx, class, name, value, func(ctx context.Context) (Object, error) {
+		return c.backend.Update(ctx, name, version, value)
+	})
+	if err != nil {
+		return Object{}, merry.Errorf("update object: %w", err)
+	}
+	return obj, nil
+}
+
+// Delete removes an object at a version. An object that is gone is a success.
+func (c *Client) Delete(ctx context.Context, class Class, name string, version int64) error {
+	if err := c.pace(ctx, class); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.deadline)
+	defer cancel()
+	err := c.backend.Delete(ctx, name, version)
+	if err != nil && !errors.Is(err, ErrNotFound) {
+		return merry.Errorf("delete object: %w", err)
+	}
+	return nil
+}
+
+func (c *Client) pace(ctx context.Context, class Class) error {
+	if err := c.limits[class].Wait(ctx); err != nil {
+		return merry.Errorf("wait for %s write budget: %w: %w", class, ErrUnavailable, err)
+	}
+	c.countWrite(class)
+	return nil
+}
+
+// settle repeats a write until its outcome is known. Repeating is safe because
+// the write is conditional and its value is unique to the writer. Once one
+// attempt was in doubt, giving up is reported as in doubt too.
+func (c *Client) settle(ctx context.Context, class Class, name string, value []byte, write func(context.Context) (Object, error)) (Object, error) {
+	doubt := false
+	for wait := firstBackoff; ; wait = min(2*wait, maxBackoff) {
+		if err := c.pace(ctx, class); err != nil {
+			return Object{}, inDoubtIf(doubt, err)
+		}
+		obj, err := c.attempt(ctx, write)
+		if err == nil {
+			return obj, nil
+		}
+		if isRefusal(err) && !doubt {
+			return Object{}, err
+		}
+		if !c.readBack {
+			return Object{}, err
+		}
+		if !isRefusal(err) {
+			doubt = doubt || !errors.Is(err, ErrUnavailable)
+		}
+		if doubt {
+			obj, found, readErr := c.readOwn(ctx, name, value)
+			if readErr == nil && found {
+				return obj, nil
+			}
+			if readErr == nil && isRefusal(err) {
+				return Object{}, err
+			}
+		}
+		if !sleep(ctx, wait/2+rand.N(wait)) {
+			return Object{}, inDoubtIf(doubt, err)
+		}
+	}
+}
+
+func (c *Client) attempt(ctx context.Context, write func(context.Context) (Object, error)) (Object, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.deadline)
+	defer cancel()
+	return write(ctx)
+}
+
+func (c *Client) readOwn(ctx context.Context, name string, value []byte) (Object, bool, error) {
+	obj, err := c.Get(ctx, name)
+	if errors.Is(err, ErrNotFound) {
+		return Object{}, false, nil
+	}
+	if err != nil {
+		return Object{}, false, err
+	}
+	return obj, bytes.Equal(obj.Value(), value), nil
+}
+
+func isRefusal(err error) bool {
+	return errors.Is(err, ErrExists) || errors.Is(err, ErrConflict) || errors.Is(err, ErrTooLarge) || errors.Is(err, ErrNotFound)
+}
+
+func inDoubtIf(doubt bool, err error) error {
+	if doubt && !errors.Is(err, ErrInDoubt) {
+		return merry.Errorf("%w: %w", ErrInDoubt, err)
+	}
+	return err
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/cicadakernel/cicadaplatform/http.go
@@ -0,0 +1,268 @@
+package cicadaplatform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/julienschmidt/httprouter"
+)
+
+const httpIdleTimeout = 90 * time.Second
+
+func init() {
+	Adapters.Register("http", openHTTP)
+}
+
+// Open returns the backend for a platform address such as
+// http://127.0.0.1:7000. The scheme names the adapter.
+func Open(address string) (Backend, error) {
+	scheme, _, ok := strings.Cut(address, "://")
+	if !ok {
+		return Backend{}, merry.Errorf("platform address %q has no scheme", address)
+	}
+	open, err := Adapters.Lookup(scheme)
+	if err != nil {
+		return Backend{}, merry.Errorf("platform address %q: %w", address, err)
+	}
+	return open(address)
+}
+
+type objectBody struct {
+	Name    string `json:"name"`
+	Version int64  `json:"version"`
+	Value   []byte `json:"value,omitempty"`
+}
+
+type pageBody struct {
+	Objects []objectBody `json:"objects"`
+	Version int64        `json:"version"`
+	More    bool         `json:"more"`
+}
+
+type errorBody struct {
+	Error string `json:"error"`
+}
+
+func (o objectBody) object() Object { return NewObject(o.Name, o.Version, o.Value) }
+
+func bodyOf(o Object) objectBody {
+	return objectBody{Name: o.name, Version: o.version, Value: o.value}
+}
+
+var errorCodes = []struct {
+	code string
+	err  error
+	http int
+}{
+	{"not-found", ErrNotFound, http.StatusNotFound},
+	{"exists", ErrExists, http.StatusConflict},
+	{"conflict", ErrConflict, http.StatusPreconditionFailed},
+	{"too-large", ErrTooLarge, http.StatusRequestEntityTooLarge},
+	{"unavailable", ErrUnavailable, http.StatusServiceUnavailable},
+	{"in-doubt", ErrInDoubt, http.StatusGatewayTimeout},
+}
+
+// Handler serves a backend over HTTP, for the stand-in platform.
+func Handler(b Backend) http.Handler {
+	router := httprouter.New()
+	router.HandlerFunc(http.MethodGet, "/objects", func(w http.ResponseWriter, r *http.Request) {
+		q := r.URL.Query()
+		if q.Has("watch") {
+			from, _ := strconv.ParseInt(q.Get("watch"), 10, 64)
+			page, err := b.Watch(r.Context(), q.Get("prefix"), from)
+			reply(w, encodePage(page), err)
+			return
+		}
+		limit, _ := strconv.Atoi(q.Get("limit"))
+		page, err := b.List(r.Context(), q.Get("prefix"), q.Get("after"), limit)
+		reply(w, encodePage(page), err)
+	})
+	router.GET("/objects/*name", func(w http.ResponseWriter, r *http.Request, ps httprouter.Params) {
+		obj, err := b.Get(r.Context(), objectName(ps))
+		reply(w, bodyOf(obj), err)
+	})
+	router.PUT("/objects/*name", func(w http.ResponseWriter, r *http.Request, ps httprouter.Params) {
+		value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxValueSize+1))
+		if err != nil {
+			reply(w, nil, ErrTooLarge)
+			return
+		}
+		obj, err := put(r.Context(), b, objectName(ps), r.Header.Get("If-Match"), value)
+		reply(w, objectBody{Name: obj.name, Version: obj.version}, err)
+	})
+	router.DELETE("/objects/*name", func(w http.ResponseWriter, r *http.Request, ps httprouter.Params) {
+		version, _ := strconv.ParseInt(r.Header.Get("If-Match"), 10, 64)
+		reply(w, struct{}{}, b.Delete(r.Context(), objectName(ps), version))
+	})
+	router.HandlerFunc(http.MethodGet, "/vms", func(w http.ResponseWriter, r *http.Request) {
+		vms, err := b.VMs(r.Context())
+		reply(w, vms, err)
+	})
+	return router
+}
+
+func objectName(ps httprouter.Params) string { return strings.TrimPrefix(ps.ByName("name"), "/") }
+
+func put(ctx context.Context, b Backend, name, match string, value []byte) (Object, error) {
+	if match == "" {
+		return b.Create(ctx, name, value)
+	}
+	version, err := strconv.ParseInt(match, 10, 64)
+	if err != nil {
+		return Object{}, merry.Errorf("If-Match %q: %w", match, ErrConflict)
+	}
+	return b.Update(ctx, name, version, value)
+}
+
+func encodePage(p Page) pageBody {
+	body := pageBody{Version: p.version, More: p.more, Objects: make([]objectBody, len(p.objects))}
+	for i, obj := range p.objects {
+		body.Objects[i] = bodyOf(obj)
+	}
+	return body
+}
+
+func reply(w http.ResponseWriter, v any, err error) {
+	w.Header().Set("Content-Type", "application/json")
+	if err == nil {
+		_ = json.NewEncoder(w).Encode(v)
+		return
+	}
+	for _, known := range errorCodes {
+		if errors.Is(err, known.err) {
+			w.WriteHeader(known.http)
+			_ = json.NewEncoder(w).Encode(errorBody{Error: known.code})
+			return
+		}
+	}
+	w.WriteHeader(http.StatusInternalServerError)
+	_ = json.NewEncoder(w).Encode(errorBody{Error: "in-doubt"})
+}
+
+type httpBackend struct {
+	base   string
+	client *http.Client
+}
+
+func openHTTP(address string) (Backend, error) {
+	if _, err := url.Parse(address); err != nil {
+		return Backend{}, merry.Errorf("platform address: %w", err)
+	}
+	b := &httpBackend{
+		base:   strings.TrimSuffix(address, "/"),
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: httpIdleTimeout}},
+	}
+	return Backend{
+		Get:    b.get,
+		List:   b.list,
+		Create: b.create,
+		Update: b.update,
+		Delete: b.remove,
+		Watch:  b.watch,
+		VMs:    b.vms,
+	}, nil
+}
+
+func (b *httpBackend) do(ctx context.Context, method, path, match string, value []byte, out any) error {
+	req, err := http.NewRequestWithContext(ctx, method, b.base+path, bytes.NewReader(value))
+	if err != nil {
+		return merry.Errorf("build request: %w", err)
+	}
+	if match != "" {
+		req.Header.Set("If-Match", match)
+	}
+	res, err := b.client.Do(req)
+	if err != nil {
+		return merry.Errorf("%s %s: %w: %w", method, path, ErrInDoubt, err)
+	}
+	defer res.Body.Close()
+	if res.StatusCode >= http.StatusBadRequest {
+		return decodeError(res)
+	}
+	if err := json.NewDecoder(res.Body).Decode(out); err != nil {
+		return merry.Errorf("%s %s: %w: %w", method, path, ErrInDoubt, err)
+	}
+	return nil
+}
+
+func decodeError(res *http.Response) error {
+	var body errorBody
+	_ = json.NewDecoder(res.Body).Decode(&body)
+	for _, known := range errorCodes {
+		if body.Error == known.code {
+			return merry.Wrap(known.err)
+		}
+	}
+	return merry.Errorf("status %d: %w", res.StatusCode, ErrInDoubt)
+}
+
+func objectPath(name string) string { return "/objects/" + (&url.URL{Path: name}).EscapedPath() }
+
+func (b *httpBackend) get(ctx context.Context, name string) (Object, error) {
+	var body objectBody
+	if err := b.do(ctx, http.MethodGet, objectPath(name), "", nil, &body); err != nil {
+		return Object{}, err
+	}
+	return body.object(), nil
+}
+
+func (b *httpBackend) list(ctx context.Context, prefix, after string, limit int) (Page, error) {
+	q := url.Values{"prefix": {prefix}, "after": {after}, "limit": {strconv.Itoa(limit)}}
+	return b.page(ctx, q)
+}
+
+func (b *httpBackend) watch(ctx context.Context, prefix string, from int64) (Page, error) {
+	q := url.Values{"prefix": {prefix}, "watch": {strconv.FormatInt(from, 10)}}
+	return b.page(ctx, q)
+}
+
+func (b *httpBackend) page(ctx context.Context, q url.Values) (Page, error) {
+	var body pageBody
+	if err := b.do(ctx, http.MethodGet, "/objects?"+q.Encode(), "", nil, &body); err != nil {
+		return Page{}, err
+	}
+	objects := make([]Object, len(body.Objects))
+	for i, o := range body.Objects {
+		objects[i] = o.object()
+	}
+	return NewPage(objects, body.Version, body.More), nil
+}
+
+func (b *httpBackend) create(ctx context.Context, name string, value []byte) (Object, error) {
+	return b.put(ctx, name, "", value)
+}
+
+func (b *httpBackend) update(ctx context.Context, name string, version int64, value []byte) (Object, error) {
+	return b.put(ctx, name, strconv.FormatInt(version, 10), value)
+}
+
+func (b *httpBackend) put(ctx context.Context, name, match string, value []byte) (Object, error) {
+	var body objectBody
+	if err := b.do(ctx, http.MethodPut, objectPath(name), match, value, &body); err != nil {
+		return Object{}, err
+	}
+	return NewObject(name, body.Version, value), nil
+}
+
+func (b *httpBackend) remove(ctx context.Context, name string, version int64) error {
+	var none struct{}
+	return b.do(ctx, http.MethodDelete, objectPath(name), fmt.Sprint(version), nil, &none)
+}
+
+func (b *httpBackend) vms(ctx context.Context) ([]VM, error) {
+	var vms []VM
+	if err := b.do(ctx, http.MethodGet, "/vms", "", nil, &vms); err != nil {
+		return nil, err
+	}
+	return vms, nil
+}
--- /dev/null
+++ b/cicadakernel/process.go
@@ -0,0 +1,247 @@
+// Package cicadakernel runs a cicadalink program: it reads the settings, sets
+// up logging and metrics, serves /healthz, /readyz and /metrics, starts the
+// program's role, and stops it gracefully on SIGTERM.
+//
+// # Usage
+//
+// A program hands Command a settings value and a function that starts its
+// role. The kernel calls the function once the settings are valid:
+//
+//	type settings struct {
+//		cicadakernel.Common `yaml:",inline"`
+//		Listen string `yaml:"listen"`
+//	}
+//
+//	func main() {
+//		cfg := &settings{}
+//		cmd := cicadakernel.Command("cicadaecho", "answers with its question", cfg,
+//			func(ctx context.Context, p *cicadakernel.Process) error {
+//				p.Ready(true)
+//				<-ctx.Done()
+//				return nil
+//			})
+//		cicadakernel.Main(cmd)
+//	}
+//
+// Plug-ins (engine adapters, platform adapters) sit in a Registry of their
+// kind and add themselves when their package is imported.
+package cicadakernel
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/hashicorp/go-hclog"
+	"github.com/julienschmidt/httprouter"
+	"github.com/uber-go/tally/v4"
+	tallyprom "github.com/uber-go/tally/v4/prometheus"
+	"github.com/urfave/cli/v3"
+
+	"cicadalink.example/cicadakernel/cicadasettings"
+)
+
+// Version is the version that every program of this tree reports.
+const Version = "0.1.0"
+
+// ExitUsage is the exit code for settings or arguments that are refused.
+const ExitUsage = 2
+
+const (
+	metricsInterval   = time.Second
+	adminHeaderLimit  = 10 * time.Second
+	adminShutdownTime = 2 * time.Second
+)
+
+// Common holds the settings that every program has.
+type Common struct {
+	Log   LogSettings `yaml:"log"`
+	Admin string      `yaml:"admin"`
+}
+
+// LogSettings says how lines are logged.
+type LogSettings struct {
+	Level  string `yaml:"level"`
+	Format string `yaml:"format"`
+}
+
+// Base returns the common settings of the value that embeds them.
+func (c *Common) Base() *Common { return c }
+
+// Validate checks the log level and format, and sets their defaults.
+func (c *Common) Validate() error {
+	if c.Log.Level == "" {
+		c.Log.Level = "info"
+	}
+	if hclog.LevelFromString(c.Log.Level) == hclog.NoLevel {
+		return cicadasettings.Expected("log.level", "one of trace, debug, info, warn, error, off")
+	}
+	if c.Log.Format == "" {
+		c.Log.Format = "text"
+	}
+	if c.Log.Format != "text" && c.Log.Format != "json" {
+		return cicadasettings.Expected("log.format", "text or json")
+	}
+	return nil
+}
+
+// Settings is a program's settings value: a pointer to a struct that embeds
+// Common and checks itself.
+type Settings interface {
+	Base() *Common
+	Validate() error
+}
+
+// A Process is one running program: its log, its metrics and its readiness.
+type Process struct {
+	name    string
+	log     hclog.Logger
+	scope   tally.Scope
+	metrics http.Handler
+	ready   atomic.Bool
+	closers []io.Closer
+}
+
+// NewProcess returns a process with logging and metrics set up. The log goes
+// to w.
+func NewProcess(name string, c *Common, w io.Writer) *Process {
+	reporter := tallyprom.NewReporter(tallyprom.Options{OnRegisterError: func(error) {}})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:                 "cicada",
+		CachedReporter:         reporter,
+		Separator:              tallyprom.DefaultSeparator,
+		SanitizeOptions:        &tallyprom.DefaultSanitizerOpts,
+		OmitCardinalityMetrics: true,
+	}, metricsInterval)
+	return &Process{
+		name: name,
+		log: hclog.New(&hclog.LoggerOptions{
+			Name:       name,
+			Level:      hclog.LevelFromString(c.Log.Level),
+			JSONFormat: c.Log.Format == "json",
+			Output:     w,
+		}),
+		scope:   scope,
+		metrics: reporter.HTTPHandler(),
+		closers: []io.Closer{closer},
+	}
+}
+
+// Log returns the process's logger.
+func (p *Process) Log() hclog.Logger { return p.log }
+
+// Scope returns the root of the process's metrics.
+func (p *Process) Scope() tally.Scope { return p.scope }
+
+// Ready says whether /readyz answers 200.
+func (p *Process) Ready(ready bool) { p.ready.Store(ready) }
+
+// AddAdminRoutes mounts /healthz, /readyz and /metrics on a router.
+func (p *Process) AddAdminRoutes(router *httprouter.Router) {
+	router.HandlerFunc(http.MethodGet, "/healthz", func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprintln(w, "ok")
+	})
+	router.HandlerFunc(http.MethodGet, "/readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !p.ready.Load() {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+			return
+		}
+		fmt.Fprintln(w, "ready")
+	})
+	router.Handler(http.MethodGet, "/metrics", p.metrics)
+}
+
+// Close flushes the metrics and releases what the process holds.
+func (p *Process) Close() error {
+	var errs []error
+	for _, closer := range p.closers {
+		errs = append(errs, closer.Close())
+	}
+	return errors.Join(errs...)
+}
+
+func (p *Process) serveAdmin(addr string) (*http.Server, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, merry.Errorf("admin listener: %w", err)
+	}
+	router := httprouter.New()
+	p.AddAdminRoutes(router)
+	srv := &http.Server{Handler: router, ReadHeaderTimeout: adminHeaderLimit}
+	go func() {
+		if err := srv.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			p.log.Error("admin listener failed", "error", err)
+		}
+	}()
+	return srv, nil
+}
+
+// Command returns the command line of a program that runs one role: --config
+// names the settings file and --check validates it without starting.
+func Command(name, usage string, cfg Settings, start func(ctx context.Context, p *Process) error) *cli.Command {
+	return &cli.Command{
+		Name:                  name,
+		Usage:                 usage,
+		Version:               Version,
+		EnableShellCompletion: true,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "config", Aliases: []string{"c"}, Usage: "read settings from `FILE` (YAML)", Required: true},
+			&cli.BoolFlag{Name: "check", Usage: "validate the settings and exit"},
+		},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			file := cmd.String("config")
+			if err := cicadasettings.Load(file, cfg); err != nil {
+				return cli.Exit(err, ExitUsage)
+			}
+			if cmd.Bool("check") {
+				fmt.Fprintf(cmd.Root().Writer, "%s: settings are valid\n", file)
+				return nil
+			}
+			return run(ctx, name, cfg, start)
+		},
+	}
+}
+
+func run(ctx context.Context, name string, cfg Settings, start func(ctx context.Context, p *Process) error) error {
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	p := NewProcess(name, cfg.Base(), os.Stderr)
+	if addr := cfg.Base().Admin; addr != "" {
+		srv, err := p.serveAdmin(addr)
+		if err != nil {
+			return merry.Errorf("start admin server: %w", err)
+		}
+		defer func() {
+			ctx, cancel := context.WithTimeout(context.Background(), adminShutdownTime)
+			defer cancel()
+			_ = srv.Shutdown(ctx)
+		}()
+	}
+	err := start(ctx, p)
+	if closeErr := p.Close(); err == nil {
+		err = closeErr
+	}
+	if err != nil {
+		return merry.Errorf("run %s: %w", name, err)
+	}
+	return nil
+}
+
+// Main runs a command with the process's arguments and exits with its code.
+func Main(cmd *cli.Command) {
+	err := cmd.Run(context.Background(), os.Args)
+	if err == nil {
+		return
+	}
+	fmt.Fprintf(os.Stderr, "%s: %v\n", cmd.Name, err)
+	os.Exit(1)
+}
