--- /dev/null
+++ b/cicadakernel/cicadaoperate/client.go
@@ -0,0 +1,264 @@
+package cicadaoperate
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"fmt"
+	"io"
+	"mime/multipart"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+
+	"github.com/ansel1/merry/v2"
+
+	"cicadalink.example/cicadakernel/cicadaerror"
+)
+
+const maxErrorBody = 1 << 20
+
+// A Client speaks to an entry, as an operator or as a caller. Its errors wrap
+// the *cicadaerror.Error that the entry sent.
+type Client struct {
+	base   string
+	key    string
+	client *http.Client
+}
+
+// A ClientOption changes a Client as it is made.
+type ClientOption func(*Client)
+
+// WithTLS secures the connection.
+func WithTLS(cfg *tls.Config) ClientOption {
+	return func(c *Client) { c.client.Transport = &http.Transport{TLSClientConfig: cfg} }
+}
+
+// NewClient returns a client of the entry at a base URL, with a bearer key.
+func NewClient(base, key string, opts ...ClientOption) *Client {
+	c := &Client{base: strings.TrimSuffix(base, "/"), key: key, client: &http.Client{}}
+	for _, opt := range opts {
+		opt(c)
+	}
+	return c
+}
+
+// Apply makes a change.
+func (c *Client) Apply(ctx context.Context, in Apply) (*Change, error) {
+	return call[Change](ctx, c, http.MethodPost, PathApply, in)
+}
+
+// RollBack restores a revision as a new one.
+func (c *Client) RollBack(ctx context.Context, in RollBack) (*Change, error) {
+	return call[Change](ctx, c, http.MethodPost, PathRollBack, in)
+}
+
+// Resources returns the resources in force of a kind and name, or of all when
+// they are empty.
+func (c *Client) Resources(ctx context.Context, kind, name string) (*Resources, error) {
+	q := url.Values{"kind": {kind}, "name": {name}}
+	return call[Resources](ctx, c, http.MethodGet, PathResources+"?"+q.Encode(), nil)
+}
+
+// Audit returns the changes from a revision on, or the newest ones when it is
+// 0, of a kind and name where given.
+func (c *Client) Audit(ctx context.Context, from int64, kind, name string) (*Audit, error) {
+	q := url.Values{"kind": {kind}, "name": {name}}
+	if from > 0 {
+		q.Set("from", strconv.FormatInt(from, 10))
+	}
+	return call[Audit](ctx, c, http.MethodGet, PathAudit+"?"+q.Encode(), nil)
+}
+
+// Status returns what each process holds.
+func (c *Client) Status(ctx context.Context) (*Status, error) {
+	return call[Status](ctx, c, http.MethodGet, PathStatus, nil)
+}
+
+// DrainVM makes an endpoint leave; with stop its agent ends too.
+func (c *Client) DrainVM(ctx context.Context, name string, stop bool) (*Drained, error) {
+	verb := "drain"
+	if stop {
+		verb = "stop"
+	}
+	return call[Drained](ctx, c, http.MethodPost, PathVMs+"/"+url.PathEscape(name)+"/"+verb, nil)
+}
+
+// A Batch is a batch job.
+type Batch struct {
+	ID           string `json:"id"`
+	Customer     string `json:"customer,omitempty"`
+	Endpoint     string `json:"endpoint"`
+	InputFileID  string `json:"input_file_id"`
+	Status       string `json:"status"`
+	OutputFileID string `json:"output_file_id"`
+	ErrorFileID  string `json:"error_file_id"`
+	CreatedAt    int64  `json:"created_at"`
+	ExpiresAt    int64  `json:"expires_at"`
+	Counts       struct {
+		Total     int64 `json:"total"`
+		Completed int64 `json:"completed"`
+		Failed    int64 `json:"failed"`
+	} `json:"request_counts"`
+}
+
+// Ended reports whether the job has ended.
+func (b *Batch) Ended() bool { return b.Status != "in_progress" && b.Status != "cancelling" }
+
+// SubmitBatch uploads a file and starts a job for it. The same file and
+// endpoint are the same job, unless a key tells jobs apart.
+func (c *Client) SubmitBatch(ctx context.Context, name string, file io.Reader, endpoint, window, key string) (*Batch, error) {
+	id, err := c.upload(ctx, name, file)
+	if err != nil {
+		return nil, err
+	}
+	body := map[string]string{"input_file_id": id, "endpoint": endpoint, "completion_window": window}
+	headers := http.Header{}
+	if key != "" {
+		headers.Set("Idempotency-Key", key)
+	}
+	data, err := json.Marshal(body)
+	if err != nil {
+		return nil, merry.Errorf("encode batch: %w", err)
+	}
+	headers.Set("Content-Type", "application/json")
+	var batch Batch
+	if err := c.do(ctx, http.MethodPost, "/v1/batches", headers, bytes.NewReader(data), decodeInto(&batch)); err != nil {
+		return nil, merry.Errorf("submit batch: %w", err)
+	}
+	return &batch, nil
+}
+
+// upload streams a file to the entry.
+func (c *Client) upload(ctx context.Context, name string, file io.Reader) (string, error) {
+	reader, writer := io.Pipe()
+	form := multipart.NewWriter(writer)
+	go func() { //nolint:revive // ends when the request does
+		_ = form.WriteField("purpose", "batch")
+		part, err := form.CreateFormFile("file", name)
+		if err == nil {
+			_, err = io.Copy(part, file)
+		}
+		if err == nil {
+			err = form.Close()
+		}
+		writer.CloseWithError(err)
+	}()
+	defer reader.Close()
+	headers := http.Header{"Content-Type": {form.FormDataContentType()}}
+	var uploaded struct {
+		ID string `json:"id"`
+	}
+	if err := c.do(ctx, http.MethodPost, "/v1/files", headers, reader, decodeInto(&uploaded)); err != nil {
+		return "", merry.Errorf("upload file: %w", err)
+	}
+	return uploaded.ID, nil
+}
+
+// Batch returns a job of the caller.
+func (c *Client) Batch(ctx context.Context, id string) (*Batch, error) {
+	return call[Batch](ctx, c, http.MethodGet, "/v1/batches/"+url.PathEscape(id), nil)
+}
+
+// CancelBatch cancels a job of the caller.
+func (c *Client) CancelBatch(ctx context.Context, id string) (*Batch, error) {
+	return call[Batch](ctx, c, http.MethodPost, "/v1/batches/"+url.PathEscape(id)+"/cancel", nil)
+}
+
+// Batches returns the newest jobs of the caller.
+func (c *Client) Batches(ctx context.Context) ([]Batch, error) {
+	list, err := call[struct {
+		Data []Batch `json:"data"`
+	}](ctx, c, http.MethodGet, "/v1/batches?limit=100", nil)
+	if err != nil {
+		return nil, err
+	}
+	return list.Data, nil
+}
+
+// CustomerBatches returns the newest jobs of a customer, or of all when it is
+// empty, for an operator.
+func (c *Client) CustomerBatches(ctx context.Context, customer string) ([]Batch, error) {
+	list, err := call[struct {
+		Data []Batch `json:"data"`
+	}](ctx, c, http.MethodGet, PathJobs+"?customer="+url.QueryEscape(customer), nil)
+	if err != nil {
+		return nil, err
+	}
+	return list.Data, nil
+}
+
+// CancelCustomerBatch cancels a customer's job, for an operator.
+func (c *Client) CancelCustomerBatch(ctx context.Context, customer, id string) (*Batch, error) {
+	return call[Batch](ctx, c, http.MethodPost, PathJobs+"/"+url.PathEscape(id)+"/cancel?customer="+url.QueryEscape(customer), nil)
+}
+
+// Results writes a job's output or error file to w.
+func (c *Client) Results(ctx context.Context, fileID string, w io.Writer) error {
+	err := c.do(ctx, http.MethodGet, "/v1/files/"+url.PathEscape(fileID)+"/content", nil, nil, func(r io.Reader) error {
+		_, err := io.Copy(w, r)
+		return err
+	})
+	if err != nil {
+		return merry.Errorf("read results: %w", err)
+	}
+	return nil
+}
+
+func call[T any](ctx context.Context, c *Client, method, path string, in any) (*T, error) {
+	var body io.Reader
+	headers := http.Header{}
+	if in != nil {
+		data, err := json.Marshal(in)
+		if err != nil {
+			return nil, merry.Errorf("encode request: %w", err)
+		}
+		body = bytes.NewReader(data)
+		headers.Set("Content-Type", "application/json")
+	}
+	var out T
+	if err := c.do(ctx, method, path, headers, body, decodeInto(&out)); err != nil {
+		return nil, merry.Errorf("%s %s: %w", method, path, err)
+	}
+	return &out, nil
+}
+
+func decodeInto(v any) func(io.Reader) error {
+	return func(r io.Reader) error { return json.NewDecoder(r).Decode(v) }
+}
+
+func (c *Client) do(ctx context.Context, method, path string, headers http.Header, body io.Reader, read func(io.Reader) error) error {
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, body)
+	if err != nil {
+		return merry.Errorf("build request: %w", err)
+	}
+	for name, values := range headers {
+		req.Header[name] = values
+	}
+	req.Header.Set("Authorization", "Bearer "+c.key)
+	res, err := c.client.Do(req)
+	if err != nil {
+		return merry.Errorf("reach entry: %w", err)
+	}
+	defer res.Body.Close()
+	if res.StatusCode >= http.StatusBadRequest {
+		return refusalOf(res)
+	}
+	if err := read(res.Body); err != nil {
+		return merry.Errorf("read answer: %w", err)
+	}
+	return nil
+}
+
+func refusalOf(res *http.Response) error {
+	var body cicadaerror.Body
+	if err := json.NewDecoder(io.LimitReader(res.Body, maxErrorBody)).Decode(&body); err != nil || body.Error.Code == "" {
+		return merry.Errorf("entry answered with status %d", res.StatusCode)
+	}
+	return cicadaerror.New(body.Error.Code, "%s", body.Error.Message)
+}
+
+// String returns the kind and name of a reference.
+func (r Reference) String() string { return fmt.Sprintf("%s/%s", r.Kind, r.Name) }
