--- a/cicadaentry/cicadafleet/fleet.go
+++ b/cicadaentry/cicadafleet/fleet.go
@@ -62,9 +62,13 @@
 	vmsNew  chan struct{}
 	poke    chan struct{}
 	cancel  context.CancelFunc
+	closed  bool
 	tasks   conc.WaitGroup
 }
 
+// ErrClosed reports a fleet that was closed while it started.
+var ErrClosed = merry.Sentinel("cicadafleet: closed")
+
 // An Option changes a Fleet as it is made.
 type Option func(*Fleet)
 
@@ -127,9 +131,12 @@
 	}
 	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.closed {
+		cancel()
+		return merry.Errorf("start fleet: %w", ErrClosed)
+	}
 	f.cancel = cancel
-	f.mu.Unlock()
-	f.relink(running)
 	f.tasks.Go(func() { f.keepCurrent(running) })
 	f.tasks.Go(func() { f.relinkOnChange(running) })
 	return nil
@@ -138,6 +145,7 @@
 // Close ends all links.
 func (f *Fleet) Close() {
 	f.mu.Lock()
+	f.closed = true
 	cancel := f.cancel
 	f.mu.Unlock()
 	if cancel != nil {
--- a/cicadaentry/cicadashard/item.go
+++ b/cicadaentry/cicadashard/item.go
@@ -20,6 +20,7 @@
 const (
 	itemDeadline    = 15 * time.Minute
 	maxItemAttempts = 4
+	maxItemCuts     = 16
 	maxItemAnswer   = 700 << 10
 	lookUpDeadline  = 5 * time.Second
 	lookUpRetry     = time.Second
@@ -152,14 +153,27 @@
 	if ctx.Err() != nil {
 		return itemEnd{}
 	}
+	if !retryable(known.Code()) || r.spent(it, known.Code()) {
+		return itemEnd{record: failed(in, known, "")}
+	}
+	return itemEnd{busy: true}
+}
+
+// spent counts a failed attempt and reports whether the item has had enough of
+// them. An engine that fails tells more against an item than an endpoint that
+// goes away, and a lack of endpoints tells nothing.
+func (r *runner) spent(it *item, code cicadaerror.Code) bool {
 	r.mu.Lock()
-	it.attempts++
-	spent := it.attempts >= maxItemAttempts
-	r.mu.Unlock()
-	if retryable(known.Code()) && !spent {
-		return itemEnd{retry: true}
+	defer r.mu.Unlock()
+	switch code {
+	case cicadaerror.Overloaded:
+		return false
+	case cicadaerror.Unavailable:
+		it.cuts++
+	default:
+		it.attempts++
 	}
-	return itemEnd{record: failed(in, known, "")}
+	return it.attempts >= maxItemAttempts || it.cuts >= maxItemCuts
 }
 
 func retryable(code cicadaerror.Code) bool {
--- a/cicadaentry/cicadashard/runner.go
+++ b/cicadaentry/cicadashard/runner.go
@@ -21,6 +21,9 @@
 	expiryWindows  = 2
 	sweepJobsEvery = time.Minute
 	maxSpeculative = 16
+	// copyInterval is how long an item whose copy found no room waits for
+	// another.
+	copyInterval = 2 * time.Second
 )
 
 // A runner works off the jobs of one shard.
@@ -58,9 +61,11 @@
 	claimed  string
 	started  time.Time
 	attempts int32
+	cuts     int
 	copies   int
 	lost     bool
 	reclaim  bool
+	nextCopy time.Time
 	cancel   context.CancelFunc
 }
 
@@ -388,18 +393,23 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	now := time.Now()
+	if now.Before(r.holdTill) {
+		return
+	}
 	started := 0
 	for _, j := range r.jobs {
 		if !j.exhausted && j.index < j.accepted.GetItems() || j.ending {
 			continue
 		}
 		for _, it := range j.running {
-			ran := float64(time.Since(it.started).Milliseconds())
-			if started == maxSpeculative || it.copies != 1 || it.claimed != "" || it.lost ||
+			ran := float64(now.Sub(it.started).Milliseconds())
+			if started == maxSpeculative || it.copies != 1 || it.claimed != "" || it.lost || now.Before(it.nextCopy) ||
 				!cicadajob.Straggler(ran, j.durations, int64(len(j.again))) {
 				continue
 			}
 			started++
+			it.nextCopy = now.Add(copyInterval)
 			r.startCopy(it)
 		}
 	}
