--- a/cicadaentry/cicadafleet/endpoint.go
+++ b/cicadaentry/cicadafleet/endpoint.go
@@ -1,6 +1,7 @@
 package cicadafleet
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -15,10 +16,16 @@
 	quietAfter = 800 * time.Millisecond
 	// lostAfter is how long an endpoint may stay silent before it counts as
 	// lost.
-	lostAfter   = 2500 * time.Millisecond
-	paceWeight  = 0.2
-	slowRetry   = 2 * time.Second
-	sampleDecay = 10 * time.Second
+	lostAfter  = 2500 * time.Millisecond
+	paceWeight = 0.2
+	slowRetry  = 2 * time.Second
+	// sampleHalfLife is the time in which what was measured of an endpoint loses
+	// half its weight, so that one that was slow for a moment is tried again.
+	sampleHalfLife = time.Second
+	// stallFactor is how many times the usual time between tokens an endpoint
+	// with running streams may stay silent before new work goes elsewhere.
+	stallFactor = 5
+	minStall    = 100 * time.Millisecond
 )
 
 // An Endpoint is what this entry knows of one endpoint. Its methods are safe
@@ -41,6 +48,7 @@
 	batch     int
 	baseline  struct{ online, batch int }
 	waiting   map[*Attempt]time.Time
+	streams   int
 	token     time.Duration
 	first     time.Duration
 	samples   int
@@ -168,18 +176,27 @@
 		First:         e.first,
 		Samples:       e.samples,
 		Unusable:      e.leaving || !e.connected || !e.load.GetEngineUp() || silent > lostAfter,
-		Quiet:         e.online+e.batch > 0 && silent > quietAfter,
+		Quiet:         e.quiet(silent),
 		Ejected:       e.ejected && now.Sub(e.ejectedAt) < slowRetry,
 	}
 	for _, since := range e.waiting {
 		v.OldestWaiting = max(v.OldestWaiting, now.Sub(since))
 	}
-	if now.Sub(e.sampledAt) > sampleDecay {
-		v.Samples = 0
-	}
+	fade := math.Exp2(-float64(now.Sub(e.sampledAt)) / float64(sampleHalfLife))
+	v.Token = time.Duration(float64(v.Token) * fade)
+	v.First = time.Duration(float64(v.First) * fade)
 	return v
 }
 
+// quiet reports that the endpoint has been silent for longer than it should be
+// with the attempts that it has.
+func (e *Endpoint) quiet(silent time.Duration) bool {
+	if e.online+e.batch > 0 && silent > quietAfter {
+		return true
+	}
+	return e.streams > 0 && silent > max(stallFactor*e.token, minStall)
+}
+
 // setEjected records the comparison with its peers.
 func (e *Endpoint) setEjected(ejected bool) {
 	e.mu.Lock()
@@ -237,6 +254,7 @@
 		return 0, false
 	}
 	a.seen = true
+	e.streams++
 	average(&e.first, gap)
 	e.samples++
 	e.sampledAt = now
@@ -261,6 +279,9 @@
 	}
 	a.ended = true
 	delete(e.waiting, a)
+	if a.seen {
+		e.streams--
+	}
 	if a.batch {
 		e.batch--
 	} else {
--- a/cicadakernel/cicadaroute/route.go
+++ b/cicadakernel/cicadaroute/route.go
@@ -34,8 +34,11 @@
 	affinitySlack = 1.25
 	affinityExtra = 1.0
 	// affinitySpeed is how much slower than its peers it may be.
-	affinitySpeed  = 1.5
-	farPenalty     = 1.05
+	affinitySpeed = 1.5
+	farPenalty    = 1.05
+	// idleCost is the part of an endpoint's cost that does not grow with its
+	// load.
+	idleCost       = 0.25
 	minimumSamples = 5
 	defaultFirst   = 50 * time.Millisecond
 )
@@ -77,12 +80,10 @@
 	return float64(v.Online+2*v.OnlineWaiting) / float64(max(v.Slots, 1))
 }
 
-func (v *View) cost() float64 {
-	first := v.first()
-	if v.Samples == 0 && v.OldestWaiting == 0 {
-		first = defaultFirst
-	}
-	cost := float64(first) * (0.25 + v.busy())
+// cost is the expected time to the first token, in arbitrary units. No endpoint
+// counts as faster than the median, because old measurements fade.
+func (v *View) cost(median time.Duration) float64 {
+	cost := float64(max(v.first(), median)) * (idleCost + v.busy())
 	if !v.Near {
 		cost *= farPenalty
 	}
@@ -114,7 +115,8 @@
 	}
 	a := usable[intn(len(usable))]
 	b := usable[intn(len(usable))]
-	if views[b].cost() < views[a].cost() {
+	median := medianFirst(views)
+	if views[b].cost(median) < views[a].cost(median) {
 		return b
 	}
 	return a
@@ -209,7 +211,7 @@
 		}
 	}
 	if len(values) == 0 {
-		return time.Hour
+		return defaultFirst
 	}
 	slices.Sort(values)
 	return values[len(values)/2]
@@ -238,7 +240,7 @@
 		if v.Samples >= minimumSamples {
 			factor = max(ratio(v.Token, tokenMedian), ratio(v.First, firstMedian))
 		}
-		factor = max(factor, ratio(v.OldestWaiting, firstMedian)/2)
+		factor = max(factor, ratio(v.OldestWaiting, firstMedian))
 		if factor >= slowFactor {
 			found = append(found, slow{i, factor})
 		}
@@ -267,12 +269,15 @@
 }
 
 // shedAt is the load, in requests per slot, from which requests of each urgency
-// are refused.
-var shedAt = [...]float64{1.2, 1.6, 2.2, 3.0}
+// are refused. Above one request a slot, requests wait for as long as others
+// run, which is longer than a person does.
+var shedAt = [...]float64{0.95, 1.05, 1.15, 1.3}
 
-// Shed reports whether a request of an urgency is to be refused because the
-// endpoints have too much to do. The less urgent go first.
-func Shed(views []View, urgency int32) bool {
+// fairAt is the load from which a customer may not hold more than its share.
+const fairAt = 0.85
+
+// Load returns the online requests per slot of the endpoints.
+func Load(views []View) float64 {
 	slots, requests := 0, 0
 	for i := range views {
 		if v := &views[i]; !v.Unusable {
@@ -281,8 +286,24 @@
 		}
 	}
 	if slots == 0 {
-		return false
+		return 0
 	}
+	return float64(requests) / float64(slots)
+}
+
+// Shed reports whether a request of an urgency is to be refused because the
+// endpoints have too much to do. The less urgent go first.
+func Shed(load float64, urgency int32) bool {
 	level := min(max(int(urgency), 0), len(shedAt)-1)
-	return float64(requests)/float64(slots) >= shedAt[level]
+	return load >= shedAt[level]
+}
+
+// OverShare reports whether a customer that holds some of the requests that run
+// has its fair share already, at a load at which that matters. Customers is how
+// many have requests running, this one included.
+func OverShare(load float64, held, running, customers int) bool {
+	if load < fairAt || customers <= 1 {
+		return false
+	}
+	return held*customers >= running
 }
