Eject slow endpoints with growing periods, keep agents' queues short

Cause: ejected endpoints got traffic back every 2 s, stalls were seen late, and an agent's queue of 64 made admitted requests wait seconds under overload. Change: an ejection doubles up to 30 s and ends by one probe, which is hedged at the median; a stream silent for three token times makes its endpoint quiet; hedges start at the 98th percentile, so that the budget goes to the worst; the online queue holds a quarter of the slots, and a more urgent request displaces the last; an entry assumes that others send in proportion.

--- a/cicadaagent/cicadagate/gate.go
+++ b/cicadaagent/cicadagate/gate.go
@@ -33,7 +33,6 @@
 
 const (
 	defaultSlots      = 8
-	maxOnlineWaiting  = 64
 	batchQueuePerSlot = 1
 	busyRetryAfter    = 100 * time.Millisecond
 )
@@ -53,6 +52,7 @@
 
 var (
 	errPreempted = merry.Sentinel("cicadagate: batch item preempted")
+	errBusy      = merry.Sentinel("cicadagate: a more urgent request took the place in the queue")
 	errDraining  = merry.Sentinel("cicadagate: endpoint is draining")
 )
 
@@ -228,6 +228,9 @@
 		return false, out.fail(CodeStopped, "endpoint is stopping", false)
 	}
 	g.attempts.forget(w.call)
+	if errors.Is(w.refused, errBusy) {
+		return false, out.refuse(CodeBusy, "a more urgent request came")
+	}
 	return false, out.refuse(CodeLeaving, "endpoint is leaving")
 }
 
@@ -246,15 +249,33 @@
 		}
 		g.batch = append(g.batch, w)
 	} else {
-		if len(g.online) >= maxOnlineWaiting {
-			return CodeBusy, "online queue is full"
-		}
 		g.online = insertByUrgency(g.online, w)
 	}
 	g.schedule()
+	if !w.isBatch() && g.refuseLast(w) {
+		return CodeBusy, "online queue is full"
+	}
 	return "", ""
 }
 
+// refuseLast keeps the online queue short: a request that would wait long does
+// better elsewhere. The least urgent of those that came last gives way. It
+// reports whether that is w, the request that has just come.
+func (g *Gate) refuseLast(w *waiter) bool {
+	if len(g.online) <= g.policy.QueueLimit() {
+		return false
+	}
+	last := g.online[len(g.online)-1]
+	g.online = g.online[:len(g.online)-1]
+	g.state.OnlineWaiting = len(g.online)
+	if last == w {
+		return true
+	}
+	last.refused = errBusy
+	close(last.enter)
+	return false
+}
+
 // insertByUrgency keeps the more urgent first, and arrivals in order within an
 // urgency.
 func insertByUrgency(queue []*waiter, w *waiter) []*waiter {
--- a/cicadaentry/cicadadispatch/dispatcher.go
+++ b/cicadaentry/cicadadispatch/dispatcher.go
@@ -53,10 +53,10 @@
 // Defaults of the limits.
 const (
 	DefaultRetryShare       = 0.1
-	DefaultHedgeShare       = 0.02
+	DefaultHedgeShare       = 0.025
 	DefaultQuarantinePeriod = 10 * time.Minute
 	retryBound              = 20
-	hedgeBound              = 2
+	hedgeBound              = 4
 	maxAttempts             = 5
 	hedgeStart              = time.Second
 	hedgeFloor              = 50 * time.Millisecond
--- a/cicadaentry/cicadadispatch/run.go
+++ b/cicadaentry/cicadadispatch/run.go
@@ -137,7 +137,11 @@
 	if !r.mayHedge(suspect) {
 		return r.settle(ctx, main, r.follow(ctx, main))
 	}
-	timer := time.NewTimer(r.d.delay.Get())
+	delay := r.d.delay.Get()
+	if main.books.Probe() {
+		delay = r.d.delay.Short()
+	}
+	timer := time.NewTimer(delay)
 	defer timer.Stop()
 	select {
 	case frame, ok := <-main.frames:
--- a/cicadaentry/cicadafleet/endpoint.go
+++ b/cicadaentry/cicadafleet/endpoint.go
@@ -18,14 +18,20 @@
 	// lost.
 	lostAfter  = 2500 * time.Millisecond
 	paceWeight = 0.2
-	slowRetry  = 2 * time.Second
+	// firstEjection and maxEjection bound how long a slow endpoint gets no new
+	// work before one attempt tries it again.
+	firstEjection = time.Second
+	maxEjection   = 30 * time.Second
 	// sampleHalfLife is the time in which what was measured of an endpoint loses
 	// half its weight, so that one that was slow for a moment is tried again.
 	sampleHalfLife = time.Second
 	// stallFactor is how many times the usual time between tokens an endpoint
 	// with running streams may stay silent before new work goes elsewhere.
-	stallFactor = 5
-	minStall    = 100 * time.Millisecond
+	stallFactor = 3
+	minStall    = 60 * time.Millisecond
+	// maxOthers bounds by how much what this entry sends is multiplied to
+	// account for the others.
+	maxOthers = 8
 )
 
 // An Endpoint is what this entry knows of one endpoint. Its methods are safe
@@ -53,8 +59,36 @@
 	first     time.Duration
 	samples   int
 	sampledAt time.Time
-	ejected   bool
-	ejectedAt time.Time
+	ejection  ejection
+}
+
+// An ejection is an endpoint's time without new work. Each ejection that
+// follows another is twice as long; a probe that is not slow ends it.
+type ejection struct {
+	active bool
+	period time.Duration
+	until  time.Time
+	probe  *Attempt
+}
+
+// eject starts an ejection, unless one lasts.
+func (x *ejection) eject(now time.Time) {
+	if x.active && now.Before(x.until) {
+		return
+	}
+	x.period = min(max(2*x.period, firstEjection), maxEjection)
+	x.active, x.until, x.probe = true, now.Add(x.period), nil
+}
+
+// lasts reports whether the endpoint gets no new work now.
+func (x *ejection) lasts(now time.Time) bool {
+	return x.active && (now.Before(x.until) || x.probe != nil)
+}
+
+// end ends the ejection after a probe that was not slow.
+func (x *ejection) end() {
+	x.active, x.probe = false, nil
+	x.period /= 2
 }
 
 // NewEndpoint returns an endpoint of the VM list. Near says that it stands in
@@ -152,7 +186,7 @@
 		return "lost"
 	case !e.load.GetEngineUp():
 		return "engine-down"
-	case e.ejected:
+	case e.ejection.active:
 		return "slow"
 	}
 	return "live"
@@ -168,7 +202,7 @@
 		Name:          e.name,
 		Near:          e.near,
 		Slots:         int(e.load.GetSlots()),
-		Online:        max(int(e.load.GetOnlineRunning())+e.online-e.baseline.online, e.online, 0),
+		Online:        max(int(e.load.GetOnlineRunning())+e.sentSince(), e.online, 0),
 		OnlineWaiting: int(e.load.GetOnlineWaiting()),
 		Batch:         max(int(e.load.GetBatchRunning())+e.batch-e.baseline.batch, e.batch, 0),
 		BatchWaiting:  int(e.load.GetBatchWaiting()),
@@ -177,7 +211,7 @@
 		Samples:       e.samples,
 		Unusable:      e.leaving || !e.connected || !e.load.GetEngineUp() || silent > lostAfter,
 		Quiet:         e.quiet(silent),
-		Ejected:       e.ejected && now.Sub(e.ejectedAt) < slowRetry,
+		Ejected:       e.ejection.lasts(now),
 	}
 	for _, since := range e.waiting {
 		v.OldestWaiting = max(v.OldestWaiting, now.Sub(since))
@@ -188,6 +222,18 @@
 	return v
 }
 
+// sentSince estimates by how much the online requests have grown since the last
+// report: by what this entry has sent, and by as much from each other entry in
+// proportion to what it had running.
+func (e *Endpoint) sentSince() int {
+	own := e.online - e.baseline.online
+	reported := int(e.load.GetOnlineRunning() + e.load.GetOnlineWaiting())
+	if own <= 0 || e.baseline.online == 0 || reported <= e.baseline.online {
+		return own
+	}
+	return min(own*reported/e.baseline.online, own*maxOthers)
+}
+
 // quiet reports that the endpoint has been silent for longer than it should be
 // with the attempts that it has.
 func (e *Endpoint) quiet(silent time.Duration) bool {
@@ -197,14 +243,11 @@
 	return e.streams > 0 && silent > max(stallFactor*e.token, minStall)
 }
 
-// setEjected records the comparison with its peers.
-func (e *Endpoint) setEjected(ejected bool) {
+// eject records that the endpoint is much slower than its peers.
+func (e *Endpoint) eject() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if ejected && (!e.ejected || e.now().Sub(e.ejectedAt) >= slowRetry) {
-		e.ejectedAt = e.now()
-	}
-	e.ejected = ejected
+	e.ejection.eject(e.now())
 }
 
 // An Attempt is one attempt on an endpoint, for its books.
@@ -231,10 +274,20 @@
 	} else {
 		e.online++
 		e.waiting[a] = now
+		if e.ejection.active && e.ejection.probe == nil {
+			e.ejection.probe = a
+		}
 	}
 	return a
 }
 
+// Probe reports whether the attempt tries an endpoint that was ejected.
+func (a *Attempt) Probe() bool {
+	a.endpoint.mu.Lock()
+	defer a.endpoint.mu.Unlock()
+	return a.endpoint.ejection.probe == a
+}
+
 // Token records a piece of the answer, and returns the time to it when it is
 // the first.
 func (a *Attempt) Token() (first time.Duration, isFirst bool) {
@@ -255,6 +308,10 @@
 	}
 	a.seen = true
 	e.streams++
+	if e.ejection.probe == a {
+		e.first = gap
+		e.ejection.end()
+	}
 	average(&e.first, gap)
 	e.samples++
 	e.sampledAt = now
@@ -282,6 +339,9 @@
 	if a.seen {
 		e.streams--
 	}
+	if e.ejection.probe == a {
+		e.ejection.eject(e.now())
+	}
 	if a.batch {
 		e.batch--
 	} else {
--- a/cicadaentry/cicadafleet/table.go
+++ b/cicadaentry/cicadafleet/table.go
@@ -18,7 +18,7 @@
 	RoleEndpoint = "endpoint"
 )
 
-const compareInterval = 100 * time.Millisecond
+const compareInterval = 20 * time.Millisecond
 
 // members is the fleet as of one moment; it is immutable.
 type members struct {
@@ -58,8 +58,10 @@
 	g.mu.Unlock()
 	if due {
 		for i, ejected := range cicadaroute.Eject(views) {
-			g.endpoints[i].setEjected(ejected)
-			views[i].Ejected = ejected
+			if ejected {
+				g.endpoints[i].eject()
+				views[i].Ejected = true
+			}
 		}
 	}
 	return views
--- a/cicadakernel/cicadaadmit/policy.go
+++ b/cicadakernel/cicadaadmit/policy.go
@@ -20,6 +20,13 @@
 // long.
 const LongTokens = 512
 
+const (
+	// queueDivisor makes the queue a part of the slots, so that the wait is a
+	// part of the time that a request runs.
+	queueDivisor = 4
+	minQueue     = 2
+)
+
 // A Decision says what to do with a request that could run now.
 type Decision int
 
@@ -93,6 +100,9 @@
 	return free
 }
 
+// QueueLimit returns how many online requests may wait.
+func (p Policy) QueueLimit() int { return max(p.Slots/queueDivisor, minQueue) }
+
 // Surplus returns how many running batch items must stop for batch to hold no
 // more than its slots.
 func (p Policy) Surplus(s State) int {
--- a/cicadakernel/cicadaretry/budget.go
+++ b/cicadakernel/cicadaretry/budget.go
@@ -58,16 +58,17 @@
 const (
 	delaySamples  = 256
 	refreshEvery  = 16
-	delayQuantile = 0.95
+	delayQuantile = 0.98
 )
 
-// A Delay says how long to wait for a first token before hedging: the 95th
+// A Delay says how long to wait for a first token before hedging: the 98th
 // percentile of the recent times to a first token.
 type Delay struct {
 	mu     sync.Mutex
 	ring   [delaySamples]time.Duration
 	n      int
 	cached time.Duration
+	middle time.Duration
 	floor  time.Duration
 	start  time.Duration
 }
@@ -93,6 +94,17 @@
 	samples := slices.Clone(d.ring[:min(d.n, delaySamples)])
 	slices.Sort(samples)
 	d.cached = samples[int(delayQuantile*float64(len(samples)-1))]
+	d.middle = samples[len(samples)/2]
+}
+
+// Short returns the delay for an attempt that is likely to be slow: the median.
+func (d *Delay) Short() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.middle == 0 {
+		return d.start
+	}
+	return max(d.middle, d.floor)
 }
 
 // Get returns the delay.
