Add cicadabench, fair shares at the agent, and claims on few shards

Cause: the capacity page needs slopes; a flood of one customer held every slot; a claim each on 64 shards would share no write. Change: cicadabench grows links, customers, jobs, items and the log, prints slopes as a table or JSON and plots SVGs. An agent keeps an eighth of its slots from a customer over its fair share, and refuses it at once rather than letting it wait. Claims live on four shards. Health checks and link checks run once a second.

--- a/cicadaagent/cicadaendpoint/agent.go
+++ b/cicadaagent/cicadaendpoint/agent.go
@@ -32,7 +32,7 @@
 )
 
 const (
-	healthInterval = 500 * time.Millisecond
+	healthInterval = time.Second
 	fenceRetry     = time.Second
 	goodbyeDelay   = 100 * time.Millisecond
 )
--- a/cicadaagent/cicadagate/gate.go
+++ b/cicadaagent/cicadagate/gate.go
@@ -69,6 +69,7 @@
 	batch    []*waiter
 	runs     map[*waiter]struct{}
 	state    cicadaadmit.State
+	shares   shares
 	leaving  bool
 	changed  chan struct{}
 	idle     chan struct{}
@@ -249,7 +250,10 @@
 		}
 		g.batch = append(g.batch, w)
 	} else {
-		g.online = insertByUrgency(g.online, w)
+		if g.overShare(w) {
+			return CodeBusy, "customer has its fair share of the endpoint"
+		}
+		g.online = g.insertOnline(w)
 	}
 	g.schedule()
 	if !w.isBatch() && g.refuseLast(w) {
@@ -276,11 +280,12 @@
 	return false
 }
 
-// insertByUrgency keeps the more urgent first, and arrivals in order within an
-// urgency.
-func insertByUrgency(queue []*waiter, w *waiter) []*waiter {
+// insertOnline keeps the more urgent first, within an urgency the customers that
+// hold the least, and otherwise the order of arrival.
+func (g *Gate) insertOnline(w *waiter) []*waiter {
+	queue := g.online
 	i := len(queue)
-	for i > 0 && queue[i-1].call.GetUrgency() < w.call.GetUrgency() {
+	for i > 0 && g.before(w, queue[i-1]) {
 		i--
 	}
 	queue = append(queue, nil)
@@ -289,6 +294,20 @@
 	return queue
 }
 
+// overShare reports whether a request would take one of the last slots for a
+// customer that has its fair share. Such a request is refused at once: it would
+// wait, and be taken for a sign of a slow endpoint.
+func (g *Gate) overShare(w *waiter) bool {
+	return g.policy.KeepFree(g.state) && g.shares.over(w.call.GetCustomer(), g.policy.Slots)
+}
+
+func (g *Gate) before(w, other *waiter) bool {
+	if w.call.GetUrgency() != other.call.GetUrgency() {
+		return w.call.GetUrgency() > other.call.GetUrgency()
+	}
+	return g.shares.running(w.call.GetCustomer()) < g.shares.running(other.call.GetCustomer())
+}
+
 // abandon removes a call that still waits, and reports whether it did.
 func (g *Gate) abandon(w *waiter) bool {
 	g.mu.Lock()
@@ -383,6 +402,7 @@
 		}
 	} else {
 		g.state.Online += by
+		g.shares.add(w.call.GetCustomer(), by, time.Now())
 		if w.long {
 			g.state.OnlineLong += by
 		}
--- /dev/null
+++ b/cicadabench/main.go
@@ -0,0 +1,86 @@
+// Command cicadabench grows one thing at a time, links, customers, jobs, items
+// and revisions, with the real processes' code on loopback, and prints what
+// each costs: processor time, memory, bytes and platform calls. The slopes are
+// what docs/CAPACITY.md is worked out from.
+//
+// # Usage
+//
+//	go run ./cicadabench
+//	go run ./cicadabench -o json --plots /tmp/plots links items
+//
+// Each measurement is bounded in time and size.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/urfave/cli/v3"
+
+	"cicadalink.example/cicadabench/cicadaslope"
+	"cicadalink.example/cicadakernel"
+)
+
+func main() {
+	cmd := &cli.Command{
+		Name:      "cicadabench",
+		Usage:     "measure what links, customers, jobs, items and revisions cost",
+		ArgsUsage: "[MEASUREMENT...]",
+		Version:   cicadakernel.Version,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "output", Aliases: []string{"o"}, Value: "table", Usage: "`FORMAT`: table or json"},
+			&cli.StringFlag{Name: "plots", Usage: "write an SVG of each slope to `DIR`"},
+		},
+		Action: run,
+	}
+	cicadakernel.Main(cmd)
+}
+
+func run(ctx context.Context, cmd *cli.Command) error {
+	var slopes []cicadaslope.Slope
+	names := cmd.Args().Slice()
+	for _, name := range names {
+		if !slices.Contains(cicadaslope.Names(), name) {
+			return merry.Errorf("no measurement %q, expected one of %v", name, cicadaslope.Names())
+		}
+	}
+	for _, name := range cicadaslope.Names() {
+		if len(names) > 0 && !slices.Contains(names, name) {
+			continue
+		}
+		found, err := cicadaslope.Measure(ctx, name)
+		if err != nil {
+			return merry.Errorf("measure %s: %w", name, err)
+		}
+		slopes = append(slopes, found...)
+	}
+	if dir := cmd.String("plots"); dir != "" {
+		if err := cicadaslope.Plot(dir, slopes); err != nil {
+			return merry.Errorf("plot: %w", err)
+		}
+	}
+	return write(cmd.Root().Writer, cmd.String("output"), slopes)
+}
+
+func write(w io.Writer, format string, slopes []cicadaslope.Slope) error {
+	if format == "json" {
+		encoder := json.NewEncoder(w)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(slopes)
+	}
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "MEASURE\tSLOPE\tUNIT\tAT REST\tPOINTS")
+	for _, s := range slopes {
+		fmt.Fprintf(table, "%s\t%.4g\t%s\t%.4g\t", s.Name, s.PerUnit, s.Unit, s.AtRest)
+		for _, p := range s.Points {
+			fmt.Fprintf(table, "%g:%.4g ", p.X, p.Y)
+		}
+		fmt.Fprintln(table)
+	}
+	return table.Flush()
+}
--- a/cicadadev/cicadameasure/batch_test.go
+++ b/cicadadev/cicadameasure/batch_test.go
@@ -92,6 +92,7 @@
 }
 
 func TestMeasureBatchBesideOnline(t *testing.T) {
+	t.Parallel()
 	for _, d := range deployments {
 		for _, burst := range []bool{false, true} {
 			name := d.name
--- a/cicadadev/cicadameasure/limit_test.go
+++ b/cicadadev/cicadameasure/limit_test.go
@@ -163,6 +163,7 @@
 }
 
 func TestMeasureLimits(t *testing.T) {
+	t.Parallel()
 	account := limitedAccount(t)
 	ways := []struct {
 		name string
--- a/cicadadev/cicadameasure/slow_test.go
+++ b/cicadadev/cicadameasure/slow_test.go
@@ -66,6 +66,7 @@
 }
 
 func TestMeasureSlowedEndpoints(t *testing.T) {
+	t.Parallel()
 	slowdowns := map[string]slowdown{"long": forLong, "moments": forMoments}
 	for _, d := range deployments {
 		fine := tailUnder(t, d, d.rate, nil)
@@ -86,6 +87,7 @@
 
 // TestMeasureShortBehindLong mixes short requests with long ones.
 func TestMeasureShortBehindLong(t *testing.T) {
+	t.Parallel()
 	for _, d := range deployments {
 		alone, _ := shortAndLong(t, d, 0, 0)
 		bounded, longs := shortAndLong(t, d, d.rate/15, rigSlots*3/4)
@@ -119,6 +121,7 @@
 
 // TestMeasurePrefixCache sends requests whose prompts begin alike.
 func TestMeasurePrefixCache(t *testing.T) {
+	t.Parallel()
 	const prompts, length = 200, 1500
 	d := deployments[0]
 	measure := func(affinity bool) (hit, first float64) {
@@ -142,6 +145,7 @@
 
 // TestMeasureOverload offers twice what the endpoints can do.
 func TestMeasureOverload(t *testing.T) {
+	t.Parallel()
 	d := deployments[1]
 	capacity := overload(t, d, 110)
 	double := overload(t, d, 220)
@@ -173,6 +177,7 @@
 // TestMeasureFlood lets one customer flood the endpoints beside another that
 // keeps to its usual rate.
 func TestMeasureFlood(t *testing.T) {
+	t.Parallel()
 	d := deployments[1]
 	measure := func(flood float64, options ...cicadadispatch.Option) (first float64, refused float64) {
 		inVirtualTime(t, func() {
--- a/cicadaentry/cicadadispatch/dispatcher.go
+++ b/cicadaentry/cicadadispatch/dispatcher.go
@@ -135,7 +135,6 @@
 	crashed  func(fingerprint uint64, endpoint string)
 	answered func(fingerprint uint64)
 	shed     bool
-	tally    holdings
 	attempts atomic.Int64
 	requests atomic.Int64
 	hedged   atomic.Int64
@@ -256,7 +255,7 @@
 		}
 		return target{}, cicadaerror.New(cicadaerror.Overloaded, "no endpoint has an idle slot").NotRun()
 	}
-	if d.overloaded(views, req) {
+	if d.shed && cicadaroute.Shed(cicadaroute.Load(views), req.Call.GetUrgency()) {
 		d.scope.Counter("requests_shed").Inc(1)
 		return target{}, cicadaerror.New(cicadaerror.Overloaded, "endpoints are overloaded").NotRun().RetryAfter(overloadRetryAfter)
 	}
@@ -271,17 +270,6 @@
 	return target{endpoints[i]}, nil
 }
 
-// overloaded reports whether a request is to be refused: by its urgency, or
-// because its customer has its fair share of busy endpoints already.
-func (d *Dispatcher) overloaded(views []cicadaroute.View, req *Request) bool {
-	if !d.shed {
-		return false
-	}
-	load := cicadaroute.Load(views)
-	held, running, customers := d.tally.count(req.Call.GetCustomer())
-	return cicadaroute.Shed(load, req.Call.GetUrgency()) || cicadaroute.OverShare(load, held, running, customers)
-}
-
 // Run carries a request and hands its answer to sink.
 func (d *Dispatcher) Run(ctx context.Context, req *Request, sink func(Piece) error) (*Result, error) {
 	if !req.Deadline.IsZero() {
@@ -293,7 +281,6 @@
 		d.requests.Add(1)
 		d.retries.Request()
 		d.hedges.Request()
-		defer d.tally.hold(req.Call.GetCustomer())()
 	}
 	r := &run{d: d, req: req, sink: sink}
 	return r.do(ctx)
--- a/cicadaentry/cicadafleet/link.go
+++ b/cicadaentry/cicadafleet/link.go
@@ -18,7 +18,7 @@
 	pushersOfOne  = 2
 	repairAfter   = 1500 * time.Millisecond
 	linkSilence   = 4 * time.Second
-	linkCheckTick = 500 * time.Millisecond
+	linkCheckTick = time.Second
 )
 
 // keepLink holds the link to one endpoint's agent until ctx ends.
--- a/cicadaentry/cicadashard/manager.go
+++ b/cicadaentry/cicadashard/manager.go
@@ -11,7 +11,8 @@
 //	manager.Close(ctx)                      // hand all shards over
 //
 // A customer's jobs are all in one shard, so its batch limits hold there
-// without a distributed counter. Keyed calls are spread over all shards.
+// without a distributed counter. Keyed calls are spread over a few
+// shards, so that their claims share writes.
 package cicadashard
 
 import (
@@ -40,6 +41,9 @@
 	// DefaultShards is how many shards a deployment has. It must not change
 	// while jobs exist.
 	DefaultShards = 16
+	// claimShards is how many of the shards hold claims. A claim waits for others
+	// to share its write, so few shards make few writes.
+	claimShards   = 4
 	candidates    = 3
 	tryInterval   = 1500 * time.Millisecond
 	renewInterval = 2 * time.Second
@@ -100,7 +104,7 @@
 }
 
 const (
-	defaultFlush = time.Second
+	defaultFlush = 2 * time.Second
 	defaultClaim = 50 * time.Millisecond
 	defaultWidth = 256
 )
@@ -171,7 +175,7 @@
 
 // ShardOfKey returns the shard of a keyed call.
 func (m *Manager) ShardOfKey(customer, key string) int {
-	return int(xxhash.Sum64String(customer+"\x00"+key) % uint64(m.cfg.Shards))
+	return int(xxhash.Sum64String(customer+"\x00"+key) % uint64(min(m.cfg.Shards, claimShards)))
 }
 
 func shardPrefix(shard int) string { return fmt.Sprintf("shard/%03d", shard) }
--- a/cicadakernel/cicadaadmit/policy.go
+++ b/cicadakernel/cicadaadmit/policy.go
@@ -25,6 +25,9 @@
 	// part of the time that a request runs.
 	queueDivisor = 4
 	minQueue     = 2
+	// freeDivisor makes the slots that are kept for customers below their fair
+	// share a part of all.
+	freeDivisor = 8
 )
 
 // A Decision says what to do with a request that could run now.
@@ -103,6 +106,12 @@
 // QueueLimit returns how many online requests may wait.
 func (p Policy) QueueLimit() int { return max(p.Slots/queueDivisor, minQueue) }
 
+// KeepFree reports whether the slots left are those that a customer over its
+// fair share may not take.
+func (p Policy) KeepFree(s State) bool {
+	return p.Slots-s.Online <= p.Slots/freeDivisor
+}
+
 // Surplus returns how many running batch items must stop for batch to hold no
 // more than its slots.
 func (p Policy) Surplus(s State) int {
--- a/cicadakernel/cicadaroute/route.go
+++ b/cicadakernel/cicadaroute/route.go
@@ -273,9 +273,6 @@
 // run, which is longer than a person does.
 var shedAt = [...]float64{0.95, 1.05, 1.15, 1.3}
 
-// fairAt is the load from which a customer may not hold more than its share.
-const fairAt = 0.85
-
 // Load returns the online requests per slot of the endpoints.
 func Load(views []View) float64 {
 	slots, requests := 0, 0
@@ -297,13 +294,3 @@
 	level := min(max(int(urgency), 0), len(shedAt)-1)
 	return load >= shedAt[level]
 }
-
-// OverShare reports whether a customer that holds some of the requests that run
-// has its fair share already, at a load at which that matters. Customers is how
-// many have requests running, this one included.
-func OverShare(load float64, held, running, customers int) bool {
-	if load < fairAt || customers <= 1 {
-		return false
-	}
-	return held*customers >= running
-}
