Probe ejected endpoints only with a hedge in hand, and learn pace from agents

Cause: traces of the tail under long slowdowns showed probes of ejected endpoints that found the hedge budget spent, and each entry learning by itself that an endpoint is slow. Change: hedges beside probes have a part of the budget, and an ejected endpoint stays out while that is empty; agents report their own fading pace and the oldest wait for a first token, which entries take for endpoints that they have not measured lately.

--- a/cicadaagent/cicadagate/gate.go
+++ b/cicadaagent/cicadagate/gate.go
@@ -87,6 +87,7 @@
 	call     *cicadawire.Call
 	long     bool
 	arrival  time.Time
+	entered  time.Time
 	enter    chan struct{}
 	refused  error
 	started  bool
@@ -389,6 +390,7 @@
 
 func (g *Gate) start(w *waiter) {
 	w.started, w.running, w.stopping = true, true, false
+	w.entered = time.Now()
 	g.runs[w] = struct{}{}
 	g.count(w, 1)
 	close(w.enter)
@@ -489,7 +491,9 @@
 	last := started
 	result, err := g.engine.Run(ctx, out.next(g.engine.Resumes), func(c cicadaengine.Chunk) error {
 		now := time.Now()
-		g.pace.token(now.Sub(last), last.Equal(started))
+		if !w.isBatch() {
+			g.pace.token(now, now.Sub(last), last.Equal(started))
+		}
 		last = now
 		g.mu.Lock()
 		w.tokens++
@@ -572,7 +576,9 @@
 func (g *Gate) Load() *cicadawire.Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	token, first := g.pace.read()
+	now := time.Now()
+	token, first := g.pace.read(now)
+	first = max(first, g.oldestWait(now))
 	return &cicadawire.Load{
 		OnlineRunning: int32(g.state.Online),
 		OnlineWaiting: int32(len(g.online)),
@@ -588,6 +594,18 @@
 	}
 }
 
+// oldestWait returns how long an online request has waited for its first token
+// inside the engine. The caller holds the lock.
+func (g *Gate) oldestWait(now time.Time) time.Duration {
+	var oldest time.Duration
+	for w := range g.runs {
+		if !w.isBatch() && w.tokens == 0 {
+			oldest = max(oldest, now.Sub(w.entered))
+		}
+	}
+	return oldest
+}
+
 // Boot returns a number that differs after each start of the agent.
 func (g *Gate) Boot() int64 { return g.boot }
 
--- a/cicadaentry/cicadadispatch/dispatcher.go
+++ b/cicadaentry/cicadadispatch/dispatcher.go
@@ -56,13 +56,16 @@
 	DefaultHedgeShare       = 0.025
 	DefaultQuarantinePeriod = 10 * time.Minute
 	retryBound              = 20
-	hedgeBound              = 4
-	maxAttempts             = 5
-	hedgeStart              = time.Second
-	hedgeFloor              = 50 * time.Millisecond
-	frameBuffer             = 16
-	overloadRetryAfter      = time.Second
-	maxKeptText             = 4 << 20
+	hedgeBound              = 2
+	// probeShare is the part of the hedges that is kept for those beside probes
+	// of ejected endpoints.
+	probeShare         = 0.4
+	maxAttempts        = 5
+	hedgeStart         = time.Second
+	hedgeFloor         = 50 * time.Millisecond
+	frameBuffer        = 16
+	overloadRetryAfter = time.Second
+	maxKeptText        = 4 << 20
 )
 
 // Open starts an attempt on an endpoint and returns its frames in order. Recv
@@ -129,6 +132,7 @@
 	serial   atomic.Uint64
 	retries  *cicadaretry.Budget
 	hedges   *cicadaretry.Budget
+	probes   *cicadaretry.Budget
 	delay    *cicadaretry.Delay
 	suspects *cicadasuspect.Table
 	period   atomic.Int64
@@ -155,7 +159,8 @@
 func WithShares(retry, hedge float64) Option {
 	return func(d *Dispatcher) {
 		d.retries = cicadaretry.NewBudget(retry, retryBound)
-		d.hedges = cicadaretry.NewBudget(hedge, hedgeBound)
+		d.hedges = cicadaretry.NewBudget(hedge*(1-probeShare), hedgeBound)
+		d.probes = cicadaretry.NewBudget(hedge*probeShare, hedgeBound)
 	}
 }
 
@@ -215,7 +220,8 @@
 		quarantine = DefaultQuarantinePeriod
 	}
 	d.retries.SetShare(retry)
-	d.hedges.SetShare(hedge)
+	d.hedges.SetShare(hedge * (1 - probeShare))
+	d.probes.SetShare(hedge * probeShare)
 	d.period.Store(int64(quarantine))
 }
 
@@ -259,6 +265,7 @@
 		d.scope.Counter("requests_shed").Inc(1)
 		return target{}, cicadaerror.New(cicadaerror.Overloaded, "endpoints are overloaded").NotRun().RetryAfter(overloadRetryAfter)
 	}
+	d.holdProbes(views, req)
 	i := d.pick(views, choice, d.intn)
 	if i < 0 && len(exclude) > 0 {
 		choice.Exclude = exclude[len(exclude)-1:]
@@ -270,6 +277,17 @@
 	return target{endpoints[i]}, nil
 }
 
+// holdProbes keeps ejected endpoints out while no hedge could be sent beside
+// the probe: a caller must not wait for what is likely to be slow.
+func (d *Dispatcher) holdProbes(views []cicadaroute.View, req *Request) {
+	if d.probes.Ready() && !req.Call.GetNonIdempotent() {
+		return
+	}
+	for i := range views {
+		views[i].Ejected = views[i].Ejected || views[i].Probing
+	}
+}
+
 // Run carries a request and hands its answer to sink.
 func (d *Dispatcher) Run(ctx context.Context, req *Request, sink func(Piece) error) (*Result, error) {
 	if !req.Deadline.IsZero() {
@@ -281,6 +299,7 @@
 		d.requests.Add(1)
 		d.retries.Request()
 		d.hedges.Request()
+		d.probes.Request()
 	}
 	r := &run{d: d, req: req, sink: sink}
 	return r.do(ctx)
--- a/cicadaentry/cicadadispatch/run.go
+++ b/cicadaentry/cicadadispatch/run.go
@@ -137,8 +137,8 @@
 	if !r.mayHedge(suspect) {
 		return r.settle(ctx, main, r.follow(ctx, main))
 	}
-	delay := r.d.delay.Get()
-	if main.books.Probe() {
+	delay, probe := r.d.delay.Get(), main.books.Probe()
+	if probe {
 		delay = r.d.delay.Short()
 	}
 	timer := time.NewTimer(delay)
@@ -151,7 +151,7 @@
 	case <-ctx.Done():
 		return r.settle(ctx, main, r.follow(ctx, main))
 	}
-	other, ok := r.hedge(ctx)
+	other, ok := r.hedge(ctx, probe)
 	if !ok {
 		return r.settle(ctx, main, r.follow(ctx, main))
 	}
@@ -162,8 +162,10 @@
 	return !r.nonIdempotent() && !r.isBatch() && !suspect && r.pieces == 0
 }
 
-func (r *run) hedge(ctx context.Context) (*lane, bool) {
-	if !r.d.hedges.Take() {
+// hedge starts a second attempt. One beside a probe, which is likely to be
+// needed, may also use the probes' part of the budget.
+func (r *run) hedge(ctx context.Context, probe bool) (*lane, bool) {
+	if !(probe && r.d.probes.Take()) && !r.d.hedges.Take() {
 		return nil, false
 	}
 	chosen, err := r.d.choose(r.req, r.tried)
--- a/cicadaentry/cicadafleet/endpoint.go
+++ b/cicadaentry/cicadafleet/endpoint.go
@@ -25,6 +25,9 @@
 	// sampleHalfLife is the time in which what was measured of an endpoint loses
 	// half its weight, so that one that was slow for a moment is tried again.
 	sampleHalfLife = time.Second
+	// freshSample is the age up to which this entry's own measurement stands
+	// before the agent's.
+	freshSample = 300 * time.Millisecond
 	// stallFactor is how many times the usual time between tokens an endpoint
 	// with running streams may stay silent before new work goes elsewhere.
 	stallFactor = 3
@@ -137,6 +140,19 @@
 	e.load = load
 	e.leaving = e.leaving || load.GetLeaving()
 	e.baseline.online, e.baseline.batch = e.online, e.batch
+	e.learnPace(load)
+}
+
+// learnPace takes the agent's own measurement in, which the requests of all
+// entries have made, unless this entry has a fresh one.
+func (e *Endpoint) learnPace(load *cicadawire.Load) {
+	if load.GetPrefillUs() == 0 || e.lastHeard.Sub(e.sampledAt) < freshSample {
+		return
+	}
+	e.first = time.Duration(load.GetPrefillUs()) * time.Microsecond
+	e.token = time.Duration(load.GetTokenUs()) * time.Microsecond
+	e.samples++
+	e.sampledAt = e.lastHeard
 }
 
 // SetBoot records the number of the agent's start.
@@ -212,6 +228,7 @@
 		Unusable:      e.leaving || !e.connected || !e.load.GetEngineUp() || silent > lostAfter,
 		Quiet:         e.quiet(silent),
 		Ejected:       e.ejection.lasts(now),
+		Probing:       e.ejection.active && !e.ejection.lasts(now),
 	}
 	for _, since := range e.waiting {
 		v.OldestWaiting = max(v.OldestWaiting, now.Sub(since))
--- a/cicadakernel/cicadaretry/budget.go
+++ b/cicadakernel/cicadaretry/budget.go
@@ -44,6 +44,13 @@
 	b.tokens = min(b.tokens+b.share, b.bound)
 }
 
+// Ready reports whether Take would succeed now.
+func (b *Budget) Ready() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.tokens >= 1
+}
+
 // Take spends one extra attempt, or reports that none is left.
 func (b *Budget) Take() bool {
 	b.mu.Lock()
--- a/cicadakernel/cicadaroute/route.go
+++ b/cicadakernel/cicadaroute/route.go
@@ -69,6 +69,8 @@
 	Quiet bool
 	// Ejected endpoints are much slower than their peers.
 	Ejected bool
+	// Probing endpoints were ejected, and one attempt may try them again.
+	Probing bool
 }
 
 func (v *View) first() time.Duration {
