Add crash and lease histories, policy properties and conformance tests

Cause: requests that crash endpoints, leases, the policies' bounds and the stand-ins' behaviour had no proof.

--- a/cicadadev/cicadahistory/world_test.go
+++ b/cicadadev/cicadahistory/world_test.go
@@ -35,6 +35,7 @@
 	"cicadalink.example/cicadakernel/cicadaconfig"
 	"cicadalink.example/cicadakernel/cicadamember"
 	"cicadalink.example/cicadakernel/cicadaplatform"
+	"cicadalink.example/cicadakernel/cicadasuspect"
 	"cicadalink.example/cicadakernel/cicadawire"
 )
 
@@ -139,6 +140,7 @@
 	group  string
 	gate   *cicadagate.Gate
 	view   *cicadafleet.Endpoint
+	died   chan struct{}
 	ctx    context.Context
 	cancel context.CancelFunc
 }
@@ -160,7 +162,7 @@
 	endpoints []*endpoint
 	faults    faults
 	runs      map[string]int
-	notRun    map[string]bool
+	crashes   int
 	history   []porcupine.Operation
 }
 
@@ -213,7 +215,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	w := &world{
 		t: t, seed: seed, memory: cicadaplatform.NewMemory(), protect: protect, ctx: ctx, cancel: cancel,
-		random: rand.New(rand.NewPCG(seed, 0)), runs: make(map[string]int), notRun: make(map[string]bool),
+		random: rand.New(rand.NewPCG(seed, 0)), runs: make(map[string]int),
 	}
 	w.memory.SetFault(w.storeFault)
 	return w
@@ -368,7 +370,14 @@
 	}
 	store := cicadaplatform.NewClient(w.backend(&e.process), opts...)
 	e.dispatcher = cicadadispatch.New(w, w.open(e), cicadadispatch.WithName(fmt.Sprintf("%s-%x", e.name, w.nonce())),
-		cicadadispatch.WithRandom(w.intn), cicadadispatch.WithoutShedding())
+		cicadadispatch.WithRandom(w.intn), cicadadispatch.WithoutShedding(),
+		cicadadispatch.WithSuspects(&cicadasuspect.Table{},
+			func(fingerprint uint64, endpoint string) {
+				w.tellOthers(e, func(t *cicadasuspect.Table) { t.Crashed(fingerprint, endpoint, time.Now()) })
+			},
+			func(fingerprint uint64) {
+				w.tellOthers(e, func(t *cicadasuspect.Table) { t.Answered(fingerprint) })
+			}))
 	fleet := cicadafleet.New(cicadamember.Member{Name: e.name, DataCentre: "dc"}, store, cicadaconfig.NewStore(store, w.nonce), cicadawire.NewPool())
 	fleet.Config().Offer(w.config)
 	files := cicadafile.New(store, w.nonce)
@@ -391,6 +400,16 @@
 	return e
 }
 
+// tellOthers passes a report of a suspect to the other entries.
+func (w *world) tellOthers(from *entry, tell func(*cicadasuspect.Table)) {
+	for i := range entries {
+		if e := w.entry(i); e != from {
+			sleep(w.ctx, time.Millisecond)
+			tell(e.dispatcher.Suspects())
+		}
+	}
+}
+
 // entry returns the present incarnation of an entry.
 func (w *world) entry(i int) *entry {
 	w.mu.Lock()
@@ -422,12 +441,13 @@
 }
 
 func (w *world) newEndpoint(name, group string) *endpoint {
-	e := &endpoint{name: name, group: group}
+	e := &endpoint{name: name, group: group, died: make(chan struct{})}
 	e.ctx, e.cancel = context.WithCancel(w.ctx)
 	engine := &cicadaengine.Engine{
 		Run: func(ctx context.Context, call *cicadawire.Call, emit func(cicadaengine.Chunk) error) (cicadaengine.Result, error) {
 			return w.runEngine(ctx, e, call, emit)
 		},
+		Healthy: func(context.Context) bool { return true },
 		Resumes: true,
 	}
 	e.gate = cicadagate.New(name, engine, cicadagate.WithPolicy(cicadaadmit.Policy{Slots: 4}))
@@ -487,10 +507,31 @@
 	return cicadafleet.NewGroup(name, views...), true
 }
 
+// crash makes an endpoint's engine die with all that it runs, and come back.
+func (w *world) crash(e *endpoint) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.crashes++
+	close(e.died)
+	e.died = make(chan struct{})
+}
+
 // runEngine is an engine: it takes a while, and counts what it has run.
 func (w *world) runEngine(ctx context.Context, e *endpoint, call *cicadawire.Call, emit func(cicadaengine.Chunk) error) (cicadaengine.Result, error) {
-	sleep(ctx, time.Duration(1+w.intn(300))*time.Millisecond)
-	if ctx.Err() != nil {
+	if strings.Contains(string(call.GetBody()), `"crash"`) {
+		w.crash(e)
+		return cicadaengine.Result{}, cicadaengine.ErrDied
+	}
+	w.mu.Lock()
+	died := e.died
+	w.mu.Unlock()
+	timer := time.NewTimer(time.Duration(1+w.intn(300)) * time.Millisecond)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-died:
+		return cicadaengine.Result{}, cicadaengine.ErrDied
+	case <-ctx.Done():
 		return cicadaengine.Result{}, context.Cause(ctx)
 	}
 	if e.enter(ctx) != nil {
--- a/cicadaentry/cicadashard/manager.go
+++ b/cicadaentry/cicadashard/manager.go
@@ -168,6 +168,18 @@
 	return owned
 }
 
+// Answering returns the numbers of the shards for which this entry would answer
+// now: those that it owns under a valid lease.
+func (m *Manager) Answering() []int {
+	var answering []int
+	for shard := range m.cfg.Shards {
+		if _, ok := m.owner(shard); ok {
+			answering = append(answering, shard)
+		}
+	}
+	return answering
+}
+
 // ShardOfCustomer returns the shard of a customer's jobs.
 func (m *Manager) ShardOfCustomer(customer string) int {
 	return int(xxhash.Sum64String(customer) % uint64(m.cfg.Shards))
--- /dev/null
+++ b/cicadakernel/cicadaplatform/conformance_test.go
@@ -0,0 +1,138 @@
+package cicadaplatform
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestConformance holds the stand-ins, in memory and over HTTP, to one
+// behaviour.
+func TestConformance(t *testing.T) {
+	for _, name := range []string{"memory", "http"} {
+		t.Run(name, func(t *testing.T) {
+			memory := NewMemory()
+			backend := memory.Backend()
+			if name == "http" {
+				server := httptest.NewServer(Handler(memory.Backend()))
+				t.Cleanup(server.Close)
+				var err error
+				backend, err = Open(server.URL)
+				assert.NilError(t, err)
+			}
+			conform(t, memory, backend)
+		})
+	}
+}
+
+func conform(t *testing.T, memory *Memory, b Backend) {
+	ctx := t.Context()
+	_, err := b.Get(ctx, "a/1")
+	assert.Assert(t, errors.Is(err, ErrNotFound))
+	made, err := b.Create(ctx, "a/1", []byte("one"))
+	assert.NilError(t, err)
+	_, err = b.Create(ctx, "a/1", []byte("two"))
+	assert.Assert(t, errors.Is(err, ErrExists))
+	got, err := b.Get(ctx, "a/1")
+	assert.NilError(t, err)
+	assert.Equal(t, string(got.Value()), "one")
+	assert.Equal(t, got.Version(), made.Version())
+	changed, err := b.Update(ctx, "a/1", made.Version(), []byte("three"))
+	assert.NilError(t, err)
+	assert.Assert(t, changed.Version() > made.Version())
+	_, err = b.Update(ctx, "a/1", made.Version(), []byte("four"))
+	assert.Assert(t, errors.Is(err, ErrConflict))
+	_, err = b.Update(ctx, "a/none", 1, nil)
+	assert.Assert(t, errors.Is(err, ErrNotFound))
+	for i := range 5 {
+		_, err = b.Create(ctx, fmt.Sprint("b/", i), []byte("x"))
+		assert.NilError(t, err)
+	}
+	page, err := b.List(ctx, "b/", "b/1", 2)
+	assert.NilError(t, err)
+	assert.Equal(t, len(page.Objects()), 2)
+	assert.Equal(t, page.Objects()[0].Name(), "b/2")
+	assert.Assert(t, page.More())
+	watched, err := b.Watch(ctx, "b/", page.Version()-2)
+	assert.NilError(t, err)
+	assert.Equal(t, len(watched.Objects()), 2)
+	assert.Assert(t, errors.Is(b.Delete(ctx, "a/1", made.Version()), ErrConflict))
+	assert.NilError(t, b.Delete(ctx, "a/1", changed.Version()))
+	_, err = b.Get(ctx, "a/1")
+	assert.Assert(t, errors.Is(err, ErrNotFound))
+	_, err = b.Create(ctx, "big", make([]byte, MaxValueSize+1))
+	assert.Assert(t, errors.Is(err, ErrTooLarge))
+	memory.SetVM(VM{Name: "w-1", Role: "endpoint", State: VMLive})
+	vms, err := b.VMs(ctx)
+	assert.NilError(t, err)
+	assert.Equal(t, len(vms), 1)
+	memory.SetFault(func(context.Context, string, string) (error, error) { return ErrUnavailable, nil })
+	_, err = b.Get(ctx, "b/1")
+	assert.Assert(t, errors.Is(err, ErrUnavailable))
+	memory.SetFault(func(context.Context, string, string) (error, error) { return nil, ErrInDoubt })
+	_, err = b.Create(ctx, "lost", []byte("x"))
+	assert.Assert(t, errors.Is(err, ErrInDoubt))
+	memory.SetFault(nil)
+	_, err = b.Get(ctx, "lost")
+	assert.NilError(t, err, "a call whose answer is lost has taken effect")
+}
+
+// A lost answer is settled by reading back, also when the first attempt of two
+// took effect.
+func TestClientSettlesLostAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		memory := NewMemory()
+		client := NewClient(memory.Backend())
+		lost := 3
+		memory.SetFault(func(_ context.Context, call, _ string) (error, error) {
+			if call == "create" && lost > 0 {
+				lost--
+				return nil, ErrInDoubt
+			}
+			return nil, nil
+		})
+		obj, err := client.Create(t.Context(), ClassLease, "a", []byte("mine"))
+		assert.NilError(t, err)
+		assert.Equal(t, string(obj.Value()), "mine")
+		_, err = client.Create(t.Context(), ClassLease, "a", []byte("other"))
+		assert.Assert(t, errors.Is(err, ErrExists))
+	})
+}
+
+// While the store is down a client tries seldom, and gives up with its context.
+func TestClientBacksOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		memory := NewMemory()
+		memory.SetFault(func(context.Context, string, string) (error, error) { return ErrUnavailable, nil })
+		client := NewClient(memory.Backend(), WithWriteRate(1000))
+		ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+		defer cancel()
+		_, err := client.Create(ctx, ClassResult, "a", []byte("x"))
+		assert.Assert(t, errors.Is(err, ErrUnavailable))
+		assert.Assert(t, !errors.Is(err, ErrInDoubt))
+		assert.Assert(t, memory.Calls()["create"] < 40, "%d calls in 30 s", memory.Calls()["create"])
+	})
+}
+
+// A flood of uploads must not delay a lease.
+func TestClassesDoNotDelayEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client := NewClient(NewMemory().Backend(), WithWriteRate(20))
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		for i := range 200 {
+			go func() { _, _ = client.Create(ctx, ClassUpload, fmt.Sprint("upload/", i), []byte("x")) }()
+		}
+		time.Sleep(time.Second)
+		started := time.Now()
+		_, err := client.Create(ctx, ClassLease, "lease", []byte("x"))
+		assert.NilError(t, err)
+		assert.Assert(t, time.Since(started) < 100*time.Millisecond)
+	})
+}
--- /dev/null
+++ b/cicadakernel/cicadaroute/route_test.go
@@ -0,0 +1,95 @@
+package cicadaroute
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func drawViews(t *rapid.T) []View {
+	n := rapid.IntRange(1, 40).Draw(t, "n")
+	views := make([]View, n)
+	for i := range views {
+		slots := rapid.IntRange(1, 32).Draw(t, "slots")
+		views[i] = View{
+			Name:     fmt.Sprint("w-", i),
+			Slots:    slots,
+			Online:   rapid.IntRange(0, slots).Draw(t, "online"),
+			Batch:    rapid.IntRange(0, slots).Draw(t, "batch"),
+			First:    time.Duration(rapid.IntRange(1, 2000).Draw(t, "first")) * time.Millisecond,
+			Token:    time.Duration(rapid.IntRange(1, 500).Draw(t, "token")) * time.Millisecond,
+			Samples:  rapid.IntRange(0, 20).Draw(t, "samples"),
+			Unusable: rapid.Bool().Draw(t, "unusable"),
+			Quiet:    rapid.Bool().Draw(t, "quiet"),
+			Ejected:  rapid.Bool().Draw(t, "ejected"),
+		}
+	}
+	return views
+}
+
+func TestEjectKeepsItsShare(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		views := drawViews(t)
+		usable, ejected := 0, 0
+		for i, out := range Eject(views) {
+			if !views[i].Unusable {
+				usable++
+			}
+			if out {
+				ejected++
+			}
+		}
+		if float64(ejected) > maxEjectedShare*float64(usable) {
+			t.Fatalf("%d of %d ejected", ejected, usable)
+		}
+	})
+}
+
+func TestOnlineAvoidsUnusable(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		views := drawViews(t)
+		prefix := rapid.Uint64().Draw(t, "prefix")
+		i := Online(views, Request{Prefix: prefix}, func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "choice") })
+		healthy, usable := 0, 0
+		for _, v := range views {
+			if !v.Unusable {
+				usable++
+				if !v.Quiet && !v.Ejected {
+					healthy++
+				}
+			}
+		}
+		switch {
+		case usable == 0:
+			if i != -1 {
+				t.Fatalf("chose %d of none", i)
+			}
+		case i < 0 || views[i].Unusable:
+			t.Fatalf("chose %d", i)
+		case healthy > 0 && (views[i].Quiet || views[i].Ejected):
+			t.Fatalf("chose a slow endpoint beside %d healthy ones", healthy)
+		}
+	})
+}
+
+func TestBatchNeedsAnIdleSlot(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		views := drawViews(t)
+		i := Batch(views, Request{}, func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "choice") })
+		if i >= 0 && views[i].BatchRoom() <= 0 {
+			t.Fatalf("chose a full endpoint: %+v", views[i])
+		}
+	})
+}
+
+func TestLessUrgentAreShedFirst(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		load := rapid.Float64Range(0, 4).Draw(t, "load")
+		level := rapid.Int32Range(0, 2).Draw(t, "level")
+		if Shed(load, level+1) && !Shed(load, level) {
+			t.Fatalf("level %d is shed before %d at %f", level+1, level, load)
+		}
+	})
+}
