Carry broken streams on until an endpoint is free

Cause: of twelve streams, one was cut when one endpoint stopped and one engine died: the only endpoint left had a full queue, was then excluded, and the stream ended with an error after half its answer.

--- /dev/null
+++ b/cicadadev/cicadadeployment/stop_test.go
@@ -0,0 +1,139 @@
+package cicadadeployment
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"gotest.tools/v3/assert"
+
+	"cicadalink.example/cicadadev/cicadastandin"
+)
+
+const streamTokens = 120
+
+// readStream asks for a streamed answer and returns its events, the token texts
+// joined, and whether it ended with the end mark.
+func readStream(ctx context.Context, url, prompt string) (text string, whole bool, err error) {
+	body := fmt.Sprintf(`{"model":%q,"prompt":%q,"max_tokens":%d,"stream":true}`, Model, prompt, streamTokens)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url+"/v1/completions", strings.NewReader(body))
+	if err != nil {
+		return "", false, err
+	}
+	req.Header.Set("Authorization", "Bearer "+CallerKey)
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return "", false, err
+	}
+	defer res.Body.Close()
+	lines := bufio.NewScanner(res.Body)
+	for lines.Scan() {
+		if strings.Contains(lines.Text(), `"error"`) {
+			return text, false, fmt.Errorf("stream ended with %s", lines.Text())
+		}
+		if lines.Text() == "data: [DONE]" {
+			whole = true
+		}
+		if _, rest, ok := strings.Cut(lines.Text(), `"text":"`); ok {
+			token, _, _ := strings.Cut(rest, `"`)
+			text += token
+		}
+	}
+	return text, whole, lines.Err()
+}
+
+// wholeText is the answer that every engine gives to a prompt.
+func wholeText(prompt string) string {
+	var text strings.Builder
+	for i := range streamTokens {
+		text.WriteString(cicadastandin.Token(fmt.Sprintf("%q", prompt), i))
+	}
+	return text.String()
+}
+
+// Streams under way when an endpoint stops, and when an engine dies, end whole:
+// they finish there or go on elsewhere from the token where they were.
+func TestStreamsSurviveEndpoints(t *testing.T) {
+	d, err := Start(t.Context(), WithEntries(2), WithEngines(3), WithTokenTime(3*time.Millisecond))
+	assert.NilError(t, err)
+	defer d.Close()
+	var tasks conc.WaitGroup
+	for i := range 12 {
+		tasks.Go(func() {
+			prompt := fmt.Sprint("quote ", i)
+			text, whole, err := readStream(t.Context(), d.EntryURL(i%2), prompt)
+			assert.Check(t, err)
+			assert.Check(t, whole, "stream %d was cut", i)
+			assert.Check(t, text == wholeText(prompt), "stream %d differs", i)
+		})
+	}
+	waitUntil(t, func() bool { return d.Engine(0).Running()+d.Engine(1).Running()+d.Engine(2).Running() == 12 })
+	d.Engine(1).Crash()
+	assert.NilError(t, d.StopAgent(0))
+	d.agents[0].done <- nil
+	tasks.Wait()
+}
+
+// A caller that goes away has its work cancelled at the engine.
+func TestCancelReachesTheEngine(t *testing.T) {
+	d, err := Start(t.Context(), WithEntries(1), WithEngines(1), WithTokenTime(20*time.Millisecond))
+	assert.NilError(t, err)
+	defer d.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	var tasks conc.WaitGroup
+	tasks.Go(func() { _, _, _ = readStream(ctx, d.EntryURL(0), "quote") })
+	waitUntil(t, func() bool { return d.Engine(0).Running() == 1 })
+	cancel()
+	tasks.Wait()
+	waitUntil(t, func() bool { return d.Engine(0).Cancelled() == 1 })
+}
+
+// An entry that stops finishes the requests that it has.
+func TestEntryStopCutsNothing(t *testing.T) {
+	d, err := Start(t.Context(), WithEntries(2), WithEngines(1), WithTokenTime(3*time.Millisecond))
+	assert.NilError(t, err)
+	defer d.Close()
+	var tasks conc.WaitGroup
+	for i := range 4 {
+		tasks.Go(func() {
+			_, whole, err := readStream(t.Context(), d.EntryURL(0), fmt.Sprint("quote ", i))
+			assert.Check(t, err)
+			assert.Check(t, whole, "stream %d was cut", i)
+		})
+	}
+	waitUntil(t, func() bool { return d.Engine(0).Running() == 4 })
+	assert.NilError(t, d.StopEntry(0))
+	d.entries[0].done <- nil
+	tasks.Wait()
+}
+
+// waitUntil waits for a condition for as long as the test may run.
+func waitUntil(t *testing.T, condition func() bool) {
+	t.Helper()
+	for !condition() {
+		timer := time.NewTimer(startInterval)
+		select {
+		case <-timer.C:
+		case <-t.Context().Done():
+			t.Fatal("the condition did not come true")
+		}
+	}
+}
+
+func BenchmarkStream(b *testing.B) {
+	d, err := Start(b.Context(), WithEntries(1), WithEngines(1), WithTokenTime(time.Microsecond))
+	assert.NilError(b, err)
+	defer d.Close()
+	b.ResetTimer()
+	for b.Loop() {
+		_, whole, err := readStream(b.Context(), d.EntryURL(0), "quote")
+		assert.NilError(b, err)
+		assert.Assert(b, whole)
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*streamTokens), "ns/token")
+}
--- a/cicadaentry/cicadadispatch/dispatcher.go
+++ b/cicadaentry/cicadadispatch/dispatcher.go
@@ -66,6 +66,11 @@
 	frameBuffer        = 16
 	overloadRetryAfter = time.Second
 	maxKeptText        = 4 << 20
+	// resumeLimit is how long a broken stream is tried again, and resumeUrgency
+	// puts it before all that has not begun.
+	resumeLimit    = 15 * time.Second
+	resumeInterval = 50 * time.Millisecond
+	resumeUrgency  = 100
 )
 
 // Open starts an attempt on an endpoint and returns its frames in order. Recv
@@ -313,6 +318,9 @@
 	call.Boot = boot
 	call.ResumeFrom = r.pieces
 	call.ResumeText = r.text
+	if r.pieces > 0 {
+		call.Urgency = resumeUrgency
+	}
 	if deadline, ok := ctx.Deadline(); ok {
 		call.BudgetMs = max(deadline.Sub(d.now()).Milliseconds(), 1)
 	}
--- a/cicadaentry/cicadadispatch/run.go
+++ b/cicadaentry/cicadadispatch/run.go
@@ -30,7 +30,9 @@
 	text   []byte
 	head   bool
 	lost   bool
-	tasks  conc.WaitGroup
+	// resumeTill is when a stream that has begun is given up.
+	resumeTill time.Time
+	tasks      conc.WaitGroup
 }
 
 // A lane is one attempt of a run.
@@ -72,6 +74,9 @@
 			return nil, r.truthful(err)
 		}
 		chosen, err := r.d.choose(r.req, r.tried)
+		if err != nil && r.waitToResume(ctx) {
+			continue
+		}
 		if err != nil {
 			return nil, r.truthful(err)
 		}
@@ -81,13 +86,38 @@
 			return end.result, nil
 		}
 		r.lost = r.lost || !end.notRun
-		if !r.mayRetry(ctx, end) {
+		if !r.mayRetry(ctx, end) && !(end.notRun && r.waitToResume(ctx)) {
 			return nil, r.truthful(end.err)
 		}
 		r.d.scope.Counter("attempts_retried").Inc(1)
 	}
 }
 
+// waitToResume waits a little before a stream that has begun is tried again: a
+// caller who has half an answer must not lose it to a moment without a free
+// endpoint.
+func (r *run) waitToResume(ctx context.Context) bool {
+	if r.pieces == 0 || r.head || r.nonIdempotent() || r.overKept() || r.isBatch() {
+		return false
+	}
+	now := r.d.now()
+	if r.resumeTill.IsZero() {
+		r.resumeTill = now.Add(resumeLimit)
+	}
+	if now.After(r.resumeTill) {
+		return false
+	}
+	r.tried = nil
+	timer := time.NewTimer(resumeInterval)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 func (r *run) checkSuspicion() (bool, error) {
 	fingerprint := r.req.Call.GetFingerprint()
 	now := r.d.now()
@@ -112,7 +142,7 @@
 }
 
 func (r *run) mayRetry(ctx context.Context, end outcome) bool {
-	if !end.again || ctx.Err() != nil || r.made >= maxAttempts {
+	if !end.again || ctx.Err() != nil || (r.made >= maxAttempts && r.pieces == 0) {
 		return false
 	}
 	if r.nonIdempotent() && !end.notRun {
