Keep operators' bodies out of the callers' limit, share small rate limits

Change: operators have a limit of their own that no configuration changes; a grant takes half of what remains, down to one. Conclusion: small limits are shared; operators cannot lock themselves out.

--- a/cicadaentry/cicadafront/front.go
+++ b/cicadaentry/cicadafront/front.go
@@ -43,10 +43,13 @@
 
 const (
 	defaultMaxBody = 8 << 20
-	bodyTime       = time.Minute
-	uploadTime     = 30 * time.Minute
-	writeStall     = 30 * time.Second
-	maxKeyLength   = 256
+	// operatorBody is the largest body of an operator. It is not a limit of the
+	// configuration, which could lock operators out.
+	operatorBody = 8 << 20
+	bodyTime     = time.Minute
+	uploadTime   = 30 * time.Minute
+	writeStall   = 30 * time.Second
+	maxKeyLength = 256
 )
 
 // Headers of requests and answers.
@@ -187,9 +190,13 @@
 
 func (f *Front) snapshot() *cicadaconfig.Snapshot { return f.Fleet.Config().Snapshot() }
 
-// readBody reads a request's body up to the limit in force, within a time.
+// readBody reads a caller's body up to the limit in force.
 func (f *Front) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	limit := f.snapshot().Limits().MaxBody.Or(defaultMaxBody)
+	return readUpTo(w, r, f.snapshot().Limits().MaxBody.Or(defaultMaxBody))
+}
+
+// readUpTo reads a request's body up to a limit, within a time.
+func readUpTo(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTime))
 	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
--- a/cicadaentry/cicadafront/operate.go
+++ b/cicadaentry/cicadafront/operate.go
@@ -62,7 +62,7 @@
 }
 
 func (f *Front) apply(w http.ResponseWriter, r *http.Request, _ httprouter.Params, operator string) error {
-	data, err := f.readBody(w, r)
+	data, err := readUpTo(w, r, operatorBody)
 	if err != nil {
 		return err
 	}
@@ -213,7 +213,7 @@
 }
 
 func (f *Front) rollBack(w http.ResponseWriter, r *http.Request, _ httprouter.Params, operator string) error {
-	data, err := f.readBody(w, r)
+	data, err := readUpTo(w, r, operatorBody)
 	if err != nil {
 		return err
 	}
--- a/cicadakernel/cicadalimit/limit.go
+++ b/cicadakernel/cicadalimit/limit.go
@@ -27,12 +27,8 @@
 	Per      time.Duration
 }
 
-const (
-	// leaseTime is how long an entry may spend a grant.
-	leaseTime = time.Second
-	// smallestPart is the smallest part of what remains that one grant takes.
-	smallestPart = 8
-)
+// leaseTime is how long an entry may spend a grant.
+const leaseTime = time.Second
 
 // A Grant is a number of requests that an entry may let pass until it expires.
 type Grant struct {
@@ -86,7 +82,7 @@
 	if tight == nil {
 		return Grant{Tokens: want, Expires: now.Add(leaseTime)}
 	}
-	part := max(tight.remaining()/2, min(tight.remaining(), smallestPart))
+	part := (tight.remaining() + 1) / 2
 	tokens := min(want, part)
 	for i := range h.windows {
 		h.windows[i].used += tokens
