--- a/cicadadev/main.go
+++ b/cicadadev/main.go
@@ -5,8 +5,9 @@
 // # Usage
 //
 //	go run ./cicadadev
+//	go run ./cicadadev --platform 127.0.0.1:6000 --vm entry-1,entry,dc-1,127.0.0.1:7001
 //
-// It prints lines to paste into a shell, and runs until it is interrupted.
+// Without flags for stand-ins it prints lines to paste into a shell, and runs until it is interrupted.
 package main
 
 import (
@@ -54,12 +55,12 @@
 		Name:    "cicadadev",
 		Usage:   "runs entries, agents and stand-ins in one process",
 		Version: cicadakernel.Version,
-		Flags: []cli.Flag{
+		Flags: append(standInFlags(),
 			&cli.StringFlag{Name: "listen", Value: "127.0.0.1:8080", Usage: "`ADDRESS` of the first entry for callers"},
 			&cli.IntFlag{Name: "entries", Value: 2, Usage: "number of entries"},
 			&cli.IntFlag{Name: "engines", Value: 3, Usage: "number of model engines"},
 			&cli.StringFlag{Name: "log-level", Value: "info", Usage: "trace, debug, info, warn, error or off"},
-		},
+		),
 		Action: runDeployment,
 	}
 	cicadakernel.Main(cmd)
@@ -68,6 +69,13 @@
 func runDeployment(ctx context.Context, cmd *cli.Command) error {
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer stop()
+	handlers, err := standIns(cmd)
+	if err != nil {
+		return err
+	}
+	if len(handlers) > 0 {
+		return serveStandIns(ctx, cmd, handlers)
+	}
 	d, err := cicadadeployment.Start(ctx,
 		cicadadeployment.WithEntries(cmd.Int("entries")),
 		cicadadeployment.WithEngines(cmd.Int("engines")),
