Never speculate an item before it is known to be idempotent

Change: only an item that is known to be idempotent gets a copy. The window is too narrow for a test of its own; the histories keep it.

--- a/cicadadev/cicadahistory/world_test.go
+++ b/cicadadev/cicadahistory/world_test.go
@@ -182,6 +182,7 @@
 	lost    int
 	slow    int
 	cut     int
+	late    int
 }
 
 const worldConfig = `
@@ -308,10 +309,14 @@
 			return through(ctx, p, func() (cicadaplatform.Page, error) { return b.List(ctx, prefix, after, limit) })
 		},
 		Create: func(ctx context.Context, name string, value []byte) (cicadaplatform.Object, error) {
-			return through(ctx, p, func() (cicadaplatform.Object, error) { return w.create(ctx, b, name, value) })
+			return through(ctx, p, func() (cicadaplatform.Object, error) {
+				return w.perhapsLate(ctx, func(ctx context.Context) (cicadaplatform.Object, error) { return w.create(ctx, b, name, value) })
+			})
 		},
 		Update: func(ctx context.Context, name string, version int64, value []byte) (cicadaplatform.Object, error) {
-			return through(ctx, p, func() (cicadaplatform.Object, error) { return b.Update(ctx, name, version, value) })
+			return through(ctx, p, func() (cicadaplatform.Object, error) {
+				return w.perhapsLate(ctx, func(ctx context.Context) (cicadaplatform.Object, error) { return b.Update(ctx, name, version, value) })
+			})
 		},
 		Delete: func(ctx context.Context, name string, version int64) error {
 			_, err := through(ctx, p, func() (struct{}, error) { return struct{}{}, b.Delete(ctx, name, version) })
@@ -324,6 +329,20 @@
 	}
 }
 
+// perhapsLate makes a write at once, or lets its caller time out and makes it
+// after a while, when its writer may have done or become something else.
+func (w *world) perhapsLate(ctx context.Context, write func(context.Context) (cicadaplatform.Object, error)) (cicadaplatform.Object, error) {
+	if !w.chance(w.currentFaults().late) {
+		return write(ctx)
+	}
+	w.tasks.Go(func() {
+		w.sleep(time.Duration(w.intn(10000)) * time.Millisecond)
+		_, _ = write(w.ctx)
+	})
+	<-ctx.Done()
+	return cicadaplatform.Object{}, cicadaplatform.ErrInDoubt
+}
+
 // create is the store's Create. Without the fence it overwrites segments.
 func (w *world) create(ctx context.Context, b cicadaplatform.Backend, name string, value []byte) (cicadaplatform.Object, error) {
 	obj, err := b.Create(ctx, name, value)
@@ -727,7 +746,7 @@
 		case 4:
 			w.setFaults(faults{refused: 20, lost: 20, slow: 10})
 		case 5:
-			w.setFaults(faults{cut: 10, lost: 10})
+			w.setFaults(faults{cut: 10, lost: 10, late: 10})
 		case 6:
 			w.setFaults(faults{})
 		}
--- a/cicadaentry/cicadashard/item.go
+++ b/cicadaentry/cicadashard/item.go
@@ -103,10 +103,12 @@
 	if it.lost {
 		return r.settleLost(ctx, it, in, req)
 	}
-	if req.Call.GetNonIdempotent() {
-		if !r.claim(ctx, it) {
-			return itemEnd{}
-		}
+	switch {
+	case !req.Call.GetNonIdempotent():
+		r.markRepeatable(it)
+	case !r.claim(ctx, it):
+		return itemEnd{}
+	default:
 		req.Call.Key = it.claimed
 	}
 	if !r.o.lease.Valid() {
@@ -115,6 +117,12 @@
 	return r.dispatch(ctx, it, in, req)
 }
 
+func (r *runner) markRepeatable(it *item) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	it.repeatable = true
+}
+
 // claim records that a non-idempotent item is about to run, unless it holds a
 // claim under which it has not run. It reports false when the shard is lost.
 func (r *runner) claim(ctx context.Context, it *item) bool {
--- a/cicadaentry/cicadashard/runner.go
+++ b/cicadaentry/cicadashard/runner.go
@@ -65,8 +65,10 @@
 	copies   int
 	lost     bool
 	reclaim  bool
-	nextCopy time.Time
-	cancel   context.CancelFunc
+	// repeatable is set once the item is known to be idempotent.
+	repeatable bool
+	nextCopy   time.Time
+	cancel     context.CancelFunc
 }
 
 func newRunner(o *owner) *runner {
@@ -404,7 +406,7 @@
 		}
 		for _, it := range j.running {
 			ran := float64(now.Sub(it.started).Milliseconds())
-			if started == maxSpeculative || it.copies != 1 || it.claimed != "" || it.lost || now.Before(it.nextCopy) ||
+			if started == maxSpeculative || it.copies != 1 || !it.repeatable || now.Before(it.nextCopy) ||
 				!cicadajob.Straggler(ran, j.durations, int64(len(j.again))) {
 				continue
 			}
