--- a/cicadadev/cicadahistory/config_test.go
+++ b/cicadadev/cicadahistory/config_test.go
@@ -347,7 +347,7 @@
 			i := w.intn(configEntries)
 			w.tasks.Go(func() { w.restart(i) })
 		case 1:
-			w.setFaults(faults{refused: 10, lost: w.lostShare()})
+			w.setFaults(w.trouble())
 		case 2:
 			w.setFaults(faults{})
 		}
@@ -360,13 +360,13 @@
 	return w.checkConfig()
 }
 
-// lostShare is the share of answers that get lost, in percent. Without read-back
-// it is high, so that the harm shows soon.
-func (w *configWorld) lostShare() int {
+// trouble is what befalls the store's calls in a run. Without read-back, many
+// answers to creates get lost, so that the harm shows soon.
+func (w *configWorld) trouble() faults {
 	if w.protect.noReadBack {
-		return 70
+		return faults{lostMade: 40}
 	}
-	return 20
+	return faults{refused: 10, lost: 20}
 }
 
 // checkConfig checks the operators' history, with what the audit trail says of
--- a/cicadadev/cicadahistory/world_test.go
+++ b/cicadadev/cicadahistory/world_test.go
@@ -183,6 +183,8 @@
 	slow    int
 	cut     int
 	late    int
+	// lostMade is the chance that the answer to a Create is lost.
+	lostMade int
 }
 
 const worldConfig = `
@@ -292,7 +294,7 @@
 	if f.down || w.chance(f.refused) {
 		return cicadaplatform.ErrUnavailable, nil
 	}
-	if w.chance(f.lost) {
+	if w.chance(f.lost) || call == "create" && w.chance(f.lostMade) {
 		return nil, cicadaplatform.ErrInDoubt
 	}
 	return nil, nil
