Read the configuration log in one call, and retry soon at first

A watcher needed two reads in a row, of which each fails in three of ten cases there, and waited up to 1 s between tries. A follower could also hang on a fresh watcher that knew nothing yet. Tried first: doubling from 100 ms to 1 s, reset only by a whole quiet interval; it was worse, since under such trouble no interval is quiet. Change: one List gives the changes and the version to watch from; waits go from 100 to 400 ms and start anew after each read; an entry that has not started feeds nobody. Conclusion: the bound of 5 s stands.

--- a/cicadadev/cicadahistory/config_test.go
+++ b/cicadadev/cicadahistory/config_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -316,13 +317,24 @@
 		w.mu.Unlock()
 		for _, a := range accepted {
 			if time.Since(a.at) > inForceWithin && revision < a.revision {
-				return fmt.Errorf("%s holds revision %d, and %d was accepted %s ago", f.name, revision, a.revision, time.Since(a.at))
+				return fmt.Errorf("%s (watches: %t) holds revision %d, and %d was accepted %s ago; %s",
+					f.name, f.fleet.Watches(), revision, a.revision, time.Since(a.at), w.revisions())
 			}
 		}
 	}
 	return nil
 }
 
+// revisions lists what each entry holds.
+func (w *configWorld) revisions() string {
+	var text strings.Builder
+	for i := range configEntries {
+		f := w.follower(i)
+		fmt.Fprintf(&text, "%s started=%t watches=%t revision=%d; ", f.name, f.isStarted(), f.fleet.Watches(), f.fleet.Config().Snapshot().Revision())
+	}
+	return text.String()
+}
+
 // runConfig has operators race while watches come late, calls get lost, and
 // entries restart.
 func runConfig(t *testing.T, seed uint64, protect protections) error {
--- a/cicadaentry/cicadafleet/fleet.go
+++ b/cicadaentry/cicadafleet/fleet.go
@@ -38,10 +38,13 @@
 const (
 	watchersOfDataCentre = 2
 	pollInterval         = 2 * time.Second
-	watchRetry           = 500 * time.Millisecond
-	followBeat           = time.Second
-	followSilence        = 3 * time.Second
-	startRetry           = 200 * time.Millisecond
+	// firstWatchRetry and maxWatchRetry bound the wait after a read that failed:
+	// short at first, so that a few failures in a row do not hold a change up.
+	firstWatchRetry = 100 * time.Millisecond
+	maxWatchRetry   = 400 * time.Millisecond
+	followBeat      = time.Second
+	followSilence   = 3 * time.Second
+	startRetry      = 200 * time.Millisecond
 )
 
 // A Fleet is an entry's picture of the fleet.
@@ -66,6 +69,10 @@
 	tasks   conc.WaitGroup
 }
 
+// ErrNotStarted reports a fleet that has not learnt the configuration yet, and
+// so has nothing for followers.
+var ErrNotStarted = merry.Sentinel("cicadafleet: not started")
+
 // ErrClosed reports a fleet that was closed while it started.
 var ErrClosed = merry.Sentinel("cicadafleet: closed")
 
@@ -142,6 +149,12 @@
 	return nil
 }
 
+func (f *Fleet) started() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cancel != nil
+}
+
 // Close ends all links.
 func (f *Fleet) Close() {
 	f.mu.Lock()
@@ -301,9 +314,19 @@
 
 // keepCurrent watches or follows, whichever falls to this entry.
 func (f *Fleet) keepCurrent(ctx context.Context) {
+	wait := firstWatchRetry
 	for ctx.Err() == nil {
-		if f.Watches() || !f.followAny(ctx) {
-			f.watch(ctx)
+		if !f.Watches() && f.followAny(ctx) {
+			continue
+		}
+		read, err := f.watch(ctx)
+		if read {
+			wait = firstWatchRetry
+		}
+		if err != nil {
+			f.scope.Counter("platform_failures").Inc(1)
+			pause(ctx, wait/2+f.jitter(wait))
+			wait = min(2*wait, maxWatchRetry)
 		}
 	}
 }
@@ -311,42 +334,50 @@
 // CatchUp makes the entry read the configuration now, after a change that it
 // has made itself.
 func (f *Fleet) CatchUp(ctx context.Context) error {
-	sets, err := f.source.Changes(ctx, f.config.Snapshot().Revision())
+	_, err := f.catchUp(ctx)
+	return err
+}
+
+// catchUp returns the store's version from which a watch continues.
+func (f *Fleet) catchUp(ctx context.Context) (int64, error) {
+	sets, version, err := f.source.Changes(ctx, f.config.Snapshot().Revision())
 	if err != nil {
-		return merry.Errorf("catch up: %w", err)
+		return 0, merry.Errorf("catch up: %w", err)
 	}
-	return f.config.Apply(sets)
+	return version, f.config.Apply(sets)
 }
 
 // watch reads from the platform for one poll interval: a watch on the
-// configuration log, and one read of the VM list. The list of the log that ends
-// each interval repairs watches that come late.
-func (f *Fleet) watch(ctx context.Context) {
+// configuration log, and one read of the VM list. The list of the log that
+// begins each interval repairs watches that come late. It reports whether it
+// has read the log, and the first read that failed.
+func (f *Fleet) watch(ctx context.Context) (read bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, pollInterval)
 	defer cancel()
-	vms, err := f.store.VMs(ctx)
-	if err == nil {
-		f.setVMs(vms)
+	version, err := f.catchUp(ctx)
+	if err != nil {
+		return false, err
 	}
-	version, versionErr := f.source.Version(ctx)
-	if err := f.CatchUp(ctx); err != nil || versionErr != nil {
-		f.scope.Counter("platform_failures").Inc(1)
-		pause(ctx, watchRetry+f.jitter(watchRetry))
-		return
+	if vms, err := f.store.VMs(ctx); err == nil {
+		f.setVMs(vms)
 	}
 	for ctx.Err() == nil {
 		changed, next, err := f.source.Wait(ctx, version)
+		if ctx.Err() != nil {
+			break
+		}
 		if err != nil {
-			if ctx.Err() == nil {
-				pause(ctx, watchRetry+f.jitter(watchRetry))
-			}
-			return
+			return true, err
 		}
 		version = next
-		if changed && f.CatchUp(ctx) != nil {
-			return
+		if !changed {
+			continue
+		}
+		if version, err = f.catchUp(ctx); err != nil {
+			return true, err
 		}
 	}
+	return true, nil
 }
 
 func pause(ctx context.Context, d time.Duration) bool {
--- a/cicadaentry/cicadafleet/follow.go
+++ b/cicadaentry/cicadafleet/follow.go
@@ -69,6 +69,9 @@
 // fails or ctx ends. A beat with the current revision goes out at least once in
 // a followBeat.
 func (f *Fleet) Feed(ctx context.Context, request *cicadawire.FollowRequest, send func(*cicadawire.FollowUpdate) error) error {
+	if !f.started() {
+		return merry.Errorf("feed follower: %w", ErrNotStarted)
+	}
 	held := request.GetRevision()
 	var sentVMs []byte
 	ticker := time.NewTicker(followBeat)
--- a/cicadakernel/cicadaconfig/store.go
+++ b/cicadakernel/cicadaconfig/store.go
@@ -118,23 +118,22 @@
 	return current, nil
 }
 
-// Changes returns the change sets after a revision, in order.
-func (s *Store) Changes(ctx context.Context, revision int64) ([]*cicadawire.ChangeSet, error) {
+// Changes returns the change sets after a revision, in order, and the store's
+// version from which Wait continues.
+func (s *Store) Changes(ctx context.Context, revision int64) ([]*cicadawire.ChangeSet, int64, error) {
 	var sets []*cicadawire.ChangeSet
-	err := s.Audit(ctx, revision+1, func(set *cicadawire.ChangeSet) error {
+	_, version, err := s.log.ReplayAt(ctx, revision+1, func(_ int64, payload []byte) error {
+		set := &cicadawire.ChangeSet{}
+		if err := proto.Unmarshal(payload, set); err != nil {
+			return merry.Errorf("decode change set: %w", err)
+		}
 		sets = append(sets, set)
 		return nil
 	})
-	return sets, err
-}
-
-// Version returns the store's version from which Wait continues.
-func (s *Store) Version(ctx context.Context) (int64, error) {
-	page, err := s.client.List(ctx, s.log.SegmentPrefix(), "~", 1)
 	if err != nil {
-		return 0, merry.Errorf("read store version: %w", err)
+		return nil, 0, merry.Errorf("read changes: %w", err)
 	}
-	return page.Version(), nil
+	return sets, version, nil
 }
 
 // Wait waits for a revision written after a store version, and returns the
--- a/cicadakernel/cicadalog/log.go
+++ b/cicadakernel/cicadalog/log.go
@@ -145,22 +145,29 @@
 // Replay calls apply for each segment from number from on, in order, and
 // returns the number after the last.
 func (l *Log) Replay(ctx context.Context, from int64, apply func(seq int64, payload []byte) error) (int64, error) {
-	next := from
+	next, _, err := l.ReplayAt(ctx, from, apply)
+	return next, err
+}
+
+// ReplayAt is Replay that also returns the store's version as of the end of the
+// log, from which a watch continues.
+func (l *Log) ReplayAt(ctx context.Context, from int64, apply func(seq int64, payload []byte) error) (next, version int64, err error) {
+	next = from
 	after := l.segmentName(from - 1)
 	for {
 		page, err := l.store.List(ctx, l.SegmentPrefix(), after, replayPage)
 		if err != nil {
-			return next, merry.Errorf("replay log: %w", err)
+			return next, 0, merry.Errorf("replay log: %w", err)
 		}
 		for _, obj := range page.Objects() {
 			if err := l.replayOne(obj, next, apply); err != nil {
-				return next, err
+				return next, 0, err
 			}
 			next++
 			after = obj.Name()
 		}
 		if !page.More() {
-			return next, nil
+			return next, page.Version(), nil
 		}
 	}
 }
