Never follow oneself

The VM list came between its two looks at who watches; it first thought that it did not, and then followed the first watcher, itself, whose beats kept it content for good.

--- a/cicadaentry/cicadafleet/follow.go
+++ b/cicadaentry/cicadafleet/follow.go
@@ -11,12 +11,12 @@
 	"cicadalink.example/cicadakernel/cicadawire"
 )
 
-// followAny follows one of the watchers until that breaks. It reports false
-// when none could be followed.
+// followAny follows one of the watchers until that breaks, or this entry is to
+// watch by itself. It reports false when none could be followed.
 func (f *Fleet) followAny(ctx context.Context) bool {
 	for _, name := range f.watchers() {
 		address, ok := f.table.EntryAddress(name)
-		if !ok {
+		if !ok || name == f.self.Name {
 			continue
 		}
 		began := time.Now()
@@ -62,6 +62,9 @@
 		if err := f.take(update); err != nil {
 			return err
 		}
+		if f.Watches() {
+			return nil
+		}
 	}
 }
 
