Add a benchmark of the first token through entry and agent

Cause: the target for added time to the first token had no figure. Change: BenchmarkFirstToken compares the engine alone with entry and agent.

--- a/cicadadev/cicadadeployment/deployment.go
+++ b/cicadadev/cicadadeployment/deployment.go
@@ -59,15 +59,16 @@
 
 // A Deployment is a running deployment.
 type Deployment struct {
-	memory  *cicadaplatform.Memory
-	ledger  *cicadastandin.Ledger
-	engines []*cicadastandin.Engine
-	entries []*running[*cicadanode.Node]
-	agents  []*running[*cicadaendpoint.Agent]
-	base    string
-	servers []*http.Server
-	tasks   conc.WaitGroup
-	opts    options
+	memory     *cicadaplatform.Memory
+	ledger     *cicadastandin.Ledger
+	engines    []*cicadastandin.Engine
+	engineURLs []string
+	entries    []*running[*cicadanode.Node]
+	agents     []*running[*cicadaendpoint.Agent]
+	base       string
+	servers    []*http.Server
+	tasks      conc.WaitGroup
+	opts       options
 }
 
 // running is one process of the system, run as a task.
@@ -195,6 +196,7 @@
 		return err
 	}
 	d.engines = append(d.engines, engine)
+	d.engineURLs = append(d.engineURLs, address)
 	return d.startAgent(name, "assistants", "inference", address)
 }
 
@@ -309,6 +311,9 @@
 // Engine returns an engine.
 func (d *Deployment) Engine(i int) *cicadastandin.Engine { return d.engines[i] }
 
+// EngineURL returns the base URL of an engine.
+func (d *Deployment) EngineURL(i int) string { return d.engineURLs[i] }
+
 // Ledger returns the plain service.
 func (d *Deployment) Ledger() *cicadastandin.Ledger { return d.ledger }
 
--- a/cicadadev/cicadadeployment/stop_test.go
+++ b/cicadadev/cicadadeployment/stop_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -137,3 +138,27 @@
 	}
 	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*streamTokens), "ns/token")
 }
+
+// BenchmarkFirstToken compares the time to the first token through an entry and
+// an agent with that of the engine alone.
+func BenchmarkFirstToken(b *testing.B) {
+	d, err := Start(b.Context(), WithEntries(1), WithEngines(1), WithTokenTime(time.Microsecond))
+	assert.NilError(b, err)
+	defer d.Close()
+	for name, url := range map[string]string{"entry": d.EntryURL(0), "engine": d.EngineURL(0)} {
+		b.Run(name, func(b *testing.B) {
+			body := fmt.Sprintf(`{"model":%q,"prompt":"quote","max_tokens":1,"stream":true}`, Model)
+			for b.Loop() {
+				req, err := http.NewRequestWithContext(b.Context(), http.MethodPost, url+"/v1/completions", strings.NewReader(body))
+				assert.NilError(b, err)
+				req.Header.Set("Authorization", "Bearer "+CallerKey)
+				res, err := http.DefaultClient.Do(req)
+				assert.NilError(b, err)
+				_, err = bufio.NewReader(res.Body).ReadString('\n')
+				assert.NilError(b, err)
+				_, _ = io.Copy(io.Discard, res.Body)
+				_ = res.Body.Close()
+			}
+		})
+	}
+}
