--- a/cicadadev/cicadadeployment/deployment.go
+++ b/cicadadev/cicadadeployment/deployment.go
@@ -49,7 +49,7 @@
 
 const (
 	loopback      = "127.0.0.1:0"
-	startLimit    = 10 * time.Second
+	startLimit    = time.Minute
 	startInterval = 20 * time.Millisecond
 	headerLimit   = 5 * time.Second
 )
--- a/cicadaentry/cicadadispatch/dispatcher.go
+++ b/cicadaentry/cicadadispatch/dispatcher.go
@@ -283,13 +283,14 @@
 }
 
 // holdProbes keeps ejected endpoints out while no hedge could be sent beside
-// the probe: a caller must not wait for what is likely to be slow.
+// the probe: a caller must not wait for what is likely to be slow. An endpoint
+// that is overdue comes in all the same, or one after the other would stay out.
 func (d *Dispatcher) holdProbes(views []cicadaroute.View, req *Request) {
 	if d.probes.Ready() && !req.Call.GetNonIdempotent() {
 		return
 	}
 	for i := range views {
-		views[i].Ejected = views[i].Ejected || views[i].Probing
+		views[i].Ejected = views[i].Ejected || (views[i].Probing && !views[i].Overdue)
 	}
 }
 
--- a/cicadaentry/cicadafleet/endpoint.go
+++ b/cicadaentry/cicadafleet/endpoint.go
@@ -22,6 +22,9 @@
 	// work before one attempt tries it again.
 	firstEjection = time.Second
 	maxEjection   = 30 * time.Second
+	// probePatience is how long the first attempt after an ejection waits for a
+	// hedge to go beside it.
+	probePatience = 500 * time.Millisecond
 	// sampleHalfLife is the time in which what was measured of an endpoint loses
 	// half its weight, so that one that was slow for a moment is tried again.
 	sampleHalfLife = time.Second
@@ -229,6 +232,7 @@
 		Quiet:         e.quiet(silent),
 		Ejected:       e.ejection.lasts(now),
 		Probing:       e.ejection.active && !e.ejection.lasts(now),
+		Overdue:       e.ejection.active && now.Sub(e.ejection.until) > probePatience,
 	}
 	for _, since := range e.waiting {
 		v.OldestWaiting = max(v.OldestWaiting, now.Sub(since))
--- a/cicadakernel/cicadaroute/route.go
+++ b/cicadakernel/cicadaroute/route.go
@@ -71,6 +71,8 @@
 	Ejected bool
 	// Probing endpoints were ejected, and one attempt may try them again.
 	Probing bool
+	// Overdue endpoints have waited for such an attempt for a while.
+	Overdue bool
 }
 
 func (v *View) first() time.Duration {
