--- a/cicadaagent/cicadaendpoint/agent.go
+++ b/cicadaagent/cicadaendpoint/agent.go
@@ -28,6 +28,7 @@
 	"cicadalink.example/cicadakernel"
 	"cicadalink.example/cicadakernel/cicadaadmit"
 	"cicadalink.example/cicadakernel/cicadaplatform"
+	"cicadalink.example/cicadakernel/cicadaretry"
 	"cicadalink.example/cicadakernel/cicadawire"
 )
 
@@ -138,7 +139,7 @@
 		a.log.Warn("calls still running at the drain limit")
 		a.gate.Stop()
 	}
-	pause(context.WithoutCancel(ctx), goodbyeDelay)
+	cicadaretry.Wait(context.WithoutCancel(ctx), goodbyeDelay)
 	a.log.Info("left")
 	return nil
 }
@@ -153,7 +154,7 @@
 				a.gate.SetModels(report.Models)
 			}
 		}
-		if !pause(ctx, healthInterval) {
+		if !cicadaretry.Wait(ctx, healthInterval) {
 			return
 		}
 	}
@@ -171,7 +172,7 @@
 			a.gate.LearnFence(highest)
 			return
 		}
-		if !pause(ctx, fenceRetry) {
+		if !cicadaretry.Wait(ctx, fenceRetry) {
 			return
 		}
 	}
@@ -210,14 +211,3 @@
 	})
 	a.gate.SetRevision(a.revision)
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/cicadactl/cicadacommand/config.go
+++ b/cicadactl/cicadacommand/config.go
@@ -15,6 +15,7 @@
 
 	"cicadalink.example/cicadakernel/cicadaconfig"
 	"cicadalink.example/cicadakernel/cicadaoperate"
+	"cicadalink.example/cicadakernel/cicadaretry"
 )
 
 const (
@@ -124,23 +125,12 @@
 			fmt.Fprintf(cmd.Root().ErrWriter, "revision %d is in force everywhere\n", change.Revision)
 			return nil
 		}
-		if !pause(ctx, waitInterval) {
+		if !cicadaretry.Wait(ctx, waitInterval) {
 			return merry.Errorf("wait for revision %d: not in force everywhere after %s", change.Revision, waitLimit)
 		}
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func writeChange(w io.Writer, change *cicadaoperate.Change, dryRun bool) error {
 	for _, delta := range change.Changes {
 		text, err := difflib.GetUnifiedDiffString(difflib.UnifiedDiff{
--- a/cicadactl/cicadacommand/operate.go
+++ b/cicadactl/cicadacommand/operate.go
@@ -13,6 +13,7 @@
 	"github.com/urfave/cli/v3"
 
 	"cicadalink.example/cicadakernel/cicadaoperate"
+	"cicadalink.example/cicadakernel/cicadaretry"
 )
 
 const jobInterval = 250 * time.Millisecond
@@ -163,7 +164,7 @@
 		progressbar.OptionShowCount(), progressbar.OptionSetItsString("items"), progressbar.OptionClearOnFinish())
 	for !batch.Ended() {
 		_ = bar.Set64(batch.Counts.Completed + batch.Counts.Failed)
-		if !pause(ctx, jobInterval) {
+		if !cicadaretry.Wait(ctx, jobInterval) {
 			return nil, merry.Errorf("wait for job: %w", ctx.Err())
 		}
 		next, err := client.Batch(ctx, batch.ID)
--- a/cicadaentry/cicadafleet/fleet.go
+++ b/cicadaentry/cicadafleet/fleet.go
@@ -32,6 +32,7 @@
 	"cicadalink.example/cicadakernel/cicadaconfig"
 	"cicadalink.example/cicadakernel/cicadamember"
 	"cicadalink.example/cicadakernel/cicadaplatform"
+	"cicadalink.example/cicadakernel/cicadaretry"
 	"cicadalink.example/cicadakernel/cicadawire"
 )
 
@@ -132,7 +133,7 @@
 			break
 		}
 		f.log.Warn("configuration not known yet", "error", err)
-		if !pause(ctx, startRetry+f.jitter(startRetry)) {
+		if !cicadaretry.Wait(ctx, startRetry+f.jitter(startRetry)) {
 			return merry.Errorf("start fleet: %w", ctx.Err())
 		}
 	}
@@ -325,7 +326,7 @@
 		}
 		if err != nil {
 			f.scope.Counter("platform_failures").Inc(1)
-			pause(ctx, wait/2+f.jitter(wait))
+			cicadaretry.Wait(ctx, wait/2+f.jitter(wait))
 			wait = min(2*wait, maxWatchRetry)
 		}
 	}
@@ -379,14 +380,3 @@
 	}
 	return true, nil
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/cicadaentry/cicadafleet/link.go
+++ b/cicadaentry/cicadafleet/link.go
@@ -9,6 +9,7 @@
 
 	"cicadalink.example/cicadakernel/cicadaconfig"
 	"cicadalink.example/cicadakernel/cicadamember"
+	"cicadalink.example/cicadakernel/cicadaretry"
 	"cicadalink.example/cicadakernel/cicadawire"
 )
 
@@ -34,7 +35,7 @@
 		if time.Since(started) > maxRedial {
 			wait = firstRedial
 		}
-		if !pause(ctx, wait/2+f.jitter(wait)) {
+		if !cicadaretry.Wait(ctx, wait/2+f.jitter(wait)) {
 			return
 		}
 	}
--- a/cicadaentry/cicadanode/node.go
+++ b/cicadaentry/cicadanode/node.go
@@ -33,6 +33,7 @@
 	"cicadalink.example/cicadakernel/cicadaconfig"
 	"cicadalink.example/cicadakernel/cicadamember"
 	"cicadalink.example/cicadakernel/cicadaplatform"
+	"cicadalink.example/cicadakernel/cicadaretry"
 	"cicadalink.example/cicadakernel/cicadasuspect"
 	"cicadalink.example/cicadakernel/cicadawire"
 )
@@ -224,7 +225,7 @@
 	n.log.Info("leaving")
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), n.cfg.DrainLimit.Or(DefaultDrainLimit))
 	defer cancel()
-	pause(ctx, n.cfg.ReadyDelay.Or(DefaultReadyDelay))
+	cicadaretry.Wait(ctx, n.cfg.ReadyDelay.Or(DefaultReadyDelay))
 	n.shards.Close()
 	if err := server.Shutdown(ctx); err != nil {
 		n.log.Warn("requests still running at the drain limit")
@@ -327,12 +328,3 @@
 	}
 	tasks.Wait()
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/cicadaentry/cicadashard/claims.go
+++ b/cicadaentry/cicadashard/claims.go
@@ -8,6 +8,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"cicadalink.example/cicadakernel/cicadajob"
+	"cicadalink.example/cicadakernel/cicadaretry"
 	"cicadalink.example/cicadakernel/cicadawire"
 )
 
@@ -157,7 +158,7 @@
 // deadline: the agents are asked, then the service's look-up route; else the
 // outcome is recorded as unknown. The call is never run again.
 func (o *owner) sweepCalls(ctx context.Context) {
-	for pause(ctx, jittered(sweepInterval)) {
+	for cicadaretry.Wait(ctx, jittered(sweepInterval)) {
 		for _, claim := range o.overdue(time.Now().UnixMilli()) {
 			o.resolve(ctx, claim)
 		}
--- a/cicadaentry/cicadashard/item.go
+++ b/cicadaentry/cicadashard/item.go
@@ -14,6 +14,7 @@
 	"cicadalink.example/cicadaentry/cicadacall"
 	"cicadalink.example/cicadaentry/cicadadispatch"
 	"cicadalink.example/cicadakernel/cicadaerror"
+	"cicadalink.example/cicadakernel/cicadaretry"
 	"cicadalink.example/cicadakernel/cicadawire"
 )
 
@@ -255,7 +256,7 @@
 		if err == nil {
 			break
 		}
-		if !pause(ctx, lookUpRetry) {
+		if !cicadaretry.Wait(ctx, lookUpRetry) {
 			return itemEnd{}
 		}
 	}
--- a/cicadaentry/cicadashard/manager.go
+++ b/cicadaentry/cicadashard/manager.go
@@ -34,6 +34,7 @@
 	"cicadalink.example/cicadakernel/cicadalease"
 	"cicadalink.example/cicadakernel/cicadamember"
 	"cicadalink.example/cicadakernel/cicadaplatform"
+	"cicadalink.example/cicadakernel/cicadaretry"
 	"cicadalink.example/cicadakernel/cicadawire"
 )
 
@@ -220,7 +221,7 @@
 				m.own(ctx, shard, lease)
 			}
 		}
-		if !pause(ctx, jittered(tryInterval)) {
+		if !cicadaretry.Wait(ctx, jittered(tryInterval)) {
 			return
 		}
 	}
@@ -263,7 +264,7 @@
 }
 
 func (m *Manager) renew(ctx context.Context, lease *cicadalease.Lease) {
-	for pause(ctx, renewInterval) {
+	for cicadaretry.Wait(ctx, renewInterval) {
 		err := lease.Renew(ctx)
 		if errors.Is(err, cicadalease.ErrLost) {
 			return
@@ -323,7 +324,7 @@
 			return err
 		}
 		m.forget(shard)
-		if !pause(ctx, jittered(ownerRetry)) {
+		if !cicadaretry.Wait(ctx, jittered(ownerRetry)) {
 			return merry.Errorf("shard %d has no owner: %w", shard, err)
 		}
 	}
@@ -339,14 +340,3 @@
 	}
 	return there(m.deps.Dial(address))
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/cicadaentry/cicadashard/runner.go
+++ b/cicadaentry/cicadashard/runner.go
@@ -11,6 +11,7 @@
 
 	"cicadalink.example/cicadaentry/cicadafile"
 	"cicadalink.example/cicadakernel/cicadajob"
+	"cicadalink.example/cicadakernel/cicadaretry"
 	"cicadalink.example/cicadakernel/cicadawire"
 )
 
@@ -368,7 +369,7 @@
 	}
 	r.mu.Unlock()
 	if end.busy {
-		pause(it.job.ctx, jittered(idleBackoff))
+		cicadaretry.Wait(it.job.ctx, jittered(idleBackoff))
 	}
 	r.nudge()
 }
--- a/cicadakernel/cicadaplatform/client.go
+++ b/cicadakernel/cicadaplatform/client.go
@@ -11,6 +11,8 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/time/rate"
+
+	"cicadalink.example/cicadakernel/cicadaretry"
 )
 
 // A Class orders calls by what gives way first when the budget is short.
@@ -232,7 +234,7 @@
 				return Object{}, err
 			}
 		}
-		if !sleep(ctx, wait/2+rand.N(wait)) {
+		if !cicadaretry.Wait(ctx, wait/2+rand.N(wait)) {
 			return Object{}, inDoubtIf(doubt, err)
 		}
 	}
@@ -265,14 +267,3 @@
 	}
 	return err
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
