--- a/cicadakernel/cicadaplatform/client.go
+++ b/cicadakernel/cicadaplatform/client.go
@@ -34,6 +34,11 @@
 // so that a flood of uploads cannot delay a lease.
 var classShares = [classCount]float64{0.15, 0.10, 0.25, 0.30, 0.20}
 
+// classFloors are writes a second that a class has whatever the budget. The
+// number of shards bounds the writes of leases, and an entry that cannot renew
+// in time loses what it owns.
+var classFloors = [classCount]float64{ClassLease: 40}
+
 // String returns the class's name.
 func (c Class) String() string { return classNames[c] }
 
@@ -65,7 +70,7 @@
 func WithWriteRate(perSecond float64) ClientOption {
 	return func(c *Client) {
 		for class := range classCount {
-			share := perSecond * classShares[class]
+			share := max(perSecond*classShares[class], classFloors[class])
 			burst := max(int(share*writeBurstSeconds), minWriteBurst)
 			c.limits[class] = rate.NewLimiter(rate.Limit(share), burst)
 		}
--- a/cicadakernel/cicadaplatform/conformance_test.go
+++ b/cicadakernel/cicadaplatform/conformance_test.go
@@ -136,3 +136,19 @@
 		assert.Assert(t, time.Since(started) < 100*time.Millisecond)
 	})
 }
+
+// An entry with a small budget that owns every shard renews all leases in time.
+func TestSmallBudgetRenewsAllLeases(t *testing.T) {
+	const shards, interval = 64, 2 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		client := NewClient(NewMemory().Backend(), WithWriteRate(1))
+		started := time.Now()
+		for round := range 5 {
+			for shard := range shards {
+				_, err := client.Create(t.Context(), ClassLease, fmt.Sprintf("lease/%d/%d", round, shard), []byte("x"))
+				assert.NilError(t, err)
+			}
+		}
+		assert.Assert(t, time.Since(started) <= 5*interval, "five rounds of renewals took %s", time.Since(started))
+	})
+}
