--- /dev/null
+++ b/cicadagateway/cicadafollow/follow.go
@@ -0,0 +1,171 @@
+// Package cicadafollow keeps a process's view of the platform's store current:
+// it lists the objects under a prefix, then watches for changes, and lists again
+// when the store has dropped its history.
+//
+// # Usage
+//
+//	link := cicadafollow.NewLink(log, nil)
+//	f := cicadafollow.New(ctx, store, "servers/", link, log, func(c cicadafollow.Change) {
+//		if c.Full() { ... }
+//	})
+//	f.Refresh() // a peer knows something newer
+//
+// While the store is away the last view stays in force.
+package cicadafollow
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/sourcegraph/conc"
+
+	"cicadalink.example/cicadakernel/cicadaplatform"
+	"cicadalink.example/cicadakernel/cicadaretry"
+)
+
+const (
+	firstBackoff = 50 * time.Millisecond
+	maxBackoff   = time.Second
+	// staleAfter is how long a failing watch is continued before the objects are
+	// listed anew.
+	staleAfter = 10 * time.Second
+	pageLimit  = 500
+)
+
+// A Change is either everything under the prefix or what has changed.
+type Change struct {
+	objects []cicadaplatform.Object
+	full    bool
+}
+
+// Objects returns the objects; one with a nil value is gone.
+func (c Change) Objects() []cicadaplatform.Object { return c.objects }
+
+// Full reports whether objects that are not listed do not exist.
+func (c Change) Full() bool { return c.full }
+
+// A Follower follows the objects under one prefix.
+type Follower struct {
+	store  *cicadaplatform.Client
+	prefix string
+	link   *Link
+	log    hclog.Logger
+	apply  func(Change)
+	poke   chan struct{}
+	wg     conc.WaitGroup
+}
+
+// New starts to follow a prefix until ctx ends. apply is called from one
+// goroutine.
+func New(ctx context.Context, store *cicadaplatform.Client, prefix string, link *Link, log hclog.Logger, apply func(Change)) *Follower {
+	f := &Follower{store: store, prefix: prefix, link: link, log: log, apply: apply, poke: make(chan struct{}, 1)}
+	f.wg.Go(func() {
+		wait := firstBackoff
+		for ctx.Err() == nil {
+			if f.once(ctx) {
+				wait = firstBackoff
+				continue
+			}
+			cicadaretry.Wait(ctx, wait/2+rand.N(wait))
+			wait = min(2*wait, maxBackoff)
+		}
+	})
+	return f
+}
+
+// Refresh makes the follower list the objects now.
+func (f *Follower) Refresh() {
+	select {
+	case f.poke <- struct{}{}:
+	default:
+	}
+}
+
+// Wait returns when the follower has ended.
+func (f *Follower) Wait() { f.wg.Wait() }
+
+// once lists and then watches until the list must be read anew. It reports
+// whether the store answered.
+func (f *Follower) once(ctx context.Context) bool {
+	version, err := f.list(ctx)
+	f.link.Report(err)
+	if err != nil {
+		f.log.Debug("list failed", "prefix", f.prefix, "error", err)
+		return false
+	}
+	f.watch(ctx, version)
+	return true
+}
+
+func (f *Follower) list(ctx context.Context) (int64, error) {
+	var all []cicadaplatform.Object
+	after, version := "", int64(0)
+	for {
+		page, err := f.store.List(ctx, f.prefix, after, pageLimit)
+		if err != nil {
+			return 0, err
+		}
+		if after == "" {
+			version = page.Version()
+		}
+		all = append(all, page.Objects()...)
+		if !page.More() || len(page.Objects()) == 0 {
+			break
+		}
+		after = page.Objects()[len(page.Objects())-1].Name()
+	}
+	f.apply(Change{objects: all, full: true})
+	return version, nil
+}
+
+func (f *Follower) watch(ctx context.Context, version int64) {
+	wait := firstBackoff
+	answered := time.Now()
+	for ctx.Err() == nil {
+		page, poked, err := f.next(ctx, version)
+		if poked || errors.Is(err, cicadaplatform.ErrCompacted) {
+			f.log.Info("watch ended", "prefix", f.prefix, "version", version, "poked", poked)
+			return
+		}
+		if err != nil {
+			f.link.Report(err)
+			if time.Since(answered) > staleAfter {
+				return
+			}
+			cicadaretry.Wait(ctx, wait/2+rand.N(wait))
+			wait = min(2*wait, maxBackoff)
+			continue
+		}
+		f.link.Report(nil)
+		answered, wait = time.Now(), firstBackoff
+		version = max(version, page.Version())
+		if len(page.Objects()) > 0 {
+			f.apply(Change{objects: page.Objects()})
+		}
+	}
+}
+
+func (f *Follower) next(ctx context.Context, version int64) (page cicadaplatform.Page, poked bool, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var wg conc.WaitGroup
+	done := make(chan struct{})
+	hit := make(chan bool, 1)
+	wg.Go(func() {
+		select {
+		case <-f.poke:
+			cancel()
+			hit <- true
+		case <-done:
+			hit <- false
+		}
+	})
+	page, err = f.store.Watch(ctx, f.prefix, version)
+	close(done)
+	wg.Wait()
+	poked = <-hit
+	return page, poked && err != nil, err
+}
--- /dev/null
+++ b/cicadagateway/cicadafollow/registry.go
@@ -0,0 +1,119 @@
+package cicadafollow
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/sourcegraph/conc"
+
+	"cicadalink.example/cicadakernel/cicadaplatform"
+	"cicadalink.example/cicadakernel/cicadaretry"
+	"cicadalink.example/cicadakernel/cicadaview"
+)
+
+// sweepInterval is how often endpoints held over an outage are looked at.
+const sweepInterval = 250 * time.Millisecond
+
+// A Registry is the set of endpoints that have registered. An endpoint whose
+// entry vanishes while the store is settled is gone at once; one that vanishes
+// over an outage is kept until the store has settled.
+type Registry struct {
+	mu      sync.Mutex
+	link    *Link
+	log     hclog.Logger
+	decode  func(id string, value []byte) (cicadaview.Endpoint, error)
+	publish func([]cicadaview.Endpoint)
+	known   map[string]cicadaview.Endpoint
+	missing map[string]bool
+	wg      conc.WaitGroup
+}
+
+// NewRegistry returns an empty registry that calls publish with each new set.
+func NewRegistry(ctx context.Context, link *Link, log hclog.Logger, decode func(string, []byte) (cicadaview.Endpoint, error), publish func([]cicadaview.Endpoint)) *Registry {
+	g := &Registry{link: link, log: log, decode: decode, publish: publish, known: make(map[string]cicadaview.Endpoint), missing: make(map[string]bool)}
+	g.wg.Go(func() {
+		for cicadaretry.Wait(ctx, sweepInterval) {
+			g.sweep()
+		}
+	})
+	return g
+}
+
+// Apply takes in a change of the followed entries.
+func (g *Registry) Apply(c Change) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	listed := make(map[string]bool, len(c.objects))
+	for _, obj := range c.objects {
+		_, id, _ := strings.Cut(obj.Name(), "/")
+		listed[id] = true
+		if obj.Value() == nil {
+			g.lose(id)
+			continue
+		}
+		g.set(id, obj)
+	}
+	if c.full {
+		for id := range g.known {
+			if !listed[id] {
+				g.lose(id)
+			}
+		}
+	}
+	g.publishLocked()
+}
+
+func (g *Registry) set(id string, obj cicadaplatform.Object) {
+	endpoint, err := g.decode(id, obj.Value())
+	if err != nil {
+		g.log.Warn("endpoint entry refused", "endpoint", id, "version", obj.Version(), "error", err)
+		delete(g.known, id)
+		delete(g.missing, id)
+		return
+	}
+	if old, ok := g.known[id]; !ok || old.Draining != endpoint.Draining || old.Address != endpoint.Address {
+		g.log.Info("endpoint entry", "endpoint", id, "service", endpoint.Service, "address", endpoint.Address,
+			"draining", endpoint.Draining, "version", obj.Version())
+	}
+	g.known[id] = endpoint
+	delete(g.missing, id)
+}
+
+func (g *Registry) lose(id string) {
+	if _, ok := g.known[id]; !ok {
+		return
+	}
+	if !g.link.Settled() {
+		g.log.Info("endpoint missing, held until the store settles", "endpoint", id)
+		g.missing[id] = true
+		return
+	}
+	g.log.Info("endpoint gone", "endpoint", id)
+	delete(g.known, id)
+	delete(g.missing, id)
+}
+
+func (g *Registry) sweep() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(g.missing) == 0 || !g.link.Settled() {
+		return
+	}
+	for id := range g.missing {
+		g.log.Info("endpoint gone after outage", "endpoint", id)
+		delete(g.known, id)
+	}
+	clear(g.missing)
+	g.publishLocked()
+}
+
+func (g *Registry) publishLocked() {
+	all := make([]cicadaview.Endpoint, 0, len(g.known))
+	for _, e := range g.known {
+		all = append(all, e)
+	}
+	g.publish(all)
+}
--- /dev/null
+++ b/cicadagateway/cicadapeer/peer.go
@@ -0,0 +1,279 @@
+// Package cicadapeer keeps the processes of a deployment informed of each other.
+// Each sends its state to all others by UDP, on change and as a heartbeat: what
+// it has at each endpoint, whether it reaches the store, and the version of the
+// configuration that it has in force. Every message is a whole state, so a lost
+// one is made good by the next.
+//
+// # Usage
+//
+//	group, err := cicadapeer.New(ctx, "10.1.0.35:7660", self, log, state, received)
+//	group.SetMembers(members)
+//	group.Notify() // the state has changed
+//	for _, p := range group.Live(cicadapeer.RoleOwner) { ... }
+package cicadapeer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/hashicorp/go-hclog"
+	"github.com/sourcegraph/conc"
+)
+
+const (
+	heartbeat = 250 * time.Millisecond
+	// silence is how long a member may be silent before it counts as dead.
+	silence = 1200 * time.Millisecond
+	// sendGap bounds how often a changing state is sent.
+	sendGap     = 3 * time.Millisecond
+	maxDatagram = 60 << 10
+)
+
+// A Role is what a member does.
+type Role uint8
+
+// Roles of members.
+const (
+	RoleEntry Role = 1 + iota
+	RoleOwner
+)
+
+// A Member is a process that can be reached.
+type Member struct {
+	Name    string `json:"name"`
+	Role    Role   `json:"role"`
+	Address string `json:"address"`
+}
+
+// A Load is what a member has at one endpoint.
+type Load struct {
+	_        struct{} `cbor:",toarray"`
+	Endpoint string
+	Online   uint16
+	Batch    uint16
+}
+
+// A State is what a member tells the others.
+type State struct {
+	_           struct{} `cbor:",toarray"`
+	Member      Member
+	Incarnation int64
+	Sequence    uint64
+	// StoreUp says that the member reaches the platform's store.
+	StoreUp bool
+	// Leaving says that the member shuts down.
+	Leaving       bool
+	ConfigVersion int64
+	Loads         []Load
+}
+
+type seen struct {
+	state State
+	heard time.Time
+	live  bool
+}
+
+// A Group is the set of members as one of them sees it.
+type Group struct {
+	mu          sync.Mutex
+	conn        *net.UDPConn
+	self        Member
+	incarnation int64
+	sequence    uint64
+	addresses   map[string]*net.UDPAddr
+	members     map[string]*seen
+	state       func() State
+	received    func(State)
+	membership  func()
+	log         hclog.Logger
+	notify      chan struct{}
+	wg          conc.WaitGroup
+}
+
+// New listens at the member's address and sends its state until ctx ends. state
+// returns the member's own state; received is called with each newer state of
+// another member, and membership when a member comes or goes.
+func New(ctx context.Context, self Member, log hclog.Logger, state func() State, received func(State), membership func()) (*Group, error) {
+	address, err := net.ResolveUDPAddr("udp4", self.Address)
+	if err != nil {
+		return nil, merry.Errorf("peer address: %w", err)
+	}
+	conn, err := net.ListenUDP("udp4", address)
+	if err != nil {
+		return nil, merry.Errorf("listen for peers: %w", err)
+	}
+	g := &Group{
+		conn: conn, self: self, incarnation: time.Now().UnixNano(),
+		addresses: make(map[string]*net.UDPAddr), members: make(map[string]*seen),
+		state: state, received: received, membership: membership, log: log, notify: make(chan struct{}, 1),
+	}
+	g.wg.Go(func() { g.receive() })
+	g.wg.Go(func() {
+		<-ctx.Done()
+		_ = conn.Close()
+	})
+	g.wg.Go(func() { g.send(ctx) })
+	return g, nil
+}
+
+// Wait returns when the group's goroutines have ended.
+func (g *Group) Wait() { g.wg.Wait() }
+
+// SetMembers names the processes to send to. Members that are heard are added by
+// themselves.
+func (g *Group) SetMembers(members []Member) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, m := range members {
+		g.learn(m)
+	}
+}
+
+func (g *Group) learn(m Member) {
+	if m.Name == g.self.Name {
+		return
+	}
+	address, err := net.ResolveUDPAddr("udp4", m.Address)
+	if err != nil {
+		g.log.Warn("peer address refused", "peer", m.Name, "address", m.Address, "error", err)
+		return
+	}
+	if old := g.addresses[m.Name]; old == nil || old.String() != address.String() {
+		g.log.Info("peer known", "peer", m.Name, "address", m.Address)
+	}
+	g.addresses[m.Name] = address
+}
+
+// Notify sends the state soon.
+func (g *Group) Notify() {
+	select {
+	case g.notify <- struct{}{}:
+	default:
+	}
+}
+
+func (g *Group) send(ctx context.Context) {
+	ticker := time.NewTicker(heartbeat)
+	defer ticker.Stop()
+	gap := time.NewTimer(0)
+	defer gap.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			g.expire()
+		case <-g.notify:
+		}
+		g.sendState()
+		gap.Reset(sendGap)
+		select {
+		case <-ctx.Done():
+			return
+		case <-gap.C:
+		}
+	}
+}
+
+func (g *Group) sendState() {
+	state := g.state()
+	g.mu.Lock()
+	g.sequence++
+	state.Member, state.Incarnation, state.Sequence = g.self, g.incarnation, g.sequence
+	addresses := make([]*net.UDPAddr, 0, len(g.addresses))
+	for _, a := range g.addresses {
+		addresses = append(addresses, a)
+	}
+	g.mu.Unlock()
+	message, err := cbor.Marshal(state)
+	if err != nil {
+		g.log.Error("peer state not encoded", "error", err)
+		return
+	}
+	for _, a := range addresses {
+		if _, err := g.conn.WriteToUDP(message, a); err != nil {
+			g.log.Debug("peer send failed", "address", a.String(), "error", err)
+		}
+	}
+}
+
+func (g *Group) receive() {
+	buf := make([]byte, maxDatagram)
+	for {
+		n, _, err := g.conn.ReadFromUDP(buf)
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			g.log.Debug("peer receive failed", "error", err)
+			continue
+		}
+		var state State
+		if err := cbor.Unmarshal(buf[:n], &state); err != nil {
+			g.log.Warn("peer message refused", "error", err)
+			continue
+		}
+		g.take(state)
+	}
+}
+
+func (g *Group) take(state State) {
+	name := state.Member.Name
+	if name == g.self.Name || name == "" {
+		return
+	}
+	g.mu.Lock()
+	old := g.members[name]
+	if old != nil && (state.Incarnation < old.state.Incarnation ||
+		state.Incarnation == old.state.Incarnation && state.Sequence <= old.state.Sequence) {
+		g.mu.Unlock()
+		return
+	}
+	changed := old == nil || !old.live || old.state.StoreUp != state.StoreUp || old.state.Leaving != state.Leaving ||
+		old.state.Incarnation != state.Incarnation
+	if old == nil || !old.live {
+		g.log.Info("peer live", "peer", name, "incarnation", state.Incarnation)
+	}
+	g.members[name] = &seen{state: state, heard: time.Now(), live: true}
+	g.learn(state.Member)
+	g.mu.Unlock()
+	g.received(state)
+	if changed {
+		g.membership()
+	}
+}
+
+func (g *Group) expire() {
+	g.mu.Lock()
+	lost := false
+	for name, s := range g.members {
+		if s.live && time.Since(s.heard) > silence {
+			g.log.Warn("peer silent", "peer", name, "age", time.Since(s.heard).String())
+			s.live, lost = false, true
+		}
+	}
+	g.mu.Unlock()
+	if lost {
+		g.membership()
+	}
+}
+
+// Live returns the states of the live members of a role, by name.
+func (g *Group) Live(role Role) []State {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var out []State
+	for _, s := range g.members {
+		if s.live && s.state.Member.Role == role {
+			out = append(out, s.state)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Member.Name < out[j].Member.Name })
+	return out
+}
--- /dev/null
+++ b/cicadagateway/cicadaplace/batch.go
@@ -0,0 +1,100 @@
+package cicadaplace
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// AcquireBatch returns a slot for a batch item, or nil. It takes a slot only at
+// an endpoint that keeps more than reserve slots free for online requests, and
+// never waits.
+func (t *Table) AcquireBatch(service string, reserve int, avoid []string) *Grant {
+	t.mu.Lock()
+	now := time.Now()
+	w := Want{Avoid: avoid}
+	var found *endpoint
+	most := 0.0
+	for _, e := range t.service(service).endpoints {
+		if e.Draining || w.avoids(e.ID) || now.Before(e.restTill) {
+			continue
+		}
+		free := e.Slots - e.total() - reserve
+		if free <= 0 {
+			continue
+		}
+		if rank := float64(free) + jitter*rand.Float64(); found == nil || rank > most {
+			found, most = e, rank
+		}
+	}
+	if found == nil {
+		t.mu.Unlock()
+		return nil
+	}
+	g := &Grant{table: t, at: found, endpoint: found.Endpoint, batch: true, taken: now, load: found.total()}
+	found.own.Batch++
+	t.mu.Unlock()
+	t.changed()
+	return g
+}
+
+// Excess returns, by endpoint, how many of its own batch items this sender
+// should put aside so that online requests get their slots. Where several
+// senders have items at an endpoint, those with the most yield first, and all
+// senders agree who that is.
+func (t *Table) Excess() map[string]int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out map[string]int
+	for id, e := range t.byID {
+		over := min(e.total()-e.Slots, e.batch())
+		if over <= 0 || e.own.Batch == 0 {
+			continue
+		}
+		if mine := t.share(id, e, over); mine > 0 {
+			if out == nil {
+				out = make(map[string]int)
+			}
+			out[id] = mine
+		}
+	}
+	return out
+}
+
+func (t *Table) share(id string, e *endpoint, over int) int {
+	counts := map[string]int{t.name: e.own.Batch}
+	for name, p := range t.peers {
+		if n := p.counts[id].Batch; n > 0 {
+			counts[name] = n
+		}
+	}
+	mine := 0
+	for range over {
+		most := ""
+		for name, n := range counts {
+			if n > 0 && (most == "" || n > counts[most] || (n == counts[most] && name < most)) {
+				most = name
+			}
+		}
+		if most == "" {
+			break
+		}
+		counts[most]--
+		if most == t.name {
+			mine++
+		}
+	}
+	return mine
+}
+
+// Free returns the slots of a service that nobody holds, and all its slots.
+func (t *Table) Free(service string) (free, slots int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	svc := t.service(service)
+	for _, e := range svc.endpoints {
+		if !e.Draining {
+			free += max(e.Slots-e.total(), 0)
+		}
+	}
+	return free, svc.slots
+}
--- /dev/null
+++ b/cicadagateway/cicadaplace/table.go
@@ -0,0 +1,461 @@
+// Package cicadaplace decides which endpoint runs a request, who waits for a
+// slot and who is refused. Engines admit requests as they come and know no
+// priorities, so a request waits here, in an order of our own, and is sent only
+// when a slot is free for it.
+//
+// All senders of a deployment exchange how many requests they have at each
+// endpoint. A Table joins its own counts with theirs. Online requests may take
+// slots that batch items hold: the senders of those items see the excess and put
+// items aside.
+//
+// # Usage
+//
+//	table := cicadaplace.NewTable("ee-1", cicadaplace.WithChanged(notifyPeers))
+//	table.SetEndpoints(endpoints)
+//	grant, err := table.Acquire(ctx, cicadaplace.Want{Service: "assistants", MaxWait: 200 * time.Millisecond})
+//	if err != nil { ... refuse, and say when to come back: table.RetryAfter("assistants") ... }
+//	defer grant.Release()
+//
+// The package needs no network.
+package cicadaplace
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"cicadalink.example/cicadakernel/cicadaview"
+)
+
+// Errors of Acquire.
+var (
+	// ErrNoEndpoint reports that the service has no endpoint to use.
+	ErrNoEndpoint = merry.Sentinel("cicadaplace: no endpoint")
+	// ErrBusy reports that no slot comes free in time.
+	ErrBusy = merry.Sentinel("cicadaplace: all slots taken")
+)
+
+const (
+	// peerTimeout is how long the counts of a silent sender are believed.
+	peerTimeout = 1500 * time.Millisecond
+	firstRest   = 150 * time.Millisecond // an endpoint's pause after a failure
+	maxRest     = 3 * time.Second
+	fullRest    = 15 * time.Millisecond // an endpoint's pause after it said that it is full
+	// localBonus prefers an endpoint of the same data centre when loads are
+	// nearly equal, in requests.
+	localBonus = 0.3
+	// jitter spreads the choices of senders that see the same loads, in requests.
+	jitter = 0.4
+	// preemptCost ranks a slot held by a batch item behind free ones, in requests.
+	preemptCost    = 4.0
+	holdSmoothing  = 0.1 // weight of the newest sample in the mean time a slot is held
+	firstHold      = 500 * time.Millisecond
+	minRetryAfter  = 20 * time.Millisecond
+	retrySpread    = 0.5 // refused callers return over this share of the wait beyond it
+	waitingPerSlot = 2   // callers that may wait here, for each slot of a service
+)
+
+// A Count is how many requests a sender has at an endpoint.
+type Count struct {
+	Online int
+	Batch  int
+}
+
+type endpoint struct {
+	cicadaview.Endpoint
+	own      Count
+	peers    Count // sum over live peers, recomputed on each change
+	restTill time.Time
+	rest     time.Duration
+}
+
+func (e *endpoint) online() int { return e.own.Online + e.peers.Online }
+func (e *endpoint) batch() int  { return e.own.Batch + e.peers.Batch }
+func (e *endpoint) total() int  { return e.online() + e.batch() }
+
+type peer struct {
+	counts map[string]Count
+	heard  time.Time
+}
+
+type waiter struct {
+	want  Want
+	since time.Time
+	grant chan *Grant
+}
+
+type service struct {
+	endpoints []*endpoint
+	waiters   []*waiter
+	slots     int
+	hold      time.Duration // mean time that an online request holds a slot
+}
+
+// A Table holds the load of all endpoints. Its methods may be called by several
+// goroutines.
+type Table struct {
+	mu         sync.Mutex
+	name       string
+	dataCentre string
+	byID       map[string]*endpoint
+	services   map[string]*service
+	peers      map[string]*peer
+	changed    func()
+}
+
+// An Option changes a Table as it is made.
+type Option func(*Table)
+
+// WithChanged calls a function when the table's own counts change. It must not
+// call the table.
+func WithChanged(changed func()) Option { return func(t *Table) { t.changed = changed } }
+
+// WithDataCentre prefers endpoints of a data centre.
+func WithDataCentre(dc string) Option { return func(t *Table) { t.dataCentre = dc } }
+
+// NewTable returns a table without endpoints for the sender of that name.
+func NewTable(name string, opts ...Option) *Table {
+	t := &Table{
+		name: name, byID: make(map[string]*endpoint), services: make(map[string]*service),
+		peers: make(map[string]*peer), changed: func() {},
+	}
+	for _, opt := range opts {
+		opt(t)
+	}
+	return t
+}
+
+// SetEndpoints replaces the set of endpoints. An endpoint that started anew
+// keeps nothing but this sender's own counts.
+func (t *Table) SetEndpoints(all []cicadaview.Endpoint) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	byID := make(map[string]*endpoint, len(all))
+	for _, svc := range t.services {
+		svc.endpoints, svc.slots = svc.endpoints[:0], 0
+	}
+	for _, e := range all {
+		known := t.byID[e.ID]
+		if known == nil {
+			known = &endpoint{}
+		}
+		if known.Started != e.Started {
+			known.rest, known.restTill = 0, time.Time{}
+		}
+		known.Endpoint = e
+		byID[e.ID] = known
+		svc := t.service(e.Service)
+		svc.endpoints = append(svc.endpoints, known)
+		if !e.Draining {
+			svc.slots += e.Slots
+		}
+	}
+	t.byID = byID
+	t.sumPeers()
+	t.wake()
+}
+
+func (t *Table) service(name string) *service {
+	svc := t.services[name]
+	if svc == nil {
+		svc = &service{hold: firstHold}
+		t.services[name] = svc
+	}
+	return svc
+}
+
+// SetPeer records the counts that another sender has announced.
+func (t *Table) SetPeer(name string, counts map[string]Count) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.peers[name] = &peer{counts: counts, heard: time.Now()}
+	t.sumPeers()
+	t.wake()
+}
+
+func (t *Table) sumPeers() {
+	for _, e := range t.byID {
+		e.peers = Count{}
+	}
+	now := time.Now()
+	for name, p := range t.peers {
+		if now.Sub(p.heard) > peerTimeout {
+			delete(t.peers, name)
+			continue
+		}
+		for id, n := range p.counts {
+			if e := t.byID[id]; e != nil {
+				e.peers.Online += n.Online
+				e.peers.Batch += n.Batch
+			}
+		}
+	}
+}
+
+// Own returns this sender's counts that are not zero.
+func (t *Table) Own() map[string]Count {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	own := make(map[string]Count)
+	for id, e := range t.byID {
+		if e.own != (Count{}) {
+			own[id] = e.own
+		}
+	}
+	return own
+}
+
+// A Want asks for a slot.
+type Want struct {
+	Service string
+	// MaxWait is how long an online request may wait for a slot.
+	MaxWait time.Duration
+	// Avoid lists endpoints that are not wanted again.
+	Avoid []string
+}
+
+func (w Want) avoids(id string) bool {
+	for _, a := range w.Avoid {
+		if a == id {
+			return true
+		}
+	}
+	return false
+}
+
+// A Grant is a slot at an endpoint, until it is released.
+type Grant struct {
+	table    *Table
+	at       *endpoint
+	endpoint cicadaview.Endpoint
+	batch    bool
+	taken    time.Time
+	waited   time.Duration
+	load     int
+	done     bool
+}
+
+// Endpoint returns the endpoint as it was when the slot was granted.
+func (g *Grant) Endpoint() cicadaview.Endpoint { return g.endpoint }
+
+// Waited returns how long the request waited for the slot.
+func (g *Grant) Waited() time.Duration { return g.waited }
+
+// Load returns the requests that were known at the endpoint when the slot was
+// granted.
+func (g *Grant) Load() int { return g.load }
+
+// Acquire returns a slot for an online request. If none is free it waits, in
+// order of arrival, for at most MaxWait; it refuses at once when the wait is
+// expected to be longer.
+func (t *Table) Acquire(ctx context.Context, w Want) (*Grant, error) {
+	t.mu.Lock()
+	svc := t.service(w.Service)
+	if len(svc.waiters) == 0 {
+		if e := t.pick(svc, w); e != nil {
+			g := t.grant(e, w, time.Now())
+			t.mu.Unlock()
+			t.changed()
+			return g, nil
+		}
+	}
+	if !svc.usable(w) {
+		t.mu.Unlock()
+		return nil, ErrNoEndpoint
+	}
+	if w.MaxWait <= 0 || svc.expectedWait() > w.MaxWait || len(svc.waiters) >= waitingPerSlot*svc.slots {
+		t.mu.Unlock()
+		return nil, ErrBusy
+	}
+	waiting := &waiter{want: w, since: time.Now(), grant: make(chan *Grant, 1)}
+	svc.waiters = append(svc.waiters, waiting)
+	t.mu.Unlock()
+	return t.wait(ctx, svc, waiting)
+}
+
+func (t *Table) wait(ctx context.Context, svc *service, waiting *waiter) (*Grant, error) {
+	timer := time.NewTimer(waiting.want.MaxWait)
+	defer timer.Stop()
+	var err error
+	select {
+	case g := <-waiting.grant:
+		return g, nil
+	case <-timer.C:
+		err = ErrBusy
+	case <-ctx.Done():
+		err = merry.Errorf("wait for a slot: %w", ctx.Err())
+	}
+	t.mu.Lock()
+	svc.drop(waiting)
+	t.mu.Unlock()
+	select {
+	case g := <-waiting.grant:
+		if ctx.Err() == nil {
+			return g, nil
+		}
+		g.Release()
+	default:
+	}
+	return nil, err
+}
+
+func (s *service) drop(w *waiter) {
+	for i, other := range s.waiters {
+		if other == w {
+			s.waiters = append(s.waiters[:i], s.waiters[i+1:]...)
+			return
+		}
+	}
+}
+
+func (s *service) usable(w Want) bool {
+	for _, e := range s.endpoints {
+		if !e.Draining && !w.avoids(e.ID) {
+			return true
+		}
+	}
+	return false
+}
+
+// expectedWait is how long a request that joins the queue now waits for a slot,
+// as far as this sender's own share of the slots tells.
+func (s *service) expectedWait() time.Duration {
+	own := 0
+	for _, e := range s.endpoints {
+		own += e.own.Online
+	}
+	return s.hold * time.Duration(len(s.waiters)+1) / time.Duration(max(own, 1))
+}
+
+// RetryAfter returns when a refused caller should come back. Callers are spread,
+// so that they do not return together.
+func (t *Table) RetryAfter(name string) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	wait := max(t.service(name).expectedWait(), minRetryAfter)
+	return wait + time.Duration(rand.Float64()*retrySpread*float64(wait))
+}
+
+// pick returns the endpoint for an online request, or nil if online requests
+// hold all slots. Endpoints that rest after a failure are used when there is no
+// other.
+func (t *Table) pick(svc *service, w Want) *endpoint {
+	now := time.Now()
+	if e := t.best(svc, w, now, false); e != nil {
+		return e
+	}
+	if svc.awake(w, now) {
+		return nil
+	}
+	return t.best(svc, w, now, true)
+}
+
+func (s *service) awake(w Want, now time.Time) bool {
+	for _, e := range s.endpoints {
+		if !e.Draining && !w.avoids(e.ID) && now.After(e.restTill) {
+			return true
+		}
+	}
+	return false
+}
+
+func (t *Table) best(svc *service, w Want, now time.Time, resting bool) *endpoint {
+	var found *endpoint
+	lowest := 0.0
+	for _, e := range svc.endpoints {
+		if e.Draining || w.avoids(e.ID) || e.online() >= e.Slots || (!resting && now.Before(e.restTill)) {
+			continue
+		}
+		cost := float64(e.total()) + jitter*rand.Float64()
+		if e.total() >= e.Slots {
+			cost = float64(e.Slots) + preemptCost + float64(e.online()) + jitter*rand.Float64()
+		}
+		if e.DataCentre == t.dataCentre {
+			cost -= localBonus
+		}
+		if found == nil || cost < lowest {
+			found, lowest = e, cost
+		}
+	}
+	return found
+}
+
+func (t *Table) grant(e *endpoint, _ Want, since time.Time) *Grant {
+	now := time.Now()
+	g := &Grant{table: t, at: e, endpoint: e.Endpoint, taken: now, waited: now.Sub(since), load: e.total()}
+	e.own.Online++
+	return g
+}
+
+// wake grants slots to those who wait, in their order.
+func (t *Table) wake() {
+	for _, svc := range t.services {
+		for i := 0; i < len(svc.waiters); {
+			w := svc.waiters[i]
+			e := t.pick(svc, w.want)
+			if e == nil {
+				i++
+				if len(w.want.Avoid) == 0 {
+					break
+				}
+				continue
+			}
+			svc.waiters = append(svc.waiters[:i], svc.waiters[i+1:]...)
+			w.grant <- t.grant(e, w.want, w.since)
+		}
+	}
+}
+
+// Release gives the slot back.
+func (g *Grant) Release() {
+	t := g.table
+	t.mu.Lock()
+	if g.done {
+		t.mu.Unlock()
+		return
+	}
+	g.done = true
+	if g.batch {
+		g.at.own.Batch--
+	} else {
+		g.at.own.Online--
+		svc := t.service(g.endpoint.Service)
+		held := time.Since(g.taken)
+		svc.hold += time.Duration(holdSmoothing * float64(held-svc.hold))
+	}
+	t.wake()
+	t.mu.Unlock()
+	t.changed()
+}
+
+// Succeeded records an answer of the endpoint.
+func (g *Grant) Succeeded() {
+	g.table.mu.Lock()
+	defer g.table.mu.Unlock()
+	g.at.rest, g.at.restTill = 0, time.Time{}
+}
+
+// Failed records that the endpoint could not be reached or broke off. It gets no
+// requests for a time that doubles with each failure.
+func (g *Grant) Failed() {
+	g.table.mu.Lock()
+	defer g.table.mu.Unlock()
+	now := time.Now()
+	if now.Before(g.at.restTill) {
+		return
+	}
+	g.at.rest = min(max(2*g.at.rest, firstRest), maxRest)
+	g.at.restTill = now.Add(g.at.rest)
+}
+
+// Full records that the endpoint had no room for the request.
+func (g *Grant) Full() {
+	g.table.mu.Lock()
+	defer g.table.mu.Unlock()
+	if till := time.Now().Add(fullRest); till.After(g.at.restTill) {
+		g.at.restTill = till
+	}
+}
--- /dev/null
+++ b/cicadagateway/cicadaprocess/process.go
@@ -0,0 +1,303 @@
+// Package cicadaprocess puts a gateway process together: an entry, which serves
+// callers, or an owner, which runs batch jobs. Both follow the platform's store,
+// exchange their load with their peers and send work straight to endpoints.
+//
+// # Usage
+//
+//	node, err := cicadaprocess.New(cfg, process)
+//	return node.Serve(ctx)
+package cicadaprocess
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/hashicorp/go-hclog"
+	"github.com/sourcegraph/conc"
+
+	"cicadalink.example/cicadagateway/cicadaexchange"
+	"cicadalink.example/cicadagateway/cicadafollow"
+	"cicadalink.example/cicadagateway/cicadapeer"
+	"cicadalink.example/cicadagateway/cicadaplace"
+	"cicadalink.example/cicadagateway/cicadarelay"
+	"cicadalink.example/cicadakernel"
+	"cicadalink.example/cicadakernel/cicadaplatform"
+	"cicadalink.example/cicadakernel/cicadaretry"
+	"cicadalink.example/cicadakernel/cicadaview"
+	adapter "cicadalink.example/platform"
+)
+
+const (
+	peersPrefix = adapter.OwnKind + "peers/"
+	// unreadyTime is how long a leaving entry still takes connections: the
+	// balancer asks once a second and needs two misses.
+	unreadyTime   = 2500 * time.Millisecond
+	exitMargin    = 400 * time.Millisecond // before the platform kills the process
+	registerPause = 500 * time.Millisecond // between tries to register
+	headerTime    = 5 * time.Second
+	idleTime      = 75 * time.Second
+	maxHeader     = 64 << 10
+)
+
+// A Node is one process.
+type Node struct {
+	cfg     *Settings
+	log     hclog.Logger
+	process *cicadakernel.Process
+	store   *cicadaplatform.Client
+	link    *cicadafollow.Link
+	table   *cicadaplace.Table
+	client  *cicadaexchange.Client
+	group   *cicadapeer.Group
+	config  atomic.Pointer[cicadaview.Config]
+	follow  *cicadafollow.Follower
+	leaving atomic.Bool
+	storeUp atomic.Bool
+	wg      conc.WaitGroup
+}
+
+// New returns a node that is not yet serving.
+func New(cfg *Settings, p *cicadakernel.Process) (*Node, error) {
+	backend, err := cicadaplatform.Open(cfg.Platform)
+	if err != nil {
+		return nil, merry.Errorf("open platform: %w", err)
+	}
+	n := &Node{cfg: cfg, log: p.Log(), process: p}
+	writes := cfg.StoreWrites
+	if writes <= 0 {
+		writes = defaultStoreWrites
+	}
+	n.store = cicadaplatform.NewClient(backend, cicadaplatform.WithWriteRate(writes), cicadaplatform.WithScope(p.Scope()))
+	n.link = cicadafollow.NewLink(n.log, func(up bool) {
+		n.storeUp.Store(up)
+		n.notify()
+	})
+	n.table = cicadaplace.NewTable(cfg.Name, cicadaplace.WithDataCentre(cfg.DataCentre), cicadaplace.WithChanged(n.notify))
+	opened := p.Scope().Counter("endpoint_connections")
+	n.client = cicadaexchange.NewClient(cicadaexchange.WithOpened(func() { opened.Inc(1) }))
+	return n, nil
+}
+
+func (n *Node) notify() {
+	if g := n.group; g != nil {
+		g.Notify()
+	}
+}
+
+// Serve runs the node until ctx ends, and then shuts it down gracefully.
+func (n *Node) Serve(ctx context.Context) error {
+	n.log.Info("start", "name", n.cfg.Name, "role", n.cfg.Role, "vm", n.cfg.VM, "version", cicadakernel.Version)
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	if err := n.startPeers(work); err != nil {
+		return err
+	}
+	n.startFollowing(work)
+	n.wg.Go(func() { n.handleHangup(work) })
+	if n.cfg.Role == RoleOwner {
+		<-ctx.Done()
+		n.leave()
+		return nil
+	}
+	return n.serveCallers(ctx)
+}
+
+func (n *Node) leave() {
+	n.log.Info("stop", "reason", "signal")
+	n.leaving.Store(true)
+	n.notify()
+}
+
+func (n *Node) startPeers(ctx context.Context) error {
+	role := cicadapeer.RoleEntry
+	if n.cfg.Role == RoleOwner {
+		role = cicadapeer.RoleOwner
+	}
+	self := cicadapeer.Member{Name: n.cfg.Name, Role: role, Address: net.JoinHostPort(n.cfg.IP, strconv.Itoa(n.cfg.PeerPort))}
+	group, err := cicadapeer.New(ctx, self, n.log, n.state, n.peerState, func() {})
+	if err != nil {
+		return merry.Errorf("start peers: %w", err)
+	}
+	n.group = group
+	n.wg.Go(func() { n.register(ctx, self) })
+	return nil
+}
+
+// register writes this process's address to the store, where peers find it.
+func (n *Node) register(ctx context.Context, self cicadapeer.Member) {
+	value, err := json.Marshal(self)
+	if err != nil {
+		n.log.Error("not registered", "error", err)
+		return
+	}
+	name := peersPrefix + self.Name
+	for ctx.Err() == nil {
+		if err := n.put(ctx, name, value); err == nil {
+			n.log.Info("registered", "name", self.Name, "address", self.Address)
+			return
+		}
+		cicadaretry.Wait(ctx, registerPause)
+	}
+}
+
+func (n *Node) put(ctx context.Context, name string, value []byte) error {
+	_, err := n.store.Create(ctx, cicadaplatform.ClassLease, name, value)
+	if !errors.Is(err, cicadaplatform.ErrExists) {
+		return err
+	}
+	old, err := n.store.Get(ctx, name)
+	if err != nil {
+		return err
+	}
+	if string(old.Value()) == string(value) {
+		return nil
+	}
+	_, err = n.store.Update(ctx, cicadaplatform.ClassLease, name, old.Version(), value)
+	return err
+}
+
+func (n *Node) state() cicadapeer.State {
+	s := cicadapeer.State{StoreUp: n.storeUp.Load(), Leaving: n.leaving.Load()}
+	if c := n.config.Load(); c != nil {
+		s.ConfigVersion = c.Version()
+	}
+	for id, count := range n.table.Own() {
+		s.Loads = append(s.Loads, cicadapeer.Load{Endpoint: id, Online: uint16(count.Online), Batch: uint16(count.Batch)})
+	}
+	return s
+}
+
+func (n *Node) peerState(s cicadapeer.State) {
+	counts := make(map[string]cicadaplace.Count, len(s.Loads))
+	for _, l := range s.Loads {
+		counts[l.Endpoint] = cicadaplace.Count{Online: int(l.Online), Batch: int(l.Batch)}
+	}
+	n.table.SetPeer(s.Member.Name, counts)
+	if c := n.config.Load(); c != nil && s.ConfigVersion > c.Version() {
+		n.log.Info("peer has a newer configuration", "peer", s.Member.Name, "theirs", s.ConfigVersion, "ours", c.Version())
+		n.follow.Refresh()
+	}
+}
+
+func (n *Node) startFollowing(ctx context.Context) {
+	registry := cicadafollow.NewRegistry(ctx, n.link, n.log, adapter.DecodeEndpoint, n.table.SetEndpoints)
+	n.follow = cicadafollow.New(ctx, n.store, adapter.ConfigPrefix, n.link, n.log, n.applyConfig)
+	cicadafollow.New(ctx, n.store, adapter.EndpointsPrefix, n.link, n.log, registry.Apply)
+	cicadafollow.New(ctx, n.store, peersPrefix, n.link, n.log, n.applyPeers)
+}
+
+func (n *Node) applyConfig(c cicadafollow.Change) {
+	for _, obj := range c.Objects() {
+		if obj.Name() != adapter.ConfigName || obj.Value() == nil {
+			continue
+		}
+		config, err := adapter.DecodeConfig(obj.Value())
+		if err != nil {
+			n.log.Error("configuration refused", "version", obj.Version(), "error", err)
+			continue
+		}
+		if old := n.config.Load(); old != nil && config.Version() <= old.Version() {
+			continue
+		}
+		n.config.Store(config)
+		n.process.Ready(true)
+		n.log.Info("configuration in force", "version", config.Version(), "revision", obj.Version(), "routes", config.Routes())
+		n.notify()
+	}
+}
+
+func (n *Node) applyPeers(c cicadafollow.Change) {
+	var members []cicadapeer.Member
+	for _, obj := range c.Objects() {
+		if obj.Value() == nil {
+			continue
+		}
+		var m cicadapeer.Member
+		if err := json.Unmarshal(obj.Value(), &m); err != nil {
+			n.log.Warn("peer entry refused", "name", strings.TrimPrefix(obj.Name(), peersPrefix), "error", err)
+			continue
+		}
+		members = append(members, m)
+	}
+	n.group.SetMembers(members)
+}
+
+// handleHangup keeps SIGHUP from ending the process.
+func (n *Node) handleHangup(ctx context.Context) {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangup:
+			n.log.Info("reload", "reason", "signal")
+		}
+	}
+}
+
+func (n *Node) serveCallers(ctx context.Context) error {
+	relay := cicadarelay.New(n.config.Load, n.table, n.client, n.log,
+		cicadarelay.WithScope(n.process.Scope()), cicadarelay.WithLeaving(n.leaving.Load))
+	srv := &http.Server{
+		Handler: relay, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHeader,
+		ErrorLog: n.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+	}
+	ln, err := net.Listen("tcp", n.cfg.Listen)
+	if err != nil {
+		return merry.Errorf("listen for callers: %w", err)
+	}
+	ready, err := net.Listen("tcp", n.cfg.Ready)
+	if err != nil {
+		return merry.Errorf("listen for the balancer: %w", err)
+	}
+	readySrv := &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: headerTime}
+	failed := make(chan error, 2)
+	n.wg.Go(func() { failed <- srv.Serve(ln) })
+	n.wg.Go(func() { failed <- readySrv.Serve(ready) })
+	select {
+	case err := <-failed:
+		return merry.Errorf("serve callers: %w", err)
+	case <-ctx.Done():
+	}
+	return n.shutDown(srv)
+}
+
+// shutDown goes on serving until the balancer has noticed, then waits for the
+// requests that are being served.
+func (n *Node) shutDown(srv *http.Server) error {
+	end := time.Now().Add(n.cfg.DrainLimit.Or(defaultDrainLimit) - exitMargin)
+	n.leave()
+	time.Sleep(unreadyTime)
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	if err := srv.Shutdown(ctx); err != nil {
+		n.log.Warn("requests cut by the end of the shutdown", "error", err)
+	}
+	n.log.Info("stopped")
+	return nil
+}
+
+func (n *Node) serveReady(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != adapter.ReadyPath {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	if n.leaving.Load() || n.config.Load() == nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
--- /dev/null
+++ b/cicadagateway/cicadaprocess/settings.go
@@ -0,0 +1,77 @@
+package cicadaprocess
+
+import (
+	"time"
+
+	"cicadalink.example/cicadakernel"
+	"cicadalink.example/cicadakernel/cicadasettings"
+)
+
+// Roles of a process.
+const (
+	RoleEntry = "entry"
+	RoleOwner = "owner"
+)
+
+// Settings are the settings of a process.
+type Settings struct {
+	cicadakernel.Common `yaml:",inline"`
+	// Name is the process's name among its peers.
+	Name string `yaml:"name"`
+	// Role is entry or owner.
+	Role string `yaml:"role"`
+	// VM is the name of the machine, as operators retire it.
+	VM string `yaml:"vm"`
+	// IP is the VM's address.
+	IP string `yaml:"ip"`
+	// DataCentre is where the VM stands.
+	DataCentre string `yaml:"data-centre"`
+	// Listen is the address for callers, and Ready that for the balancer.
+	Listen string `yaml:"listen"`
+	Ready  string `yaml:"ready"`
+	// PeerPort is the port for other processes, by TCP and UDP.
+	PeerPort int `yaml:"peer-port"`
+	// Platform is the URL of the platform's store.
+	Platform string `yaml:"platform"`
+	// StoreWrites and StoreReads are what all processes may call, a second.
+	StoreWrites float64 `yaml:"store-writes"`
+	StoreReads  float64 `yaml:"store-reads"`
+	// Memory is what the process may use.
+	Memory cicadasettings.Size `yaml:"memory"`
+	// DrainLimit is how long a graceful shutdown may take.
+	DrainLimit cicadasettings.Duration `yaml:"drain-limit"`
+}
+
+const (
+	defaultDrainLimit  = 8 * time.Second
+	defaultStoreWrites = 100
+)
+
+// Validate checks the settings.
+func (s *Settings) Validate() error {
+	if err := s.Common.Validate(); err != nil {
+		return err
+	}
+	if s.Role != RoleEntry && s.Role != RoleOwner {
+		return cicadasettings.Expected("role", "entry or owner")
+	}
+	required := []struct{ key, value, expect string }{
+		{"name", s.Name, "the process's name"},
+		{"vm", s.VM, "the name of the VM"},
+		{"ip", s.IP, "the VM's address, such as 10.1.0.35"},
+		{"data-centre", s.DataCentre, "the data centre's name"},
+		{"platform", s.Platform, "a URL such as objects://10.200.1.7:8142"},
+	}
+	for _, r := range required {
+		if r.value == "" {
+			return cicadasettings.Expected(r.key, r.expect)
+		}
+	}
+	if s.Role == RoleEntry && (s.Listen == "" || s.Ready == "") {
+		return cicadasettings.Expected("listen", "an address such as 10.1.0.35:8144, and another at ready")
+	}
+	if s.PeerPort <= 0 || s.PeerPort > 65535 {
+		return cicadasettings.Expected("peer-port", "a port from 1 to 65535")
+	}
+	return nil
+}
--- a/cicadakernel/cicadaplatform/store.go
+++ b/cicadakernel/cicadaplatform/store.go
@@ -39,6 +39,7 @@
 	ErrUnavailable = merry.Sentinel("cicadaplatform: store unavailable, call had no effect")
 	ErrInDoubt     = merry.Sentinel("cicadaplatform: answer lost, call may have had an effect")
 	ErrTooLarge    = merry.Sentinel("cicadaplatform: value over a megabyte")
+	ErrCompacted   = merry.Sentinel("cicadaplatform: history before this version is gone")
 )
 
 // An Object is one named value at one version.
--- /dev/null
+++ b/cicadakernel/cicadaview/view_test.go
@@ -0,0 +1,34 @@
+package cicadaview
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestLongestPrefixWins(t *testing.T) {
+	target := []Target{{Service: "a", Weight: 1}}
+	c := NewConfig(3, []Route{
+		{Name: "short", Host: "h", Prefix: "/a/", Targets: target},
+		{Name: "long", Host: "h", Prefix: "/a/b/", Targets: target},
+		{Name: "empty", Host: "h", Prefix: "/z/"},
+	}, nil, Limits{})
+	r, ok := c.Route("h", "/a/b/c")
+	assert.Assert(t, ok)
+	assert.Equal(t, r.Name, "long")
+	r, ok = c.Route("h", "/a/x")
+	assert.Assert(t, ok)
+	assert.Equal(t, r.Name, "short")
+	_, ok = c.Route("h", "/z/x")
+	assert.Assert(t, !ok)
+	_, ok = c.Route("other", "/a/x")
+	assert.Assert(t, !ok)
+}
+
+func TestPickFollowsWeights(t *testing.T) {
+	r := Route{Targets: []Target{{"a", 90}, {"b", 10}}}
+	assert.Equal(t, r.Pick(0), "a")
+	assert.Equal(t, r.Pick(0.89), "a")
+	assert.Equal(t, r.Pick(0.91), "b")
+	assert.Equal(t, r.Pick(1), "b")
+}
