Run batch jobs at owners: jobs and results in the platform's store

A job is an object, its results are numbered objects that whoever creates first decides; owners by rendezvous hashing over live peers; items start in idle slots, least slack first, and are put aside for online requests.

--- /dev/null
+++ b/cicadagateway/cicadabatch/job.go
@@ -0,0 +1,161 @@
+package cicadabatch
+
+import (
+	"strings"
+	"time"
+
+	"cicadalink.example/cicadagateway/cicadaplace"
+	adapter "cicadalink.example/platform"
+)
+
+type itemState int
+
+const (
+	itemWaiting itemState = iota
+	itemRunning
+	itemFinished // its result is known and not yet listed
+	itemListed
+)
+
+// An item is one item of a job on its way. What a run has put out is kept when
+// the run is put aside or breaks, and the next run goes on after it.
+type item struct {
+	adapter.Item
+	job       *job
+	state     itemState
+	output    strings.Builder
+	last      int // id of the last event in output
+	failures  int // answers that say the item failed
+	rejected  int // answers that say the item can never be done
+	avoid     []string
+	notBefore time.Time
+	grant     *cicadaplace.Grant
+	stop      func()
+	started   time.Time
+	pinned    bool
+}
+
+// A job is an accepted batch job at its owner.
+type job struct {
+	id        string
+	record    record
+	accepted  time.Time // by the steady clock of this process
+	items     []*item
+	byID      map[string]*item
+	results   []adapter.Result // listed, by position
+	pending   []adapter.Result // finished and not yet written
+	oldest    time.Time        // when the oldest of pending finished
+	chunks    int              // chunks of results that are known
+	writing   bool
+	loaded    bool
+	loading   bool
+	ended     bool
+	mine      bool
+	refreshed time.Time
+	waiters   []func()
+	next      *adapter.Result
+}
+
+// A record is what the store holds of a job.
+type record struct {
+	Host        string         `json:"host"`
+	Path        string         `json:"path"`
+	AcceptedMs  int64          `json:"accepted-ms"` // Unix time of the acceptor
+	DueMs       int64          `json:"due-ms"`
+	GiveUpMs    int64          `json:"give-up-ms"`
+	Total       int            `json:"total"`
+	Ended       bool           `json:"ended"`
+	SubmittedBy string         `json:"submitted-by"`
+	Items       []adapter.Item `json:"items"`
+}
+
+// A chunk is a group of results that were written together. Chunks of a job
+// have consecutive numbers, so that two owners cannot write the same positions.
+type chunk struct {
+	Writer  string           `json:"writer"`
+	Results []adapter.Result `json:"results"`
+}
+
+func newJob(id string, r record, accepted time.Time) *job {
+	j := &job{id: id, record: r, accepted: accepted, ended: r.Ended, byID: make(map[string]*item, len(r.Items))}
+	for _, it := range r.Items {
+		next := &item{Item: it, job: j}
+		j.items = append(j.items, next)
+		j.byID[it.ID] = next
+	}
+	return j
+}
+
+func (j *job) due() time.Time {
+	return j.accepted.Add(time.Duration(j.record.DueMs) * time.Millisecond)
+}
+
+func (j *job) giveUpAt() time.Time {
+	return j.accepted.Add(time.Duration(j.record.GiveUpMs) * time.Millisecond)
+}
+
+// done reports whether every item has a result.
+func (j *job) done() bool {
+	for _, it := range j.items {
+		if it.state < itemFinished {
+			return false
+		}
+	}
+	return true
+}
+
+// listed reports whether every result has been written.
+func (j *job) listed() bool { return len(j.results) >= j.record.Total }
+
+// finish records an item's result.
+func (j *job) finish(it *item, state, output string, now time.Time) {
+	it.state = itemFinished
+	if len(j.pending) == 0 {
+		j.oldest = now
+	}
+	j.pending = append(j.pending, adapter.Result{ID: it.ID, State: state, Output: output})
+}
+
+// takeChunk lists the results of the next chunk. A result for an item that this
+// process was still running, or had finished itself, replaces its own.
+func (j *job) takeChunk(c chunk) (overtaken []*item) {
+	j.chunks++
+	for _, r := range c.Results {
+		j.results = append(j.results, r)
+		it := j.byID[r.ID]
+		if it == nil {
+			continue
+		}
+		if it.state == itemRunning {
+			overtaken = append(overtaken, it)
+		}
+		it.state = itemListed
+		it.output.Reset()
+		it.Body = nil
+		for i, p := range j.pending {
+			if p.ID == r.ID {
+				j.pending = append(j.pending[:i], j.pending[i+1:]...)
+				break
+			}
+		}
+	}
+	return overtaken
+}
+
+// page returns the results from a position on, about maxPage bytes of them.
+func (j *job) page(after int) []adapter.Result {
+	after = min(max(after, 0), len(j.results))
+	size := 0
+	for i, r := range j.results[after:] {
+		size += len(r.Output) + resultOverhead
+		if size > maxPage && i > 0 {
+			return j.results[after : after+i]
+		}
+	}
+	return j.results[after:]
+}
+
+const (
+	maxPage        = 900 << 10 // bytes of a page of results
+	resultOverhead = 128       // bytes of a result beside its output
+)
--- /dev/null
+++ b/cicadagateway/cicadabatch/order.go
@@ -0,0 +1,90 @@
+package cicadabatch
+
+import (
+	"time"
+)
+
+const (
+	// startEstimate is how long an item is taken to run before any has finished.
+	startEstimate = 5 * time.Second
+	// runSmoothing is the weight of the newest run in the mean.
+	runSmoothing = 0.1
+	// urgentSlack is the slack below which an item is not put aside for online
+	// requests: it would be late.
+	urgentSlack = 1500 * time.Millisecond
+	// stragglerShare is the least part of the mean run that a running item is
+	// taken to need still.
+	stragglerShare = 0.1
+)
+
+// pace is what is known of how long items run.
+type pace struct {
+	run    time.Duration // mean time of a whole run
+	events float64       // mean events of a whole run
+}
+
+func (p *pace) add(run time.Duration, events int) {
+	if p.run == 0 {
+		p.run, p.events = run, float64(events)
+		return
+	}
+	p.run += time.Duration(runSmoothing * float64(run-p.run))
+	p.events += runSmoothing * (float64(events) - p.events)
+}
+
+// remaining is how long an item with so many events done still runs.
+func (p *pace) remaining(events int) time.Duration {
+	if p.run == 0 {
+		return startEstimate
+	}
+	left := 1 - float64(events)/max(p.events, 1)
+	return time.Duration(max(left, stragglerShare) * float64(p.run))
+}
+
+// slack is how long an item may still wait without being late.
+func (p *pace) slack(it *item, now time.Time) time.Duration {
+	return it.job.due().Sub(now) - p.remaining(it.last)
+}
+
+// less orders items that wait for a slot: those that can still be in time come
+// first, the one with the least slack before the others; those that are late
+// anyway come after them.
+func (p *pace) less(a, b *item, now time.Time) bool {
+	sa, sb := p.slack(a, now), p.slack(b, now)
+	if (sa < 0) != (sb < 0) {
+		return sb < 0
+	}
+	if sa != sb {
+		return sa < sb
+	}
+	return a.ID < b.ID
+}
+
+// next returns the item to start now, or nil.
+func (p *pace) next(waiting []*item, now time.Time) *item {
+	var best *item
+	for _, it := range waiting {
+		if it.state != itemWaiting || now.Before(it.notBefore) {
+			continue
+		}
+		if best == nil || p.less(it, best, now) {
+			best = it
+		}
+	}
+	return best
+}
+
+// putAside returns the running item at an endpoint that can best wait, or nil if
+// each would be late.
+func (p *pace) putAside(running []*item, now time.Time) *item {
+	var best *item
+	for _, it := range running {
+		if it.pinned {
+			continue
+		}
+		if best == nil || p.slack(it, now) > p.slack(best, now) {
+			best = it
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/cicadagateway/cicadabatch/rpc.go
@@ -0,0 +1,108 @@
+package cicadabatch
+
+import (
+	"context"
+	"net/http"
+	"slices"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+	"storj.io/drpc"
+
+	"cicadalink.example/cicadakernel/cicadawire"
+)
+
+const callName = "/cicadabatch.Owner/Handle"
+
+// encoding encodes calls as CBOR, which needs no generated code.
+type encoding struct{}
+
+// Marshal encodes a message.
+func (encoding) Marshal(msg drpc.Message) ([]byte, error) { return cbor.Marshal(msg) }
+
+// Unmarshal decodes a message.
+func (encoding) Unmarshal(buf []byte, msg drpc.Message) error { return cbor.Unmarshal(buf, msg) }
+
+type description struct{}
+
+// NumMethods returns the number of calls.
+func (description) NumMethods() int { return 1 }
+
+// Method describes the call.
+func (description) Method(int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
+	return callName, encoding{}, func(srv any, ctx context.Context, in, _ any) (drpc.Message, error) {
+		return srv.(*Owner).Handle(ctx, in.(*Call))
+	}, (*Owner).Handle, true
+}
+
+// Register serves the owner's calls.
+func (o *Owner) Register(mux drpc.Mux) error {
+	if err := mux.Register(o, description{}); err != nil {
+		return merry.Errorf("register owner: %w", err)
+	}
+	return nil
+}
+
+// ownerOf returns which of the owners runs a job, by rendezvous hashing.
+func ownerOf(id string, owners []string) string {
+	best, highest := "", uint64(0)
+	for _, name := range owners {
+		if h := xxhash.Sum64String(name + " " + id); best == "" || h > highest {
+			best, highest = name, h
+		}
+	}
+	return best
+}
+
+// A Peer is an owner that can be called.
+type Peer struct {
+	Name    string
+	Address string
+}
+
+// A Client passes calls on to the owner of their job.
+type Client struct {
+	pool   *cicadawire.Pool
+	owners func() []Peer
+}
+
+// NewClient returns a client. owners returns the owners that may run jobs now.
+func NewClient(pool *cicadawire.Pool, owners func() []Peer) *Client {
+	return &Client{pool: pool, owners: owners}
+}
+
+// Call passes a call to the job's owner. If that one cannot be reached, the next
+// in the order of the hash is asked.
+func (c *Client) Call(ctx context.Context, call *Call) (Answer, error) {
+	err := error(merry.New("cicadabatch: no owner"))
+	for _, peer := range rank(call.Job, c.owners()) {
+		var a Answer
+		err = c.pool.Conn(peer.Address).Invoke(ctx, callName, encoding{}, call, &a)
+		if err == nil {
+			return a, nil
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	if call.Kind == CallSubmit || call.Kind == CallEnd {
+		return Answer{Status: http.StatusBadGateway}, merry.Errorf("call owner: %w", err)
+	}
+	return refused(), merry.Errorf("call owner: %w", err)
+}
+
+func rank(id string, owners []Peer) []Peer {
+	owners = slices.Clone(owners)
+	hash := func(p Peer) uint64 { return xxhash.Sum64String(p.Name + " " + id) }
+	slices.SortFunc(owners, func(a, b Peer) int {
+		switch x, y := hash(a), hash(b); {
+		case x > y:
+			return -1
+		case x < y:
+			return 1
+		}
+		return 0
+	})
+	return owners
+}
--- /dev/null
+++ b/cicadagateway/cicadabatch/schedule.go
@@ -0,0 +1,282 @@
+package cicadabatch
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"cicadalink.example/cicadagateway/cicadaexchange"
+	"cicadalink.example/cicadagateway/cicadaplace"
+	adapter "cicadalink.example/platform"
+)
+
+const (
+	// reserve is how many idle slots an endpoint keeps for online requests
+	// before a batch item with slack starts there.
+	reserve = 1
+	// retryDelay is how long an item waits after a run that did not succeed.
+	retryDelay = 50 * time.Millisecond
+	// failuresPerAttempt bounds broken runs, for each attempt of the route,
+	// before an item waits longer between runs.
+	suspectDelay = 2 * time.Second
+	// routeGrace is how long a job's route may be missing before its items are
+	// given up.
+	maxAvoid = 3
+)
+
+// schedule puts items aside where online requests need their slots, and starts
+// items where slots are idle.
+func (o *Owner) schedule() {
+	now := time.Now()
+	if now.Sub(o.started) < startDelay {
+		return
+	}
+	o.pinUrgent(now)
+	for endpoint, n := range o.table.Excess() {
+		for range n {
+			o.putAside(endpoint, now)
+		}
+	}
+	waiting := o.waiting(now)
+	full := make(map[string]bool)
+	for {
+		it := o.pace.next(waiting, now)
+		if it == nil {
+			return
+		}
+		waiting = without(waiting, it)
+		service, ok := o.serviceOf(it)
+		if !ok || full[service] {
+			continue
+		}
+		keep := reserve
+		if o.pace.slack(it, now) < urgentSlack {
+			keep = 0
+		}
+		grant := o.table.AcquireBatch(service, keep, it.avoid)
+		if grant == nil {
+			full[service] = len(it.avoid) == 0
+			continue
+		}
+		o.start(it, grant)
+	}
+}
+
+func without(items []*item, gone *item) []*item {
+	for i, it := range items {
+		if it == gone {
+			items[i] = items[len(items)-1]
+			return items[:len(items)-1]
+		}
+	}
+	return items
+}
+
+func (o *Owner) waiting(now time.Time) []*item {
+	var out []*item
+	for _, j := range o.jobs {
+		if !j.mine || !j.loaded || j.ended {
+			continue
+		}
+		for _, it := range j.items {
+			if it.state == itemWaiting && !now.Before(it.notBefore) {
+				out = append(out, it)
+			}
+		}
+	}
+	return out
+}
+
+func (o *Owner) serviceOf(it *item) (string, bool) {
+	config := o.config()
+	if config == nil {
+		return "", false
+	}
+	route, ok := config.Route(it.job.record.Host, it.Path)
+	if !ok {
+		return "", false
+	}
+	return route.Pick(0), true
+}
+
+// pinUrgent marks running items that would be late if they were put aside. Their
+// slots count as taken by online requests.
+func (o *Owner) pinUrgent(now time.Time) {
+	for _, running := range o.running {
+		for _, it := range running {
+			if !it.pinned && o.pace.slack(it, now) < urgentSlack && it.job.due().After(now) {
+				it.pinned = true
+				it.grant.Pin()
+			}
+		}
+	}
+}
+
+func (o *Owner) putAside(endpoint string, now time.Time) {
+	it := o.pace.putAside(o.running[endpoint], now)
+	if it == nil {
+		return
+	}
+	o.log.Info("item put aside", "item", it.ID, "job", it.job.id, "endpoint", endpoint, "event", it.last,
+		"slack", o.pace.slack(it, now).String())
+	it.stop()
+	o.release(it)
+}
+
+// release takes an item from its endpoint; its run may still be ending.
+func (o *Owner) release(it *item) {
+	if it.grant == nil {
+		return
+	}
+	id := it.grant.Endpoint().ID
+	o.running[id] = without(o.running[id], it)
+	if len(o.running[id]) == 0 {
+		delete(o.running, id)
+	}
+	it.grant.Release()
+	it.grant = nil
+}
+
+func (o *Owner) start(it *item, grant *cicadaplace.Grant) {
+	endpoint := grant.Endpoint()
+	ctx, cancel := context.WithCancel(o.ctx)
+	it.state, it.grant, it.stop, it.started, it.pinned = itemRunning, grant, cancel, time.Now(), false
+	o.running[endpoint.ID] = append(o.running[endpoint.ID], it)
+	x := &run{last: it.last}
+	q := o.request(it, endpoint.ID)
+	o.wg.Go(func() {
+		defer cancel()
+		ended, err := x.execute(ctx, o.client, q, endpoint)
+		o.do(func() { o.runDone(it, x, grant, ended, err) })
+	})
+}
+
+func (o *Owner) request(it *item, endpoint string) cicadaexchange.Request {
+	h := make(http.Header, len(it.Headers)+4)
+	for name, value := range it.Headers {
+		h.Set(name, value)
+	}
+	h.Set(adapter.HeaderRequestID, it.ID)
+	h.Set(adapter.HeaderExpect, endpoint)
+	left := max(time.Until(it.job.giveUpAt()), time.Second)
+	h.Set(adapter.HeaderDeadline, strconv.FormatInt(left.Milliseconds(), 10))
+	if it.last > 0 {
+		h.Set(adapter.HeaderLastEventID, strconv.Itoa(it.last))
+	}
+	return cicadaexchange.Request{
+		Method: http.MethodPost, Target: it.Path, Host: it.job.record.Host, Header: h, Body: it.Body,
+		EchoHeader: adapter.HeaderRequestID,
+	}
+}
+
+// runDone takes in how a run ended.
+func (o *Owner) runDone(it *item, x *run, grant *cicadaplace.Grant, ended outcome, err error) {
+	o.release(it)
+	if it.state != itemRunning {
+		return // listed meanwhile
+	}
+	now := time.Now()
+	fresh := it.last == 0
+	it.state = itemWaiting
+	it.output.WriteString(x.text.String())
+	it.last = x.last
+	attempts := 1
+	if config := o.config(); config != nil {
+		if route, ok := config.Route(it.job.record.Host, it.Path); ok {
+			attempts = route.Attempts
+		}
+	}
+	if ended != runStopped {
+		o.log.Info("run ended", "item", it.ID, "job", it.job.id, "outcome", ended.String(), "endpoint", grant.Endpoint().ID,
+			"status", x.status, "event", it.last, "failures", it.failures, "took", now.Sub(it.started).String(),
+			"slack", o.pace.slack(it, now).String(), "error", err)
+	}
+	switch ended {
+	case runComplete:
+		grant.Succeeded()
+		if fresh {
+			o.pace.add(now.Sub(it.started), it.last)
+		}
+		it.job.finish(it, adapter.StateComplete, it.output.String(), now)
+	case runRejected:
+		it.job.finish(it, adapter.StateFailed, "", now)
+	case runFailed:
+		it.failures++
+		if it.failures >= attempts {
+			it.job.finish(it, adapter.StateFailed, "", now)
+			break
+		}
+		o.avoid(it, grant, now)
+	case runBroken, runNotRun:
+		grant.Failed()
+		o.avoid(it, grant, now)
+	case runFull:
+		grant.Full()
+		it.notBefore = now.Add(retryDelay)
+	case runStopped:
+	}
+	o.flush(it.job, now)
+	o.Wake()
+}
+
+func (o *Owner) avoid(it *item, grant *cicadaplace.Grant, now time.Time) {
+	it.notBefore = now.Add(retryDelay)
+	it.avoid = append(it.avoid, grant.Endpoint().ID)
+	if len(it.avoid) > maxAvoid {
+		it.avoid = it.avoid[1:]
+	}
+}
+
+// giveUp ends the items of a job whose time is over.
+func (o *Owner) giveUp(j *job, now time.Time) {
+	if j.ended || j.record.GiveUpMs == 0 || now.Before(j.giveUpAt()) {
+		return
+	}
+	for _, it := range j.items {
+		if it.state == itemRunning {
+			it.stop()
+			o.release(it)
+			it.state = itemWaiting
+		}
+		if it.state == itemWaiting {
+			o.log.Warn("item given up", "item", it.ID, "job", j.id, "event", it.last)
+			j.finish(it, adapter.StateFailed, "", now)
+		}
+	}
+}
+
+// flush writes the pending results of a job when it is time.
+func (o *Owner) flush(j *job, now time.Time) {
+	if len(j.pending) == 0 || j.writing || !j.loaded {
+		return
+	}
+	if !j.done() && now.Sub(j.oldest) < flushDelay {
+		return
+	}
+	j.writing = true
+	number := j.chunks
+	c := chunk{Writer: o.name, Results: append([]adapter.Result(nil), j.pending[:split(j.pending)]...)}
+	o.wg.Go(func() {
+		written, err := writeChunk(o.ctx, o.store, j.id, number, c)
+		o.do(func() { o.flushDone(j, number, written, err) })
+	})
+}
+
+func (o *Owner) flushDone(j *job, number int, written chunk, err error) {
+	j.writing = false
+	if err != nil {
+		o.log.Warn("results not written", "job", j.id, "chunk", number, "error", err)
+		return
+	}
+	if written.Writer != o.name {
+		o.log.Warn("another owner wrote results", "job", j.id, "chunk", number, "owner", written.Writer)
+	}
+	if j.chunks == number {
+		o.takeChunk(j, written)
+	}
+	o.log.Info("results listed", "job", j.id, "chunk", number, "listed", len(j.results), "items", j.record.Total,
+		"left", time.Until(j.due()).String())
+	o.notify(j)
+	o.flush(j, time.Now())
+}
--- /dev/null
+++ b/cicadagateway/cicadabatch/store.go
@@ -0,0 +1,83 @@
+package cicadabatch
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"github.com/ansel1/merry/v2"
+
+	"cicadalink.example/cicadakernel/cicadaplatform"
+	adapter "cicadalink.example/platform"
+)
+
+// Prefixes of the objects that hold jobs and their results.
+const (
+	JobsPrefix    = adapter.OwnKind + "jobs/"
+	resultsPrefix = adapter.OwnKind + "results/"
+)
+
+// maxChunk bounds the text of the results in one chunk, in bytes; quoting adds
+// to it.
+const maxChunk = 400 << 10
+
+func chunkName(id string, number int) string {
+	return fmt.Sprintf("%s%s.%05d", resultsPrefix, id, number)
+}
+
+// readChunk returns a chunk of results; it does not exist if found is false.
+func readChunk(ctx context.Context, store *cicadaplatform.Client, id string, number int) (c chunk, found bool, err error) {
+	obj, err := store.Get(ctx, chunkName(id, number))
+	if errors.Is(err, cicadaplatform.ErrNotFound) {
+		return chunk{}, false, nil
+	}
+	if err != nil {
+		return chunk{}, false, err
+	}
+	if err := json.Unmarshal(obj.Value(), &c); err != nil {
+		return chunk{}, false, merry.Errorf("decode results of %s: %w", id, err)
+	}
+	return c, true, nil
+}
+
+// writeChunk writes results under a number, or returns what another owner wrote
+// there.
+func writeChunk(ctx context.Context, store *cicadaplatform.Client, id string, number int, c chunk) (chunk, error) {
+	value, err := json.Marshal(c)
+	if err != nil {
+		return chunk{}, merry.Errorf("encode results of %s: %w", id, err)
+	}
+	_, err = store.Create(ctx, cicadaplatform.ClassResult, chunkName(id, number), value)
+	if err == nil {
+		return c, nil
+	}
+	if !errors.Is(err, cicadaplatform.ErrExists) {
+		return chunk{}, err
+	}
+	theirs, found, err := readChunk(ctx, store, id, number)
+	if err == nil && !found {
+		return chunk{}, merry.Errorf("results %d of %s: %w", number, id, cicadaplatform.ErrNotFound)
+	}
+	return theirs, err
+}
+
+func decodeRecord(value []byte) (record, error) {
+	var r record
+	if err := json.Unmarshal(value, &r); err != nil {
+		return record{}, merry.Errorf("decode job: %w", err)
+	}
+	return r, nil
+}
+
+// split returns how many of the results fit in one chunk.
+func split(results []adapter.Result) int {
+	size := 0
+	for i, r := range results {
+		size += len(r.Output)
+		if size > maxChunk && i > 0 {
+			return i
+		}
+	}
+	return len(results)
+}
--- a/cicadagateway/cicadaplace/batch.go
+++ b/cicadagateway/cicadaplace/batch.go
@@ -86,6 +86,22 @@
 	return mine
 }
 
+// Pin keeps a batch item's slot from being taken: it counts as online from now
+// on.
+func (g *Grant) Pin() {
+	t := g.table
+	t.mu.Lock()
+	if g.done || !g.batch {
+		t.mu.Unlock()
+		return
+	}
+	g.batch = false
+	g.at.own.Batch--
+	g.at.own.Online++
+	t.mu.Unlock()
+	t.changed()
+}
+
 // Free returns the slots of a service that nobody holds, and all its slots.
 func (t *Table) Free(service string) (free, slots int) {
 	t.mu.Lock()
--- a/cicadagateway/cicadaprocess/process.go
+++ b/cicadagateway/cicadaprocess/process.go
@@ -26,6 +26,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/sourcegraph/conc"
 
+	"cicadalink.example/cicadagateway/cicadabatch"
 	"cicadalink.example/cicadagateway/cicadaexchange"
 	"cicadalink.example/cicadagateway/cicadafollow"
 	"cicadalink.example/cicadagateway/cicadapeer"
@@ -62,6 +63,7 @@
 	group   *cicadapeer.Group
 	config  atomic.Pointer[cicadaview.Config]
 	follow  *cicadafollow.Follower
+	owner   atomic.Pointer[cicadabatch.Owner]
 	leaving atomic.Bool
 	storeUp atomic.Bool
 	wg      conc.WaitGroup
@@ -106,9 +108,7 @@
 	n.startFollowing(work)
 	n.wg.Go(func() { n.handleHangup(work) })
 	if n.cfg.Role == RoleOwner {
-		<-ctx.Done()
-		n.leave()
-		return nil
+		return n.serveOwner(ctx, work)
 	}
 	return n.serveCallers(ctx)
 }
@@ -184,6 +184,9 @@
 		counts[l.Endpoint] = cicadaplace.Count{Online: int(l.Online), Batch: int(l.Batch)}
 	}
 	n.table.SetPeer(s.Member.Name, counts)
+	if o := n.owner.Load(); o != nil {
+		o.Wake()
+	}
 	if c := n.config.Load(); c != nil && s.ConfigVersion > c.Version() {
 		n.log.Info("peer has a newer configuration", "peer", s.Member.Name, "theirs", s.ConfigVersion, "ours", c.Version())
 		n.follow.Refresh()
@@ -250,7 +253,7 @@
 
 func (n *Node) serveCallers(ctx context.Context) error {
 	relay := cicadarelay.New(n.config.Load, n.table, n.client, n.log,
-		cicadarelay.WithScope(n.process.Scope()), cicadarelay.WithLeaving(n.leaving.Load))
+		cicadarelay.WithScope(n.process.Scope()), cicadarelay.WithLeaving(n.leaving.Load), cicadarelay.WithJobs(n.jobs()))
 	srv := &http.Server{
 		Handler: relay, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHeader,
 		ErrorLog: n.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
