Poll configuration and endpoints in one process, and let peers catch up

Change: the first live process that reaches the store lists both kinds every 0.9 s in place of a watch; states of peers carry the configuration's version and the view's digest, and who is behind lists at once.

--- a/cicadagateway/cicadafollow/follow.go
+++ b/cicadagateway/cicadafollow/follow.go
@@ -17,6 +17,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -33,6 +34,9 @@
 	// listed anew.
 	staleAfter = 10 * time.Second
 	pageLimit  = 500
+	// pollInterval is how often a follower that polls lists the objects. A store
+	// may keep watches mute for seconds, and what it holds must be known sooner.
+	pollInterval = 900 * time.Millisecond
 )
 
 // A Change is either everything under the prefix or what has changed.
@@ -55,13 +59,29 @@
 	log    hclog.Logger
 	apply  func(Change)
 	poke   chan struct{}
+	polls  func() bool
+	asOf   atomic.Int64
 	wg     conc.WaitGroup
 }
 
+// An Option changes a Follower as it is made.
+type Option func(*Follower)
+
+// WithPoll makes the follower list the objects again and again, instead of
+// watching, while polls returns true. One process that polls and tells its peers
+// covers for all of them.
+func WithPoll(polls func() bool) Option { return func(f *Follower) { f.polls = polls } }
+
 // New starts to follow a prefix until ctx ends. apply is called from one
 // goroutine.
-func New(ctx context.Context, store *cicadaplatform.Client, prefix string, link *Link, log hclog.Logger, apply func(Change)) *Follower {
-	f := &Follower{store: store, prefix: prefix, link: link, log: log, apply: apply, poke: make(chan struct{}, 1)}
+func New(ctx context.Context, store *cicadaplatform.Client, prefix string, link *Link, log hclog.Logger, apply func(Change), opts ...Option) *Follower {
+	f := &Follower{
+		store: store, prefix: prefix, link: link, log: log, apply: apply, poke: make(chan struct{}, 1),
+		polls: func() bool { return false },
+	}
+	for _, opt := range opts {
+		opt(f)
+	}
 	f.wg.Go(func() {
 		wait := firstBackoff
 		for ctx.Err() == nil {
@@ -76,6 +96,9 @@
 	return f
 }
 
+// AsOf returns the store's version that the view is as new as.
+func (f *Follower) AsOf() int64 { return f.asOf.Load() }
+
 // Refresh makes the follower list the objects now.
 func (f *Follower) Refresh() {
 	select {
@@ -96,10 +119,24 @@
 		f.log.Debug("list failed", "prefix", f.prefix, "error", err)
 		return false
 	}
+	if f.polls() {
+		f.pause(ctx)
+		return true
+	}
 	f.watch(ctx, version)
 	return true
 }
 
+func (f *Follower) pause(ctx context.Context) {
+	timer := time.NewTimer(pollInterval)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-f.poke:
+	case <-ctx.Done():
+	}
+}
+
 func (f *Follower) list(ctx context.Context) (int64, error) {
 	var all []cicadaplatform.Object
 	after, version := "", int64(0)
@@ -117,6 +154,7 @@
 		}
 		after = page.Objects()[len(page.Objects())-1].Name()
 	}
+	f.asOf.Store(version)
 	f.apply(Change{objects: all, full: true})
 	return version, nil
 }
@@ -142,9 +180,13 @@
 		f.link.Report(nil)
 		answered, wait = time.Now(), firstBackoff
 		version = max(version, page.Version())
+		f.asOf.Store(version)
 		if len(page.Objects()) > 0 {
 			f.apply(Change{objects: page.Objects()})
 		}
+		if f.polls() {
+			return
+		}
 	}
 }
 
--- a/cicadagateway/cicadafollow/registry.go
+++ b/cicadagateway/cicadafollow/registry.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/go-hclog"
 	"github.com/sourcegraph/conc"
 
@@ -28,9 +31,14 @@
 	publish func([]cicadaview.Endpoint)
 	known   map[string]cicadaview.Endpoint
 	missing map[string]bool
+	digest  atomic.Uint64
 	wg      conc.WaitGroup
 }
 
+// Digest tells sets of endpoints apart, whatever the order in which they became
+// known.
+func (g *Registry) Digest() uint64 { return g.digest.Load() }
+
 // NewRegistry returns an empty registry that calls publish with each new set.
 func NewRegistry(ctx context.Context, link *Link, log hclog.Logger, decode func(string, []byte) (cicadaview.Endpoint, error), publish func([]cicadaview.Endpoint)) *Registry {
 	g := &Registry{link: link, log: log, decode: decode, publish: publish, known: make(map[string]cicadaview.Endpoint), missing: make(map[string]bool)}
@@ -112,8 +120,11 @@
 
 func (g *Registry) publishLocked() {
 	all := make([]cicadaview.Endpoint, 0, len(g.known))
+	digest := uint64(0)
 	for _, e := range g.known {
 		all = append(all, e)
+		digest ^= xxhash.Sum64String(fmt.Sprint(e))
 	}
+	g.digest.Store(digest)
 	g.publish(all)
 }
--- a/cicadagateway/cicadapeer/peer.go
+++ b/cicadagateway/cicadapeer/peer.go
@@ -70,7 +70,11 @@
 	// Leaving says that the member shuts down.
 	Leaving       bool
 	ConfigVersion int64
-	Loads         []Load
+	// EndpointsAsOf is the store's version of the member's view of the
+	// endpoints, and EndpointsDigest tells that view from others.
+	EndpointsAsOf   int64
+	EndpointsDigest uint64
+	Loads           []Load
 }
 
 type seen struct {
@@ -264,6 +268,22 @@
 	}
 }
 
+// First reports whether this member is, by name, the first of those that reach
+// the store. storeUp says whether this one does.
+func (g *Group) First(storeUp bool) bool {
+	if !storeUp {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for name, s := range g.members {
+		if s.live && s.state.StoreUp && !s.state.Leaving && name < g.self.Name {
+			return false
+		}
+	}
+	return true
+}
+
 // Live returns the states of the live members of a role, by name.
 func (g *Group) Live(role Role) []State {
 	g.mu.Lock()
--- a/cicadagateway/cicadaprocess/process.go
+++ b/cicadagateway/cicadaprocess/process.go
@@ -49,6 +49,8 @@
 	headerTime    = 5 * time.Second
 	idleTime      = 75 * time.Second
 	maxHeader     = 64 << 10
+	// catchUpDelay lets this process's own watch bring what a peer knows already.
+	catchUpDelay = 200 * time.Millisecond
 )
 
 // A Node is one process.
@@ -62,11 +64,16 @@
 	client  *cicadaexchange.Client
 	group   *cicadapeer.Group
 	config  atomic.Pointer[cicadaview.Config]
-	follow  *cicadafollow.Follower
-	owner   atomic.Pointer[cicadabatch.Owner]
-	leaving atomic.Bool
-	storeUp atomic.Bool
-	wg      conc.WaitGroup
+	// follow and endpoints follow the configuration and the endpoints.
+	follow    *cicadafollow.Follower
+	endpoints *cicadafollow.Follower
+	registry  *cicadafollow.Registry
+	following atomic.Bool // the three above are set
+	behind    atomic.Bool // a look at what peers know is under way
+	owner     atomic.Pointer[cicadabatch.Owner]
+	leaving   atomic.Bool
+	storeUp   atomic.Bool
+	wg        conc.WaitGroup
 }
 
 // New returns a node that is not yet serving.
@@ -172,6 +179,9 @@
 	if c := n.config.Load(); c != nil {
 		s.ConfigVersion = c.Version()
 	}
+	if n.following.Load() && n.storeUp.Load() {
+		s.EndpointsAsOf, s.EndpointsDigest = n.endpoints.AsOf(), n.registry.Digest()
+	}
 	for id, count := range n.table.Own() {
 		s.Loads = append(s.Loads, cicadapeer.Load{Endpoint: id, Online: uint16(count.Online), Batch: uint16(count.Batch)})
 	}
@@ -187,16 +197,40 @@
 	if o := n.owner.Load(); o != nil {
 		o.Wake()
 	}
-	if c := n.config.Load(); c != nil && s.ConfigVersion > c.Version() {
-		n.log.Info("peer has a newer configuration", "peer", s.Member.Name, "theirs", s.ConfigVersion, "ours", c.Version())
-		n.follow.Refresh()
+	n.catchUp(s)
+}
+
+// catchUp reads from the store what a peer has learnt and this process has not.
+func (n *Node) catchUp(s cicadapeer.State) {
+	if !n.following.Load() || !n.behind.CompareAndSwap(false, true) {
+		return
 	}
+	config, endpoints := n.config.Load(), n.endpoints
+	stale := config != nil && s.ConfigVersion > config.Version()
+	missing := s.EndpointsAsOf > endpoints.AsOf() && s.EndpointsDigest != n.registry.Digest()
+	if !stale && !missing {
+		n.behind.Store(false)
+		return
+	}
+	time.AfterFunc(catchUpDelay, func() {
+		defer n.behind.Store(false)
+		if c := n.config.Load(); stale && s.ConfigVersion > c.Version() {
+			n.log.Info("peer has a newer configuration", "peer", s.Member.Name, "theirs", s.ConfigVersion, "ours", c.Version())
+			n.follow.Refresh()
+		}
+		if missing && s.EndpointsAsOf > endpoints.AsOf() && s.EndpointsDigest != n.registry.Digest() {
+			n.log.Info("peer has a newer set of endpoints", "peer", s.Member.Name, "theirs", s.EndpointsAsOf, "ours", endpoints.AsOf())
+			endpoints.Refresh()
+		}
+	})
 }
 
 func (n *Node) startFollowing(ctx context.Context) {
-	registry := cicadafollow.NewRegistry(ctx, n.link, n.log, adapter.DecodeEndpoint, n.table.SetEndpoints)
-	n.follow = cicadafollow.New(ctx, n.store, adapter.ConfigPrefix, n.link, n.log, n.applyConfig)
-	cicadafollow.New(ctx, n.store, adapter.EndpointsPrefix, n.link, n.log, registry.Apply)
+	polls := cicadafollow.WithPoll(func() bool { return n.group.First(n.storeUp.Load()) })
+	n.registry = cicadafollow.NewRegistry(ctx, n.link, n.log, adapter.DecodeEndpoint, n.table.SetEndpoints)
+	n.follow = cicadafollow.New(ctx, n.store, adapter.ConfigPrefix, n.link, n.log, n.applyConfig, polls)
+	n.endpoints = cicadafollow.New(ctx, n.store, adapter.EndpointsPrefix, n.link, n.log, n.registry.Apply, polls)
+	n.following.Store(true)
 	cicadafollow.New(ctx, n.store, peersPrefix, n.link, n.log, n.applyPeers)
 }
 
