--- a/cicadagateway/cicadabatch/schedule.go
+++ b/cicadagateway/cicadabatch/schedule.go
@@ -187,11 +187,9 @@
 			attempts = route.Attempts
 		}
 	}
-	if ended != runStopped {
-		o.log.Info("run ended", "item", it.ID, "job", it.job.id, "outcome", ended.String(), "endpoint", grant.Endpoint().ID,
-			"status", x.status, "event", it.last, "failures", it.failures, "took", now.Sub(it.started).String(),
-			"slack", o.pace.slack(it, now).String(), "error", err)
-	}
+	o.log.Info("run ended", "item", it.ID, "job", it.job.id, "outcome", ended.String(), "endpoint", grant.Endpoint().ID,
+		"status", x.status, "event", it.last, "failures", it.failures, "took", now.Sub(it.started).String(),
+		"slack", o.pace.slack(it, now).String(), "error", err)
 	switch ended {
 	case runComplete:
 		grant.Succeeded()
