--- a/cicadagateway/cicadabatch/order.go
+++ b/cicadagateway/cicadabatch/order.go
@@ -47,18 +47,15 @@
 }
 
 // less orders items that wait for a slot: those that can still be in time come
-// first. Among them the job that is due first goes first, so that under a long
-// backlog some jobs are whole and in time rather than all of them late, and in a
-// job the item that is nearest to its end.
+// first, the one with the least slack before the others; those that are late
+// anyway come after them.
 func (p *pace) less(a, b *item, now time.Time) bool {
-	if la, lb := p.slack(a, now) < 0, p.slack(b, now) < 0; la != lb {
-		return lb
+	sa, sb := p.slack(a, now), p.slack(b, now)
+	if (sa < 0) != (sb < 0) {
+		return sb < 0
 	}
-	if da, db := a.job.due(), b.job.due(); !da.Equal(db) {
-		return da.Before(db)
-	}
-	if a.last != b.last {
-		return a.last > b.last
+	if sa != sb {
+		return sa < sb
 	}
 	return a.ID < b.ID
 }
@@ -85,7 +82,7 @@
 		if it.pinned {
 			continue
 		}
-		if best == nil || p.less(best, it, now) {
+		if best == nil || p.slack(it, now) > p.slack(best, now) {
 			best = it
 		}
 	}
