Keep jobs in place while no owner is sure of the store, and hand progress over

A moved job lost what its items had put out. Change: owners carry the age of the store's last answer; jobs move only to owners with a fresh one; progress goes to the next owner by drpc. Retirements of VMs are answered once the owner there has no work.

--- a/cicadagateway/cicadabatch/calls.go
+++ b/cicadagateway/cicadabatch/calls.go
@@ -30,6 +30,8 @@
 	After  int
 	Item   string
 	Wait   time.Duration
+	// Progress is what a CallHandOver hands over.
+	Progress []Progress
 }
 
 // A CallKind says what a Call asks for.
@@ -41,6 +43,7 @@
 	CallRead
 	CallItem
 	CallEnd
+	CallHandOver
 )
 
 // An Answer is the answer to a Call, with an HTTP status.
@@ -68,6 +71,9 @@
 		a = o.itemBody(ctx, c)
 	case CallEnd:
 		a = o.endJob(ctx, c)
+	case CallHandOver:
+		o.do(func() { o.adopt(c.Job, c.Progress) })
+		a = Answer{Status: http.StatusOK}
 	default:
 		a = Answer{Status: http.StatusBadRequest}
 	}
--- /dev/null
+++ b/cicadagateway/cicadabatch/handover.go
@@ -0,0 +1,109 @@
+package cicadabatch
+
+import (
+	"context"
+	"time"
+)
+
+// handOverTime bounds one message that hands progress over.
+const handOverTime = time.Second
+
+// A Progress is how far an item has come, for the owner that its job moves to.
+type Progress struct {
+	Item     string
+	Last     int    // id of the last event in Text
+	Text     string // output so far
+	Failures int
+	State    string // the item's result if it has one that is not listed
+}
+
+func (it *item) progress() Progress {
+	return Progress{Item: it.ID, Last: it.last, Text: it.output.String(), Failures: it.failures}
+}
+
+// handOver passes on what is known of a job's items beyond what the store has.
+// Items that run now are passed on when their run has ended.
+func (o *Owner) handOver(j *job) {
+	var all []Progress
+	for _, it := range j.items {
+		if it.state == itemWaiting && (it.last > 0 || it.failures > 0) {
+			all = append(all, it.progress())
+		}
+	}
+	for _, r := range j.pending {
+		all = append(all, Progress{Item: r.ID, Text: r.Output, State: r.State})
+	}
+	o.sendProgress(j, all)
+}
+
+func (o *Owner) sendProgress(j *job, all []Progress) {
+	if len(all) == 0 || j.ended {
+		return
+	}
+	o.wg.Go(func() {
+		ctx, cancel := context.WithTimeout(o.ctx, handOverTime)
+		defer cancel()
+		err := o.over(ctx, j.id, all)
+		o.log.Info("job handed over", "job", j.id, "items", len(all), "error", err)
+	})
+}
+
+// adopt takes in the progress that another owner hands over.
+func (o *Owner) adopt(id string, all []Progress) {
+	j := o.jobs[id]
+	if j == nil || j.ended {
+		return
+	}
+	taken := 0
+	for _, p := range all {
+		it := j.byID[p.Item]
+		if it == nil || it.state >= itemFinished || (p.State == "" && p.Last <= it.last) {
+			continue
+		}
+		taken++
+		it.adopted = &p
+		if it.state == itemRunning {
+			it.stop()
+			continue
+		}
+		o.takeProgress(it)
+	}
+	o.log.Info("progress taken over", "job", id, "items", len(all), "taken", taken)
+	o.Wake()
+}
+
+// takeProgress makes an item that does not run go on from where another owner
+// left it.
+func (o *Owner) takeProgress(it *item) {
+	p := it.adopted
+	it.adopted = nil
+	if p == nil {
+		return
+	}
+	if p.State != "" {
+		it.job.finish(it, p.State, p.Text, time.Now())
+		return
+	}
+	it.failures = max(it.failures, p.Failures)
+	if p.Last > it.last {
+		it.output.Reset()
+		it.output.WriteString(p.Text)
+		it.last = p.Last
+	}
+}
+
+// Idle reports whether the owner has no job to run and nothing that others need.
+func (o *Owner) Idle() bool {
+	idle := true
+	o.ask(func() {
+		for _, j := range o.jobs {
+			if j.mine && !j.ended && !j.listed() {
+				idle = false
+			}
+		}
+		if len(o.running) > 0 {
+			idle = false
+		}
+	})
+	return idle
+}
--- a/cicadagateway/cicadabatch/job.go
+++ b/cicadagateway/cicadabatch/job.go
@@ -26,7 +26,8 @@
 	output    strings.Builder
 	last      int // id of the last event in output
 	failures  int // answers that say the item failed
-	rejected  int // answers that say the item can never be done
+	breaks    int // runs that broke since the item last got on
+	adopted   *Progress
 	avoid     []string
 	notBefore time.Time
 	grant     *cicadaplace.Grant
@@ -53,7 +54,6 @@
 	mine      bool
 	refreshed time.Time
 	waiters   []func()
-	next      *adapter.Result
 }
 
 // A record is what the store holds of a job.
--- a/cicadagateway/cicadabatch/owner.go
+++ b/cicadagateway/cicadabatch/owner.go
@@ -52,6 +52,7 @@
 	client  *cicadaexchange.Client
 	config  func() *cicadaview.Config
 	owners  func() []string
+	over    func(ctx context.Context, job string, p []Progress) error
 	log     hclog.Logger
 	control chan func()
 	wakeup  chan struct{}
@@ -66,15 +67,28 @@
 	view    string             // the owners at the last assignment
 }
 
+// An Option changes an Owner as it is made.
+type Option func(*Owner)
+
+// WithHandOver sets what passes the progress of a job to the owner that it has
+// moved to.
+func WithHandOver(over func(ctx context.Context, job string, p []Progress) error) Option {
+	return func(o *Owner) { o.over = over }
+}
+
 // NewOwner starts an owner. owners returns the names of the owners, this one
 // included, that may run jobs now.
 func NewOwner(ctx context.Context, name string, store *cicadaplatform.Client, table *cicadaplace.Table, client *cicadaexchange.Client,
-	config func() *cicadaview.Config, owners func() []string, log hclog.Logger,
+	config func() *cicadaview.Config, owners func() []string, log hclog.Logger, opts ...Option,
 ) *Owner {
 	o := &Owner{
 		name: name, store: store, table: table, client: client, config: config, owners: owners, log: log,
 		control: make(chan func(), controlQueue), wakeup: make(chan struct{}, 1), ctx: ctx, started: time.Now(),
 		jobs: make(map[string]*job), running: make(map[string][]*item),
+		over: func(context.Context, string, []Progress) error { return nil },
+	}
+	for _, opt := range opts {
+		opt(o)
 	}
 	o.wg.Go(func() {
 		ticker := time.NewTicker(tick)
@@ -225,6 +239,7 @@
 		o.log.Info("job moved", "job", j.id, "mine", mine, "listed", len(j.results))
 		if !mine {
 			o.stopAll(j, "job moved")
+			o.handOver(j)
 		}
 		j.loaded = false
 	}
--- a/cicadagateway/cicadabatch/rpc.go
+++ b/cicadagateway/cicadabatch/rpc.go
@@ -92,6 +92,12 @@
 	return refused(), merry.Errorf("call owner: %w", err)
 }
 
+// HandOver passes the progress of a job to the owner that it has moved to.
+func (c *Client) HandOver(ctx context.Context, job string, p []Progress) error {
+	_, err := c.Call(ctx, &Call{Kind: CallHandOver, Job: job, Progress: p})
+	return err
+}
+
 func rank(id string, owners []Peer) []Peer {
 	owners = slices.Clone(owners)
 	hash := func(p Peer) uint64 { return xxhash.Sum64String(p.Name + " " + id) }
--- a/cicadagateway/cicadabatch/schedule.go
+++ b/cicadagateway/cicadabatch/schedule.go
@@ -17,12 +17,11 @@
 	reserve = 1
 	// retryDelay is how long an item waits after a run that did not succeed.
 	retryDelay = 50 * time.Millisecond
-	// failuresPerAttempt bounds broken runs, for each attempt of the route,
-	// before an item waits longer between runs.
-	suspectDelay = 2 * time.Second
-	// routeGrace is how long a job's route may be missing before its items are
-	// given up.
-	maxAvoid = 3
+	// maxRetryDelay is the longest such wait. It doubles with each run that
+	// breaks before the item gets on: the item may crash its endpoints.
+	maxRetryDelay = 5 * time.Second
+	maxBreaks     = 10
+	maxAvoid      = 3 // endpoints that an item keeps away from
 )
 
 // schedule puts items aside where online requests need their slots, and starts
@@ -180,6 +179,9 @@
 	fresh := it.last == 0
 	it.state = itemWaiting
 	it.output.WriteString(x.text.String())
+	if x.last > it.last {
+		it.breaks = 0
+	}
 	it.last = x.last
 	attempts := 1
 	if config := o.config(); config != nil {
@@ -214,12 +216,19 @@
 		it.notBefore = now.Add(retryDelay)
 	case runStopped:
 	}
+	if it.state == itemWaiting && it.adopted != nil {
+		o.takeProgress(it)
+	}
+	if it.state == itemWaiting && !it.job.mine && it.last > 0 {
+		o.sendProgress(it.job, []Progress{it.progress()})
+	}
 	o.flush(it.job, now)
 	o.Wake()
 }
 
 func (o *Owner) avoid(it *item, grant *cicadaplace.Grant, now time.Time) {
-	it.notBefore = now.Add(retryDelay)
+	it.notBefore = now.Add(min(retryDelay<<it.breaks, maxRetryDelay))
+	it.breaks = min(it.breaks+1, maxBreaks)
 	it.avoid = append(it.avoid, grant.Endpoint().ID)
 	if len(it.avoid) > maxAvoid {
 		it.avoid = it.avoid[1:]
--- a/cicadagateway/cicadafollow/link.go
+++ b/cicadagateway/cicadafollow/link.go
@@ -18,6 +18,7 @@
 	up      bool
 	ever    bool
 	since   time.Time
+	heard   time.Time // the last answer
 	changed func(up bool)
 	log     hclog.Logger
 }
@@ -33,6 +34,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	up := err == nil
+	if up {
+		l.heard = time.Now()
+	}
 	if up == l.up {
 		return
 	}
@@ -55,6 +59,13 @@
 	return l.up
 }
 
+// Age returns how long ago the store answered last.
+func (l *Link) Age() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return time.Since(l.heard)
+}
+
 // Settled reports whether the store has been up long enough that an entry
 // missing from it is gone.
 func (l *Link) Settled() bool {
--- a/cicadagateway/cicadapeer/peer.go
+++ b/cicadagateway/cicadapeer/peer.go
@@ -65,9 +65,11 @@
 	Member      Member
 	Incarnation int64
 	Sequence    uint64
-	// StoreUp says that the member reaches the platform's store.
-	StoreUp bool
-	// Leaving says that the member shuts down.
+	// StoreUp says that the member reaches the platform's store, which answered
+	// it last StoreAge milliseconds before.
+	StoreUp  bool
+	StoreAge uint32
+	// Leaving says that the member shuts down or is to be retired.
 	Leaving       bool
 	ConfigVersion int64
 	// EndpointsAsOf is the store's version of the member's view of the
@@ -75,6 +77,15 @@
 	EndpointsAsOf   int64
 	EndpointsDigest uint64
 	Loads           []Load
+	// Crashes are the latest runs that ended with their endpoint's connection.
+	Crashes []Crash
+}
+
+// A Crash is a run of a request after which the endpoint fell silent.
+type Crash struct {
+	_        struct{} `cbor:",toarray"`
+	Request  uint64   // fingerprint of the request
+	Endpoint string
 }
 
 type seen struct {
--- a/cicadagateway/cicadaprocess/jobs.go
+++ b/cicadagateway/cicadaprocess/jobs.go
@@ -4,7 +4,7 @@
 	"context"
 	"net"
 	"net/url"
-	"sort"
+	"slices"
 	"strconv"
 	"time"
 
@@ -14,6 +14,7 @@
 	"cicadalink.example/cicadagateway/cicadafollow"
 	"cicadalink.example/cicadagateway/cicadapeer"
 	"cicadalink.example/cicadagateway/cicadarelay"
+	"cicadalink.example/cicadakernel/cicadaretry"
 	"cicadalink.example/cicadakernel/cicadaview"
 	"cicadalink.example/cicadakernel/cicadawire"
 	adapter "cicadalink.example/platform"
@@ -57,44 +58,48 @@
 	return cicadarelay.JobAnswer{Status: a.Status, Body: a.Body, JSON: a.JSON, RetryAfter: a.RetryAfter}
 }
 
-// ownerPeers returns the owners that may run jobs: those that reach the store,
-// or all that are live if none does.
-func (n *Node) ownerPeers() []cicadabatch.Peer {
-	var able, live []cicadabatch.Peer
-	for _, s := range n.group.Live(cicadapeer.RoleOwner) {
-		peer := cicadabatch.Peer{Name: s.Member.Name, Address: s.Member.Address}
-		live = append(live, peer)
-		if s.StoreUp && !s.Leaving {
-			able = append(able, peer)
-		}
+// candidates returns the live owners, this process among them if it is one.
+func (n *Node) candidates() []cicadabatch.Candidate {
+	var all []cicadabatch.Candidate
+	if n.cfg.Role == RoleOwner {
+		all = append(all, cicadabatch.Candidate{
+			Name: n.cfg.Name, StoreUp: n.storeUp.Load(), StoreAge: n.link.Age(), Leaving: n.leaving.Load() || n.retiring.Load(),
+		})
 	}
-	if len(able) == 0 {
-		return live
+	for _, s := range n.group.Live(cicadapeer.RoleOwner) {
+		all = append(all, cicadabatch.Candidate{
+			Name: s.Member.Name, StoreUp: s.StoreUp, StoreAge: time.Duration(s.StoreAge) * time.Millisecond, Leaving: s.Leaving,
+		})
 	}
-	return able
+	return all
 }
 
-func (n *Node) ownerNames() []string {
-	var names []string
-	if n.storeUp.Load() && !n.leaving.Load() {
-		names = append(names, n.cfg.Name)
-	}
+// ownerPeers returns the owners that may run jobs and can be called.
+func (n *Node) ownerPeers() []cicadabatch.Peer {
+	addresses := make(map[string]string)
 	for _, s := range n.group.Live(cicadapeer.RoleOwner) {
-		if s.StoreUp && !s.Leaving {
-			names = append(names, s.Member.Name)
-		}
+		addresses[s.Member.Name] = s.Member.Address
 	}
-	if len(names) == 0 {
-		names = append(names, n.cfg.Name)
+	var peers []cicadabatch.Peer
+	for _, name := range n.ownerNames() {
+		if address, ok := addresses[name]; ok {
+			peers = append(peers, cicadabatch.Peer{Name: name, Address: address})
+		}
 	}
-	sort.Strings(names)
-	return names
+	return peers
 }
 
+func (n *Node) ownerNames() []string { return cicadabatch.Eligible(n.candidates()) }
+
 // serveOwner runs jobs until ctx ends.
 func (n *Node) serveOwner(ctx, work context.Context) error {
-	owner := cicadabatch.NewOwner(work, n.cfg.Name, n.store, n.table, n.client, n.config.Load, n.ownerNames, n.log)
+	peers := cicadabatch.NewClient(cicadawire.NewPool(), n.ownerPeers)
+	owner := cicadabatch.NewOwner(work, n.cfg.Name, n.store, n.table, n.client, n.config.Load, n.ownerNames, n.log,
+		cicadabatch.WithHandOver(peers.HandOver))
 	n.owner.Store(owner)
+	n.wg.Go(func() { n.checkStore(work) })
+	retirements := newRetirements(work, n, owner.Idle)
+	cicadafollow.New(work, n.store, adapter.RetirementsPrefix, n.link, n.log, retirements.apply)
 	cicadafollow.New(work, n.store, cicadabatch.JobsPrefix, n.link, n.log, owner.Apply)
 	srv := cicadawire.NewServer()
 	if err := owner.Register(srv.Mux()); err != nil {
@@ -117,4 +122,25 @@
 
 // ownerLinger is how long a leaving owner still answers, so that entries have
 // heard that its jobs have moved.
-const ownerLinger = 500 * time.Millisecond
+const ownerLinger = 1500 * time.Millisecond
+
+const (
+	checkInterval = 500 * time.Millisecond
+	// checkAge is how old the store's last answer may be, while another owner has
+	// lost the store, before this one asks again.
+	checkAge = 600 * time.Millisecond
+)
+
+// checkStore makes sure of the store while another owner has lost it.
+func (n *Node) checkStore(ctx context.Context) {
+	for cicadaretry.Wait(ctx, checkInterval) {
+		lost := slices.ContainsFunc(n.group.Live(cicadapeer.RoleOwner), func(s cicadapeer.State) bool { return !s.StoreUp })
+		if !lost || !n.storeUp.Load() {
+			continue
+		}
+		if n.link.Age() > checkAge {
+			n.follow.Refresh()
+		}
+		n.notify()
+	}
+}
--- a/cicadagateway/cicadaprocess/process.go
+++ b/cicadagateway/cicadaprocess/process.go
@@ -12,6 +12,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math"
 	"net"
 	"net/http"
 	"os"
@@ -72,6 +73,7 @@
 	behind    atomic.Bool // a look at what peers know is under way
 	owner     atomic.Pointer[cicadabatch.Owner]
 	leaving   atomic.Bool
+	retiring  atomic.Bool
 	storeUp   atomic.Bool
 	wg        conc.WaitGroup
 }
@@ -175,7 +177,10 @@
 }
 
 func (n *Node) state() cicadapeer.State {
-	s := cicadapeer.State{StoreUp: n.storeUp.Load(), Leaving: n.leaving.Load()}
+	s := cicadapeer.State{
+		StoreUp: n.storeUp.Load(), StoreAge: uint32(min(n.link.Age().Milliseconds(), math.MaxUint32)),
+		Leaving: n.leaving.Load() || n.retiring.Load(),
+	}
 	if c := n.config.Load(); c != nil {
 		s.ConfigVersion = c.Version()
 	}
