--- a/cicadagateway/cicadaprocess/jobs.go
+++ b/cicadagateway/cicadaprocess/jobs.go
@@ -116,7 +116,8 @@
 	})
 	<-ctx.Done()
 	n.leave()
-	time.Sleep(ownerLinger)
+	cicadaretry.Wait(context.Background(), ownerLinger)
+	n.log.Info("stopped")
 	return nil
 }
 
--- a/cicadagateway/cicadaprocess/process.go
+++ b/cicadagateway/cicadaprocess/process.go
@@ -15,12 +15,9 @@
 	"math"
 	"net"
 	"net/http"
-	"os"
-	"os/signal"
 	"strconv"
 	"strings"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -57,6 +54,7 @@
 // A Node is one process.
 type Node struct {
 	cfg     *Settings
+	file    string
 	log     hclog.Logger
 	process *cicadakernel.Process
 	store   *cicadaplatform.Client
@@ -72,10 +70,12 @@
 	following atomic.Bool // the three above are set
 	behind    atomic.Bool // a look at what peers know is under way
 	owner     atomic.Pointer[cicadabatch.Owner]
-	leaving   atomic.Bool
-	retiring  atomic.Bool
-	storeUp   atomic.Bool
-	wg        conc.WaitGroup
+
+	drainLimit atomic.Int64 // how long a graceful shutdown may take, in nanoseconds
+	leaving    atomic.Bool
+	retiring   atomic.Bool
+	storeUp    atomic.Bool
+	wg         conc.WaitGroup
 }
 
 // New returns a node that is not yet serving.
@@ -84,7 +84,9 @@
 	if err != nil {
 		return nil, merry.Errorf("open platform: %w", err)
 	}
-	n := &Node{cfg: cfg, log: p.Log(), process: p}
+	n := &Node{cfg: cfg, file: p.SettingsFile(), log: p.Log(), process: p}
+	n.drainLimit.Store(int64(cfg.DrainLimit.Or(defaultDrainLimit)))
+	limitMemory(cfg)
 	writes := cfg.StoreWrites
 	if writes <= 0 {
 		writes = defaultStoreWrites
@@ -115,7 +117,7 @@
 		return err
 	}
 	n.startFollowing(work)
-	n.wg.Go(func() { n.handleHangup(work) })
+	n.wg.Go(func() { n.watchSettings(work) })
 	if n.cfg.Role == RoleOwner {
 		return n.serveOwner(ctx, work)
 	}
@@ -275,21 +277,6 @@
 	n.group.SetMembers(members)
 }
 
-// handleHangup keeps SIGHUP from ending the process.
-func (n *Node) handleHangup(ctx context.Context) {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hangup:
-			n.log.Info("reload", "reason", "signal")
-		}
-	}
-}
-
 func (n *Node) serveCallers(ctx context.Context) error {
 	relay := cicadarelay.New(n.config.Load, n.table, n.client, n.log,
 		cicadarelay.WithScope(n.process.Scope()), cicadarelay.WithLeaving(n.leaving.Load), cicadarelay.WithJobs(n.jobs()))
@@ -320,9 +307,9 @@
 // shutDown goes on serving until the balancer has noticed, then waits for the
 // requests that are being served.
 func (n *Node) shutDown(srv *http.Server) error {
-	end := time.Now().Add(n.cfg.DrainLimit.Or(defaultDrainLimit) - exitMargin)
+	end := time.Now().Add(time.Duration(n.drainLimit.Load()) - exitMargin)
 	n.leave()
-	time.Sleep(unreadyTime)
+	cicadaretry.Wait(context.Background(), unreadyTime)
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	if err := srv.Shutdown(ctx); err != nil {
--- a/cicadagateway/cicadaprocess/retire.go
+++ b/cicadagateway/cicadaprocess/retire.go
@@ -31,12 +31,13 @@
 	mu      sync.Mutex
 	open    map[string]cicadaplatform.Object // by VM
 	running map[string]bool                  // reported as being emptied
+	emptied map[string]bool                  // reported as empty
 	empty   time.Time                        // since when the owner has had no work
 	wg      conc.WaitGroup
 }
 
 func newRetirements(ctx context.Context, n *Node, idle func() bool) *retirements {
-	r := &retirements{node: n, idle: idle, open: make(map[string]cicadaplatform.Object), running: make(map[string]bool)}
+	r := &retirements{node: n, idle: idle, open: make(map[string]cicadaplatform.Object), running: make(map[string]bool), emptied: make(map[string]bool)}
 	r.wg.Go(func() {
 		for cicadaretry.Wait(ctx, retireInterval) {
 			r.step(ctx)
@@ -55,11 +56,15 @@
 		vm := strings.TrimPrefix(obj.Name(), adapter.RetirementsPrefix)
 		if obj.Value() == nil {
 			delete(r.open, vm)
+			delete(r.emptied, vm)
 			continue
 		}
-		r.open[vm] = obj
+		if !r.emptied[vm] {
+			r.open[vm] = obj
+		}
 	}
-	_, mine := r.open[r.node.cfg.VM]
+	_, open := r.open[r.node.cfg.VM]
+	mine := open || r.emptied[r.node.cfg.VM]
 	if mine != r.node.retiring.Load() {
 		r.node.log.Info("retirement", "vm", r.node.cfg.VM, "retiring", mine)
 		r.node.retiring.Store(mine)
@@ -121,6 +126,7 @@
 	if empty {
 		r.mu.Lock()
 		delete(r.open, vm)
+		r.emptied[vm] = true
 		r.mu.Unlock()
 	}
 }
--- /dev/null
+++ b/cicadakernel/logwriter.go
@@ -0,0 +1,107 @@
+package cicadakernel
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+)
+
+const (
+	// logBuffer bounds the text that waits to be written, in bytes.
+	logBuffer = 1 << 20
+	// logInterval is how often waiting text is written.
+	logInterval = 25 * time.Millisecond
+)
+
+// A LogWriter passes lines on to another writer without ever blocking: a
+// goroutine writes what has gathered, and lines that find the buffer full are
+// dropped and counted.
+type LogWriter struct {
+	mu      sync.Mutex
+	buffer  []byte
+	spare   []byte
+	limit   int
+	dropped atomic.Int64
+	out     io.Writer
+	wake    chan struct{}
+	done    chan struct{}
+	wg      conc.WaitGroup
+}
+
+// NewLogWriter returns a writer to out.
+func NewLogWriter(out io.Writer) *LogWriter {
+	w := &LogWriter{out: out, limit: logBuffer, wake: make(chan struct{}, 1), done: make(chan struct{})}
+	w.wg.Go(func() {
+		told := int64(0)
+		for {
+			select {
+			case <-w.wake:
+				w.pause()
+				told = w.flush(told)
+			case <-w.done:
+				w.flush(told)
+				return
+			}
+		}
+	})
+	return w
+}
+
+// Write takes in a line. It never fails.
+func (w *LogWriter) Write(line []byte) (int, error) {
+	w.mu.Lock()
+	if len(w.buffer)+len(line) > w.limit {
+		w.mu.Unlock()
+		w.dropped.Add(1)
+		return len(line), nil
+	}
+	w.buffer = append(w.buffer, line...)
+	w.mu.Unlock()
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+	return len(line), nil
+}
+
+// Dropped returns how many lines were dropped.
+func (w *LogWriter) Dropped() int64 { return w.dropped.Load() }
+
+// Close writes what has gathered.
+func (w *LogWriter) Close() error {
+	close(w.done)
+	w.wg.Wait()
+	return nil
+}
+
+// pause lets lines gather, so that one call writes many.
+func (w *LogWriter) pause() {
+	timer := time.NewTimer(logInterval)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-w.done:
+	}
+}
+
+func (w *LogWriter) flush(told int64) int64 {
+	w.mu.Lock()
+	text := w.buffer
+	w.buffer, w.spare = w.spare[:0], nil
+	w.mu.Unlock()
+	dropped := w.dropped.Load()
+	if dropped > told {
+		text = fmt.Appendf(text, `{"@level":"warn","@message":"log lines dropped","lines":%d}`+"\n", dropped-told)
+	}
+	if len(text) > 0 {
+		_, _ = w.out.Write(text) // there is nowhere left to report a failure to
+	}
+	w.mu.Lock()
+	w.spare = text[:0]
+	w.mu.Unlock()
+	return dropped
+}
--- a/cicadakernel/process.go
+++ b/cicadakernel/process.go
@@ -72,6 +72,8 @@
 type LogSettings struct {
 	Level  string `yaml:"level"`
 	Format string `yaml:"format"`
+	// Output is stderr, or stdout for lines that are written without blocking.
+	Output string `yaml:"output"`
 }
 
 // Base returns the common settings of the value that embeds them.
@@ -91,6 +93,9 @@
 	if c.Log.Format != "text" && c.Log.Format != "json" {
 		return cicadasettings.Expected("log.format", "text or json")
 	}
+	if c.Log.Output != "" && c.Log.Output != "stderr" && c.Log.Output != "stdout" {
+		return cicadasettings.Expected("log.output", "stdout or stderr")
+	}
 	return nil
 }
 
@@ -104,6 +109,7 @@
 // A Process is one running program: its log, its metrics and its readiness.
 type Process struct {
 	name    string
+	file    string
 	log     hclog.Logger
 	scope   tally.Scope
 	metrics http.Handler
@@ -139,6 +145,9 @@
 // Log returns the process's logger.
 func (p *Process) Log() hclog.Logger { return p.log }
 
+// SettingsFile returns the file that the settings were read from, or nothing.
+func (p *Process) SettingsFile() string { return p.file }
+
 // Scope returns the root of the process's metrics.
 func (p *Process) Scope() tally.Scope { return p.scope }
 
@@ -206,15 +215,22 @@
 				fmt.Fprintf(cmd.Root().Writer, "%s: settings are valid\n", file)
 				return nil
 			}
-			return run(ctx, name, cfg, start)
+			return run(ctx, name, file, cfg, start)
 		},
 	}
 }
 
-func run(ctx context.Context, name string, cfg Settings, start func(ctx context.Context, p *Process) error) error {
+func run(ctx context.Context, name, file string, cfg Settings, start func(ctx context.Context, p *Process) error) error {
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	p := NewProcess(name, cfg.Base(), os.Stderr)
+	var out io.Writer = os.Stderr
+	if cfg.Base().Log.Output == "stdout" {
+		lines := NewLogWriter(os.Stdout)
+		defer lines.Close()
+		out = lines
+	}
+	p := NewProcess(name, cfg.Base(), out)
+	p.file = file
 	if addr := cfg.Base().Admin; addr != "" {
 		srv, err := p.serveAdmin(addr)
 		if err != nil {
