Share suspicion of requests that crash endpoints; give items without a route up

Cause: a request that crashes its endpoint comes again at any entry, and each would have sent it on; items of a removed route waited for ever. Change: breaks by fingerprint go to all peers, two endpoints quarantine a request for 30 s; a job whose route is missing for 3 s is given up.

--- a/cicadagateway/cicadabatch/job.go
+++ b/cicadagateway/cicadabatch/job.go
@@ -53,6 +53,7 @@
 	ended     bool
 	mine      bool
 	refreshed time.Time
+	routeless time.Time // since when the configuration has had no route for the job
 	waiters   []func()
 }
 
--- a/cicadagateway/cicadabatch/schedule.go
+++ b/cicadagateway/cicadabatch/schedule.go
@@ -21,7 +21,10 @@
 	// breaks before the item gets on: the item may crash its endpoints.
 	maxRetryDelay = 5 * time.Second
 	maxBreaks     = 10
-	maxAvoid      = 3 // endpoints that an item keeps away from
+	// routeGrace is how long the configuration may lack a job's route before its
+	// items are given up.
+	routeGrace = 3 * time.Second
+	maxAvoid   = 3 // endpoints that an item keeps away from
 )
 
 // schedule puts items aside where online requests need their slots, and starts
@@ -235,9 +238,27 @@
 	}
 }
 
-// giveUp ends the items of a job whose time is over.
+// routeGone reports whether the configuration has had no route for a job for
+// some time.
+func (o *Owner) routeGone(j *job, now time.Time) bool {
+	config := o.config()
+	if config == nil {
+		return false
+	}
+	if _, ok := config.Route(j.record.Host, j.record.Path); ok {
+		j.routeless = time.Time{}
+		return false
+	}
+	if j.routeless.IsZero() {
+		j.routeless = now
+	}
+	return now.Sub(j.routeless) > routeGrace
+}
+
+// giveUp ends the items of a job whose time is over or whose route is gone.
 func (o *Owner) giveUp(j *job, now time.Time) {
-	if j.ended || j.record.GiveUpMs == 0 || now.Before(j.giveUpAt()) {
+	late := j.record.GiveUpMs > 0 && !now.Before(j.giveUpAt())
+	if j.ended || j.done() || (!late && !o.routeGone(j, now)) {
 		return
 	}
 	for _, it := range j.items {
@@ -247,7 +268,7 @@
 			it.state = itemWaiting
 		}
 		if it.state == itemWaiting {
-			o.log.Warn("item given up", "item", it.ID, "job", j.id, "event", it.last)
+			o.log.Warn("item given up", "item", it.ID, "job", j.id, "event", it.last, "late", late)
 			j.finish(it, adapter.StateFailed, "", now)
 		}
 	}
--- a/cicadagateway/cicadaprocess/process.go
+++ b/cicadagateway/cicadaprocess/process.go
@@ -71,6 +71,7 @@
 	behind    atomic.Bool // a look at what peers know is under way
 	owner     atomic.Pointer[cicadabatch.Owner]
 
+	crashes    crashes
 	drainLimit atomic.Int64 // how long a graceful shutdown may take, in nanoseconds
 	leaving    atomic.Bool
 	retiring   atomic.Bool
@@ -189,6 +190,7 @@
 	if n.following.Load() && n.storeUp.Load() {
 		s.EndpointsAsOf, s.EndpointsDigest = n.endpoints.AsOf(), n.registry.Digest()
 	}
+	s.Crashes = n.crashes.recent()
 	for id, count := range n.table.Own() {
 		s.Loads = append(s.Loads, cicadapeer.Load{Endpoint: id, Online: uint16(count.Online), Batch: uint16(count.Batch)})
 	}
@@ -204,6 +206,7 @@
 	if o := n.owner.Load(); o != nil {
 		o.Wake()
 	}
+	n.crashes.merge(s.Crashes)
 	n.catchUp(s)
 }
 
@@ -279,7 +282,8 @@
 
 func (n *Node) serveCallers(ctx context.Context) error {
 	relay := cicadarelay.New(n.config.Load, n.table, n.client, n.log,
-		cicadarelay.WithScope(n.process.Scope()), cicadarelay.WithLeaving(n.leaving.Load), cicadarelay.WithJobs(n.jobs()))
+		cicadarelay.WithScope(n.process.Scope()), cicadarelay.WithLeaving(n.leaving.Load), cicadarelay.WithJobs(n.jobs()),
+		cicadarelay.WithSuspects(&n.crashes.table, n.crashes.add))
 	srv := &http.Server{
 		Handler: relay, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHeader,
 		ErrorLog: n.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
--- a/cicadagateway/cicadarelay/exchange.go
+++ b/cicadagateway/cicadarelay/exchange.go
@@ -13,6 +13,7 @@
 
 	"cicadalink.example/cicadagateway/cicadaexchange"
 	"cicadalink.example/cicadagateway/cicadaplace"
+	"cicadalink.example/cicadakernel/cicadasuspect"
 	"cicadalink.example/cicadakernel/cicadaview"
 	adapter "cicadalink.example/platform"
 )
@@ -25,6 +26,7 @@
 	route    *cicadaview.Route
 	body     []byte
 	id       string
+	print    uint64 // fingerprint of the request
 	start    time.Time
 	deadline time.Time
 	timer    *time.Timer
@@ -179,6 +181,12 @@
 	}
 	grant.Failed()
 	x.logAttempt(grant, sent, "broken", err)
+	x.relay.suspects.Crashed(x.print, grant.Endpoint().ID, time.Now())
+	x.relay.crashed(x.print, grant.Endpoint().ID)
+	if x.relay.suspects.Verdict(x.print, time.Now(), quarantineTime) == cicadasuspect.Quarantined {
+		x.giveUp(ctx, err)
+		return false
+	}
 	if x.events.corrupt || !x.mayRepeat() || (x.headOut && x.route.Kind != cicadaview.Stream) {
 		x.giveUp(ctx, err)
 		return false
--- a/cicadagateway/cicadarelay/relay.go
+++ b/cicadagateway/cicadarelay/relay.go
@@ -25,11 +25,13 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/go-hclog"
 	"github.com/uber-go/tally/v4"
 
 	"cicadalink.example/cicadagateway/cicadaexchange"
 	"cicadalink.example/cicadagateway/cicadaplace"
+	"cicadalink.example/cicadakernel/cicadasuspect"
 	"cicadalink.example/cicadakernel/cicadaview"
 	adapter "cicadalink.example/platform"
 )
@@ -42,6 +44,8 @@
 	// what remains is enough for the first event.
 	waitShare = 0.7
 	maxSends  = 6 // endpoints that one request is offered to
+	// quarantineTime is how long a request that crashes endpoints is refused.
+	quarantineTime = 30 * time.Second
 )
 
 // Jobs handles the calls on batch routes. A nil function refuses the call.
@@ -71,6 +75,10 @@
 	scope   tally.Scope
 	jobs    Jobs
 	leaving func() bool
+	// suspects knows requests that crash endpoints, and crashed passes on what
+	// this process has seen of them.
+	suspects *cicadasuspect.Table
+	crashed  func(request uint64, endpoint string)
 }
 
 // An Option changes a Relay as it is made.
@@ -86,9 +94,18 @@
 // end after their answer.
 func WithLeaving(leaving func() bool) Option { return func(r *Relay) { r.leaving = leaving } }
 
+// WithSuspects shares what is known of requests that crash endpoints. crashed is
+// called for each run after which an endpoint's connection broke.
+func WithSuspects(table *cicadasuspect.Table, crashed func(request uint64, endpoint string)) Option {
+	return func(r *Relay) { r.suspects, r.crashed = table, crashed }
+}
+
 // New returns a relay. config returns the configuration in force, or nil.
 func New(config func() *cicadaview.Config, table *cicadaplace.Table, client *cicadaexchange.Client, log hclog.Logger, opts ...Option) *Relay {
-	r := &Relay{config: config, table: table, client: client, log: log, scope: tally.NoopScope, leaving: func() bool { return false }}
+	r := &Relay{
+		config: config, table: table, client: client, log: log, scope: tally.NoopScope, leaving: func() bool { return false },
+		suspects: &cicadasuspect.Table{}, crashed: func(uint64, string) {},
+	}
 	for _, opt := range opts {
 		opt(r)
 	}
@@ -180,6 +197,11 @@
 		id: r.Header.Get(adapter.HeaderRequestID),
 	}
 	x.deadline = x.start.Add(callerTime(r))
+	x.print = fingerprint(r, body)
+	if l.suspects.Verdict(x.print, x.start, quarantineTime) == cicadasuspect.Quarantined {
+		l.refuse(w, r, http.StatusServiceUnavailable, "crashes-endpoints", quarantineTime)
+		return
+	}
 	ctx, cancel := context.WithDeadlineCause(r.Context(), x.deadline, errTimeout)
 	defer cancel()
 	if route.Timeout > 0 {
@@ -191,6 +213,15 @@
 	x.run(ctx)
 }
 
+// fingerprint tells requests apart by what makes them crash an endpoint. A caller
+// that comes again has another request id.
+func fingerprint(r *http.Request, body []byte) uint64 {
+	h := xxhash.New()
+	_, _ = h.WriteString(r.Method + " " + r.Host + " " + r.RequestURI + "\n")
+	_, _ = h.Write(body)
+	return h.Sum64()
+}
+
 func callerTime(r *http.Request) time.Duration {
 	ms, err := strconv.ParseFloat(r.Header.Get(adapter.HeaderDeadline), 64)
 	if err != nil || ms <= 0 || ms > float64(defaultDeadline.Milliseconds()) {
