--- /dev/null
+++ b/cicadagateway/cicadaplace/table_test.go
@@ -0,0 +1,195 @@
+package cicadaplace
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cicadalink.example/cicadakernel/cicadaview"
+)
+
+func endpoints(n, slots int) []cicadaview.Endpoint {
+	out := make([]cicadaview.Endpoint, n)
+	for i := range out {
+		out[i] = cicadaview.Endpoint{ID: string(rune('a' + i)), Service: "s", Address: "x", Slots: slots}
+	}
+	return out
+}
+
+func acquire(t *testing.T, table *Table, wait time.Duration) *Grant {
+	t.Helper()
+	g, err := table.Acquire(t.Context(), Want{Service: "s", MaxWait: wait})
+	assert.NilError(t, err)
+	return g
+}
+
+func TestGrantsSpreadOverEndpoints(t *testing.T) {
+	table := NewTable("me")
+	table.SetEndpoints(endpoints(3, 4))
+	for range 12 {
+		acquire(t, table, 0)
+	}
+	for id, n := range table.Own() {
+		assert.Equal(t, n.Online, 4, id)
+	}
+	_, err := table.Acquire(t.Context(), Want{Service: "s"})
+	assert.Assert(t, errors.Is(err, ErrBusy))
+}
+
+func TestPeersCountsAreAvoided(t *testing.T) {
+	table := NewTable("me")
+	table.SetEndpoints(endpoints(2, 4))
+	table.SetPeer("other", map[string]Count{"a": {Online: 4}, "gone": {Online: 9}})
+	for range 4 {
+		assert.Equal(t, acquire(t, table, 0).Endpoint().ID, "b")
+	}
+}
+
+func TestSilentPeersCountsAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := NewTable("me")
+		table.SetEndpoints(endpoints(1, 1))
+		table.SetPeer("other", map[string]Count{"a": {Online: 1}})
+		_, err := table.Acquire(t.Context(), Want{Service: "s"})
+		assert.Assert(t, errors.Is(err, ErrBusy))
+		time.Sleep(peerTimeout + time.Millisecond)
+		table.SetPeer("third", nil)
+		acquire(t, table, 0)
+	})
+}
+
+func TestWaitingRequestGetsTheNextSlot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := NewTable("me")
+		table.SetEndpoints(endpoints(1, 4))
+		held := []*Grant{acquire(t, table, 0), acquire(t, table, 0), acquire(t, table, 0), acquire(t, table, 0)}
+		order := make(chan int, 2)
+		for i := range 2 {
+			go func() {
+				g, err := table.Acquire(context.Background(), Want{Service: "s", MaxWait: time.Second})
+				assert.Check(t, err == nil)
+				order <- i
+				g.Release()
+			}()
+			synctest.Wait()
+		}
+		time.Sleep(50 * time.Millisecond)
+		held[0].Release()
+		assert.Equal(t, <-order, 0)
+		assert.Equal(t, <-order, 1)
+	})
+}
+
+func TestRequestThatCannotBeServedInTimeIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := NewTable("me")
+		table.SetEndpoints(endpoints(1, 1))
+		acquire(t, table, 0)
+		start := time.Now()
+		// One slot held for half a second on average: the wait is longer than allowed.
+		_, err := table.Acquire(t.Context(), Want{Service: "s", MaxWait: 200 * time.Millisecond})
+		assert.Assert(t, errors.Is(err, ErrBusy))
+		assert.Equal(t, time.Since(start), time.Duration(0))
+		retry := table.RetryAfter("s")
+		assert.Assert(t, retry >= firstHold && retry <= firstHold*3/2, "%v", retry)
+	})
+}
+
+func TestNoEndpointIsRefusedAtOnce(t *testing.T) {
+	table := NewTable("me")
+	_, err := table.Acquire(t.Context(), Want{Service: "s", MaxWait: time.Hour})
+	assert.Assert(t, errors.Is(err, ErrNoEndpoint))
+	all := endpoints(1, 1)
+	all[0].Draining = true
+	table.SetEndpoints(all)
+	_, err = table.Acquire(t.Context(), Want{Service: "s", MaxWait: time.Hour})
+	assert.Assert(t, errors.Is(err, ErrNoEndpoint))
+}
+
+func TestDrainingEndpointGetsNothingEvenFromTheQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := NewTable("me")
+		table.SetEndpoints(endpoints(1, 4))
+		var held []*Grant
+		for range 4 {
+			held = append(held, acquire(t, table, 0))
+		}
+		got := make(chan error, 1)
+		go func() {
+			_, err := table.Acquire(context.Background(), Want{Service: "s", MaxWait: 400 * time.Millisecond})
+			got <- err
+		}()
+		synctest.Wait()
+		all := endpoints(1, 4)
+		all[0].Draining = true
+		table.SetEndpoints(all)
+		held[0].Release()
+		assert.Assert(t, errors.Is(<-got, ErrBusy))
+	})
+}
+
+func TestFailedEndpointRestsAndIsUsedWhenThereIsNoOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := NewTable("me")
+		table.SetEndpoints(endpoints(2, 4))
+		g := acquire(t, table, 0)
+		bad := g.Endpoint().ID
+		g.Failed()
+		g.Release()
+		for range 4 {
+			assert.Assert(t, acquire(t, table, 0).Endpoint().ID != bad)
+		}
+		_, err := table.Acquire(t.Context(), Want{Service: "s"})
+		assert.Assert(t, errors.Is(err, ErrBusy))
+		time.Sleep(firstRest + time.Millisecond)
+		assert.Equal(t, acquire(t, table, 0).Endpoint().ID, bad)
+	})
+}
+
+func TestBatchKeepsAReserveAndYields(t *testing.T) {
+	table := NewTable("owner")
+	table.SetEndpoints(endpoints(1, 4))
+	for range 3 {
+		assert.Assert(t, table.AcquireBatch("s", 1, nil) != nil)
+	}
+	assert.Assert(t, table.AcquireBatch("s", 1, nil) == nil)
+	assert.Equal(t, len(table.Excess()), 0)
+	table.SetPeer("entry", map[string]Count{"a": {Online: 3}})
+	assert.DeepEqual(t, table.Excess(), map[string]int{"a": 2})
+}
+
+func TestOwnersAgreeWhoYields(t *testing.T) {
+	counts := map[string]Count{"o1": {Batch: 3}, "o2": {Batch: 2}, "o3": {Batch: 1}}
+	total := 0
+	for name, own := range counts {
+		table := NewTable(name)
+		table.SetEndpoints(endpoints(1, 8))
+		for range own.Batch {
+			assert.Assert(t, table.AcquireBatch("s", 0, nil) != nil)
+		}
+		for other, n := range counts {
+			if other != name {
+				table.SetPeer(other, map[string]Count{"a": n})
+			}
+		}
+		table.SetPeer("entry", map[string]Count{"a": {Online: 5}})
+		total += table.Excess()["a"]
+	}
+	assert.Equal(t, total, 3)
+}
+
+func TestPinnedItemCountsAsOnline(t *testing.T) {
+	table := NewTable("owner")
+	table.SetEndpoints(endpoints(1, 2))
+	g := table.AcquireBatch("s", 0, nil)
+	g.Pin()
+	table.SetPeer("entry", map[string]Count{"a": {Online: 2}})
+	assert.Equal(t, len(table.Excess()), 0)
+	assert.DeepEqual(t, table.Own(), map[string]Count{"a": {Online: 1}})
+	g.Release()
+	assert.Equal(t, len(table.Own()), 0)
+}
