--- a/cicadagateway/cicadaplace/batch.go
+++ b/cicadagateway/cicadaplace/batch.go
@@ -7,14 +7,18 @@
 
 // AcquireBatch returns a slot for a batch item, or nil. It takes a slot only at
 // an endpoint that keeps more than reserve slots free for online requests, and
-// never waits.
+// never waits. Endpoints to avoid are used when there is no other.
 func (t *Table) AcquireBatch(service string, reserve int, avoid []string) *Grant {
 	t.mu.Lock()
 	now := time.Now()
+	svc := t.service(service)
 	w := Want{Avoid: avoid}
+	if !svc.usable(w) {
+		w.Avoid = nil
+	}
 	var found *endpoint
 	most := 0.0
-	for _, e := range t.service(service).endpoints {
+	for _, e := range svc.endpoints {
 		if e.Draining || w.avoids(e.ID) || now.Before(e.restTill) {
 			continue
 		}
