--- a/cicadagateway/cicadapeer/peer.go
+++ b/cicadagateway/cicadapeer/peer.go
@@ -83,9 +83,9 @@
 
 // A Crash is a run of a request after which the endpoint fell silent.
 type Crash struct {
-	_        struct{} `cbor:",toarray"`
-	Request  uint64   // fingerprint of the request
-	Endpoint string
+	_       struct{} `cbor:",toarray"`
+	Request uint64   // fingerprint of the request
+	Run     string   // which run it was: endpoint and request id
 }
 
 type seen struct {
--- a/cicadagateway/cicadaprocess/crashes.go
+++ b/cicadagateway/cicadaprocess/crashes.go
@@ -23,10 +23,10 @@
 }
 
 // add records a crash that this process has seen, to be passed on.
-func (c *crashes) add(request uint64, endpoint string) {
+func (c *crashes) add(request uint64, run string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.own = append(c.own, cicadapeer.Crash{Request: request, Endpoint: endpoint})
+	c.own = append(c.own, cicadapeer.Crash{Request: request, Run: run})
 	c.at = append(c.at, time.Now())
 	if len(c.own) > maxCrashes {
 		c.own, c.at = c.own[1:], c.at[1:]
@@ -47,6 +47,6 @@
 func (c *crashes) merge(reports []cicadapeer.Crash) {
 	now := time.Now()
 	for _, r := range reports {
-		c.table.Crashed(r.Request, r.Endpoint, now)
+		c.table.Crashed(r.Request, r.Run, now)
 	}
 }
--- a/cicadagateway/cicadarelay/exchange.go
+++ b/cicadagateway/cicadarelay/exchange.go
@@ -50,9 +50,7 @@
 			x.giveUp(ctx, err)
 			return
 		}
-		again := x.attempt(ctx, grant)
-		grant.Release()
-		if !again {
+		if !x.try(ctx, grant) {
 			return
 		}
 		if !x.current() {
@@ -62,6 +60,13 @@
 	}
 }
 
+// try makes one attempt and gives its slot back, also when the caller's
+// connection is to be cut.
+func (x *exchange) try(ctx context.Context, grant *cicadaplace.Grant) bool {
+	defer grant.Release()
+	return x.attempt(ctx, grant)
+}
+
 // current looks the route up again: the configuration may have changed while the
 // request waited or ran.
 func (x *exchange) current() bool {
@@ -181,8 +186,9 @@
 	}
 	grant.Failed()
 	x.logAttempt(grant, sent, "broken", err)
-	x.relay.suspects.Crashed(x.print, grant.Endpoint().ID, time.Now())
-	x.relay.crashed(x.print, grant.Endpoint().ID)
+	run := grant.Endpoint().ID + " " + x.id
+	x.relay.suspects.Crashed(x.print, run, time.Now())
+	x.relay.crashed(x.print, run)
 	if x.relay.suspects.Verdict(x.print, time.Now(), quarantineTime) == cicadasuspect.Quarantined {
 		x.giveUp(ctx, err)
 		return false
--- a/cicadagateway/cicadarelay/relay.go
+++ b/cicadagateway/cicadarelay/relay.go
@@ -78,7 +78,7 @@
 	// suspects knows requests that crash endpoints, and crashed passes on what
 	// this process has seen of them.
 	suspects *cicadasuspect.Table
-	crashed  func(request uint64, endpoint string)
+	crashed  func(request uint64, run string)
 }
 
 // An Option changes a Relay as it is made.
@@ -96,7 +96,7 @@
 
 // WithSuspects shares what is known of requests that crash endpoints. crashed is
 // called for each run after which an endpoint's connection broke.
-func WithSuspects(table *cicadasuspect.Table, crashed func(request uint64, endpoint string)) Option {
+func WithSuspects(table *cicadasuspect.Table, crashed func(request uint64, run string)) Option {
 	return func(r *Relay) { r.suspects, r.crashed = table, crashed }
 }
 
