Relay the states of peers that cannot hear each other

Change: a state names whom its member hears; the first that hears a member which another misses passes its state on.

--- a/cicadagateway/cicadapeer/peer.go
+++ b/cicadagateway/cicadapeer/peer.go
@@ -16,6 +16,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -77,6 +78,10 @@
 	EndpointsAsOf   int64
 	EndpointsDigest uint64
 	Loads           []Load
+	// Heard names the members that this one hears directly.
+	Heard []string
+	// Relayed are states of members that some other member does not hear.
+	Relayed []State
 	// Crashes are the latest runs that ended with their endpoint's connection.
 	Crashes []Crash
 }
@@ -89,11 +94,14 @@
 }
 
 type seen struct {
-	state State
-	heard time.Time
-	live  bool
+	state  State
+	heard  time.Time // directly or through another member
+	direct time.Time
+	live   bool
 }
 
+func (s *seen) heardDirectly(now time.Time) bool { return now.Sub(s.direct) <= silence }
+
 // A Group is the set of members as one of them sees it.
 type Group struct {
 	mu          sync.Mutex
@@ -201,6 +209,7 @@
 	g.mu.Lock()
 	g.sequence++
 	state.Member, state.Incarnation, state.Sequence = g.self, g.incarnation, g.sequence
+	state.Heard, state.Relayed = g.relay(time.Now())
 	addresses := make([]*net.UDPAddr, 0, len(g.addresses))
 	for _, a := range g.addresses {
 		addresses = append(addresses, a)
@@ -218,6 +227,46 @@
 	}
 }
 
+// relay returns which members are heard directly, and the states of those among
+// them that a live member does not hear. The first member by name that hears
+// such a one relays it.
+func (g *Group) relay(now time.Time) (heard []string, relayed []State) {
+	for name, s := range g.members {
+		if s.live && s.heardDirectly(now) {
+			heard = append(heard, name)
+		}
+	}
+	sort.Strings(heard)
+	for _, name := range heard {
+		if g.missed(name) && g.relays(name) {
+			state := g.members[name].state
+			state.Heard, state.Relayed, state.Crashes = nil, nil, nil
+			relayed = append(relayed, state)
+		}
+	}
+	return heard, relayed
+}
+
+// missed reports whether a live member does not hear the one named.
+func (g *Group) missed(name string) bool {
+	for other, s := range g.members {
+		if other != name && s.live && !slices.Contains(s.state.Heard, name) {
+			return true
+		}
+	}
+	return false
+}
+
+// relays reports whether it falls to this member to relay the one named.
+func (g *Group) relays(name string) bool {
+	for other, s := range g.members {
+		if other != name && other < g.self.Name && s.live && slices.Contains(s.state.Heard, name) {
+			return false
+		}
+	}
+	return true
+}
+
 func (g *Group) receive() {
 	buf := make([]byte, maxDatagram)
 	for {
@@ -234,11 +283,15 @@
 			g.log.Warn("peer message refused", "error", err)
 			continue
 		}
-		g.take(state)
+		g.take(state, true)
+		for _, relayed := range state.Relayed {
+			g.take(relayed, false)
+		}
 	}
 }
 
-func (g *Group) take(state State) {
+// take takes in a member's state, heard directly or through another member.
+func (g *Group) take(state State, direct bool) {
 	name := state.Member.Name
 	if name == g.self.Name || name == "" {
 		return
@@ -250,12 +303,20 @@
 		g.mu.Unlock()
 		return
 	}
+	now := time.Now()
+	next := &seen{state: state, heard: now, live: true}
+	switch {
+	case direct:
+		next.direct = now
+	case old != nil:
+		next.direct, next.state.Heard = old.direct, old.state.Heard
+	}
 	changed := old == nil || !old.live || old.state.StoreUp != state.StoreUp || old.state.Leaving != state.Leaving ||
 		old.state.Incarnation != state.Incarnation
 	if old == nil || !old.live {
 		g.log.Info("peer live", "peer", name, "incarnation", state.Incarnation)
 	}
-	g.members[name] = &seen{state: state, heard: time.Now(), live: true}
+	g.members[name] = next
 	g.learn(state.Member)
 	g.mu.Unlock()
 	g.received(state)
