Bring calls on jobs to owners through entries that reach them

Change: an entry that does not hear an owner calls one that does, which passes the call on; one owner may take 1.5 s.

--- a/cicadagateway/cicadabatch/calls.go
+++ b/cicadagateway/cicadabatch/calls.go
@@ -30,6 +30,8 @@
 	After  int
 	Item   string
 	Wait   time.Duration
+	// Relayed calls come from a process that does not reach the owner.
+	Relayed bool
 	// Progress is what a CallHandOver hands over.
 	Progress []Progress
 }
--- a/cicadagateway/cicadabatch/rpc.go
+++ b/cicadagateway/cicadabatch/rpc.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/cespare/xxhash/v2"
@@ -32,14 +33,25 @@
 // Method describes the call.
 func (description) Method(int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
 	return callName, encoding{}, func(srv any, ctx context.Context, in, _ any) (drpc.Message, error) {
-		return srv.(*Owner).Handle(ctx, in.(*Call))
-	}, (*Owner).Handle, true
+		return srv.(handler).Handle(ctx, in.(*Call))
+	}, handler.Handle, true
+}
+
+// A handler answers calls: an owner, or a client that passes them on.
+type handler interface {
+	Handle(ctx context.Context, c *Call) (*Answer, error)
 }
 
 // Register serves the owner's calls.
-func (o *Owner) Register(mux drpc.Mux) error {
-	if err := mux.Register(o, description{}); err != nil {
-		return merry.Errorf("register owner: %w", err)
+func (o *Owner) Register(mux drpc.Mux) error { return register(mux, o) }
+
+// Register serves calls by passing them on to the job's owner, for peers that
+// cannot reach it.
+func (c *Client) Register(mux drpc.Mux) error { return register(mux, c) }
+
+func register(mux drpc.Mux, h handler) error {
+	if err := mux.Register(h, description{}); err != nil {
+		return merry.Errorf("register job calls: %w", err)
 	}
 	return nil
 }
@@ -55,10 +67,15 @@
 	return best
 }
 
-// A Peer is an owner that can be called.
+// tryTime is how long one owner may take for a call, beyond the call's wait.
+const tryTime = 1500 * time.Millisecond
+
+// A Peer is an owner that can be called. If this process does not reach it, the
+// address is that of a process that does.
 type Peer struct {
 	Name    string
 	Address string
+	Relayed bool
 }
 
 // A Client passes calls on to the owner of their job.
@@ -72,14 +89,26 @@
 	return &Client{pool: pool, owners: owners}
 }
 
+// Handle passes on a call that another process could not bring to the owner.
+func (c *Client) Handle(ctx context.Context, call *Call) (*Answer, error) {
+	call.Relayed = true
+	a, err := c.Call(ctx, call)
+	if err != nil {
+		return nil, err
+	}
+	return &a, nil
+}
+
 // Call passes a call to the job's owner. If that one cannot be reached, the next
 // in the order of the hash is asked.
 func (c *Client) Call(ctx context.Context, call *Call) (Answer, error) {
 	err := error(merry.New("cicadabatch: no owner"))
 	for _, peer := range rank(call.Job, c.owners()) {
+		if peer.Relayed && call.Relayed {
+			continue
+		}
 		var a Answer
-		err = c.pool.Conn(peer.Address).Invoke(ctx, callName, encoding{}, call, &a)
-		if err == nil {
+		if a, err = c.try(ctx, peer, call); err == nil {
 			return a, nil
 		}
 		if ctx.Err() != nil {
@@ -92,6 +121,14 @@
 	return refused(), merry.Errorf("call owner: %w", err)
 }
 
+func (c *Client) try(ctx context.Context, peer Peer, call *Call) (Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, call.Wait+tryTime)
+	defer cancel()
+	var a Answer
+	err := c.pool.Conn(peer.Address).Invoke(ctx, callName, encoding{}, call, &a)
+	return a, err
+}
+
 // HandOver passes the progress of a job to the owner that it has moved to.
 func (c *Client) HandOver(ctx context.Context, job string, p []Progress) error {
 	_, err := c.Call(ctx, &Call{Kind: CallHandOver, Job: job, Progress: p})
--- a/cicadagateway/cicadapeer/peer.go
+++ b/cicadagateway/cicadapeer/peer.go
@@ -356,6 +356,32 @@
 	return true
 }
 
+// Direct reports whether this member hears the one named directly.
+func (g *Group) Direct(name string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := g.members[name]
+	return s != nil && s.live && s.heardDirectly(time.Now())
+}
+
+// Through returns the address of a live entry that hears the member named and is
+// heard here, for calls to a member that this one does not reach.
+func (g *Group) Through(name string) (address string, ok bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	first := ""
+	for other, s := range g.members {
+		if other == name || !s.live || s.state.Member.Role != RoleEntry || !s.heardDirectly(now) || !slices.Contains(s.state.Heard, name) {
+			continue
+		}
+		if first == "" || other < first {
+			first, address = other, s.state.Member.Address
+		}
+	}
+	return address, first != ""
+}
+
 // Live returns the states of the live members of a role, by name.
 func (g *Group) Live(role Role) []State {
 	g.mu.Lock()
--- a/cicadagateway/cicadaprocess/jobs.go
+++ b/cicadagateway/cicadaprocess/jobs.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"storj.io/drpc"
 
 	"cicadalink.example/cicadagateway/cicadabatch"
 	"cicadalink.example/cicadagateway/cicadafollow"
@@ -30,8 +31,7 @@
 }
 
 // jobs returns what handles batch routes at an entry: the jobs' owners.
-func (n *Node) jobs() cicadarelay.Jobs {
-	client := cicadabatch.NewClient(cicadawire.NewPool(), n.ownerPeers)
+func (n *Node) jobs(client *cicadabatch.Client) cicadarelay.Jobs {
 	return cicadarelay.Jobs{
 		Submit: func(ctx context.Context, route *cicadaview.Route, host, id string, body []byte) cicadarelay.JobAnswer {
 			return n.callOwner(ctx, client, &cicadabatch.Call{
@@ -82,9 +82,17 @@
 	}
 	var peers []cicadabatch.Peer
 	for _, name := range n.ownerNames() {
-		if address, ok := addresses[name]; ok {
-			peers = append(peers, cicadabatch.Peer{Name: name, Address: address})
+		address, ok := addresses[name]
+		if !ok {
+			continue
+		}
+		peer := cicadabatch.Peer{Name: name, Address: address}
+		if !n.group.Direct(name) {
+			if through, ok := n.group.Through(name); ok {
+				peer.Address, peer.Relayed = through, true
+			}
 		}
+		peers = append(peers, peer)
 	}
 	return peers
 }
@@ -101,23 +109,31 @@
 	retirements := newRetirements(work, n, owner.Idle)
 	cicadafollow.New(work, n.store, adapter.RetirementsPrefix, n.link, n.log, retirements.apply)
 	cicadafollow.New(work, n.store, cicadabatch.JobsPrefix, n.link, n.log, owner.Apply)
+	if err := n.servePeers(work, owner.Register); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	n.leave()
+	cicadaretry.Wait(context.Background(), ownerLinger)
+	n.log.Info("stopped")
+	return nil
+}
+
+// servePeers serves calls on jobs from other processes.
+func (n *Node) servePeers(ctx context.Context, register func(drpc.Mux) error) error {
 	srv := cicadawire.NewServer()
-	if err := owner.Register(srv.Mux()); err != nil {
+	if err := register(srv.Mux()); err != nil {
 		return err
 	}
 	ln, err := net.Listen("tcp", net.JoinHostPort(n.cfg.IP, strconv.Itoa(n.cfg.PeerPort)))
 	if err != nil {
-		return merry.Errorf("listen for entries: %w", err)
+		return merry.Errorf("listen for peers: %w", err)
 	}
 	n.wg.Go(func() {
-		if err := srv.Serve(work, ln); err != nil && work.Err() == nil {
-			n.log.Error("owner listener failed", "error", err)
+		if err := srv.Serve(ctx, ln); err != nil && ctx.Err() == nil {
+			n.log.Error("peer listener failed", "error", err)
 		}
 	})
-	<-ctx.Done()
-	n.leave()
-	cicadaretry.Wait(context.Background(), ownerLinger)
-	n.log.Info("stopped")
 	return nil
 }
 
--- a/cicadagateway/cicadaprocess/process.go
+++ b/cicadagateway/cicadaprocess/process.go
@@ -34,6 +34,7 @@
 	"cicadalink.example/cicadakernel/cicadaplatform"
 	"cicadalink.example/cicadakernel/cicadaretry"
 	"cicadalink.example/cicadakernel/cicadaview"
+	"cicadalink.example/cicadakernel/cicadawire"
 	adapter "cicadalink.example/platform"
 )
 
@@ -122,7 +123,7 @@
 	if n.cfg.Role == RoleOwner {
 		return n.serveOwner(ctx, work)
 	}
-	return n.serveCallers(ctx)
+	return n.serveCallers(ctx, work)
 }
 
 func (n *Node) leave() {
@@ -280,9 +281,13 @@
 	n.group.SetMembers(members)
 }
 
-func (n *Node) serveCallers(ctx context.Context) error {
+func (n *Node) serveCallers(ctx, work context.Context) error {
+	client := cicadabatch.NewClient(cicadawire.NewPool(), n.ownerPeers)
+	if err := n.servePeers(work, client.Register); err != nil {
+		return err
+	}
 	relay := cicadarelay.New(n.config.Load, n.table, n.client, n.log,
-		cicadarelay.WithScope(n.process.Scope()), cicadarelay.WithLeaving(n.leaving.Load), cicadarelay.WithJobs(n.jobs()),
+		cicadarelay.WithScope(n.process.Scope()), cicadarelay.WithLeaving(n.leaving.Load), cicadarelay.WithJobs(n.jobs(client)),
 		cicadarelay.WithSuspects(&n.crashes.table, n.crashes.add))
 	srv := &http.Server{
 		Handler: relay, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHeader,
