--- a/cicadagateway/cicadabatch/order.go
+++ b/cicadagateway/cicadabatch/order.go
@@ -47,15 +47,19 @@
 }
 
 // less orders items that wait for a slot: those that can still be in time come
-// first, the one with the least slack before the others; those that are late
-// anyway come after them.
+// first. Among them the job that is due first goes first, so that under a long
+// backlog some jobs are whole and in time rather than all of them late, and in a
+// job the item that is nearest to its end. Items are put aside in the opposite
+// order.
 func (p *pace) less(a, b *item, now time.Time) bool {
-	sa, sb := p.slack(a, now), p.slack(b, now)
-	if (sa < 0) != (sb < 0) {
-		return sb < 0
+	if la, lb := p.slack(a, now) < 0, p.slack(b, now) < 0; la != lb {
+		return lb
 	}
-	if sa != sb {
-		return sa < sb
+	if da, db := a.job.due(), b.job.due(); !da.Equal(db) {
+		return da.Before(db)
+	}
+	if a.last != b.last {
+		return a.last > b.last
 	}
 	return a.ID < b.ID
 }
@@ -82,7 +86,7 @@
 		if it.pinned {
 			continue
 		}
-		if best == nil || p.slack(it, now) > p.slack(best, now) {
+		if best == nil || p.less(best, it, now) {
 			best = it
 		}
 	}
--- a/cicadagateway/cicadabatch/order_test.go
+++ b/cicadagateway/cicadabatch/order_test.go
@@ -13,7 +13,9 @@
 	return it
 }
 
-func TestLeastSlackFirstAndLateItemsLast(t *testing.T) {
+// TestJobDueFirstGoesFirstAndLateItemsLast answers a backlog that is longer than
+// the time to the due times: finishing some jobs beats being late with all.
+func TestJobDueFirstGoesFirstAndLateItemsLast(t *testing.T) {
 	now := time.Unix(1000, 0)
 	p := &pace{run: 5 * time.Second, events: 100}
 	due := func(d time.Duration) *job {
@@ -22,14 +24,15 @@
 	late := itemOf(due(2*time.Second), "late", 0)
 	soon := itemOf(due(6*time.Second), "soon", 0)
 	later := itemOf(due(18*time.Second), "later", 0)
-	waiting := []*item{later, late, soon}
+	begun := itemOf(soon.job, "begun", 40)
+	waiting := []*item{later, late, soon, begun}
 	var order []string
 	for len(waiting) > 0 {
 		it := p.next(waiting, now)
 		order = append(order, it.ID)
 		waiting = without(waiting, it)
 	}
-	assert.DeepEqual(t, order, []string{"soon", "later", "late"})
+	assert.DeepEqual(t, order, []string{"begun", "soon", "later", "late"})
 	resting := itemOf(due(6*time.Second), "resting", 0)
 	resting.notBefore = now.Add(time.Second)
 	assert.Assert(t, p.next([]*item{resting}, now) == nil)
@@ -40,9 +43,11 @@
 	p := &pace{run: 5 * time.Second, events: 100}
 	j := &job{accepted: now, record: record{DueMs: 18000}}
 	begun, ending := itemOf(j, "begun", 5), itemOf(j, "ending", 95)
+	newer := itemOf(&job{accepted: now.Add(time.Second), record: record{DueMs: 18000}}, "newer", 50)
 	pinned := itemOf(j, "pinned", 99)
 	pinned.pinned = true
-	assert.Equal(t, p.putAside([]*item{begun, ending, pinned}, now).ID, "ending")
+	assert.Equal(t, p.putAside([]*item{begun, newer, ending, pinned}, now).ID, "newer")
+	assert.Equal(t, p.putAside([]*item{begun, ending, pinned}, now).ID, "begun")
 	assert.Assert(t, p.putAside([]*item{pinned}, now) == nil)
 }
 
