--- a/cicadactl/cicadacommand/command.go
+++ b/cicadactl/cicadacommand/command.go
@@ -50,7 +50,7 @@
 		Commands: []*cli.Command{
 			applyCommand(), diffCommand(), getCommand(), deleteCommand(),
 			historyCommand(), auditCommand(), rollBackCommand(),
-			statusCommand(), vmCommand(), jobCommand(), keyCommand(),
+			statusCommand(), vmCommand(), jobCommand(), keyCommand(), explainCommand(),
 		},
 	}
 }
