--- a/cicadagateway/cicadabatch/owner_test.go
+++ b/cicadagateway/cicadabatch/owner_test.go
@@ -132,6 +132,26 @@
 	})
 }
 
+// TestOnlineNeverWaitsBehindLateJobs answers jobs that all near their due time at
+// once, after an outage: one item an endpoint is protected, the rest yields.
+func TestOnlineNeverWaitsBehindLateJobs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t)
+		o := s.start(t, "o1", only("o1"))
+		defer o.stop()
+		time.Sleep(time.Second)
+		c := submission("j", 100, 100, 100, 100, 100, 100, 100, 100)
+		c.Due = 5 * time.Second
+		o.call(t, c)
+		time.Sleep(500 * time.Millisecond)
+		assert.Assert(t, s.active() >= 6)
+		o.table.SetPeer("entry", map[string]cicadaplace.Count{"e1": {Online: 4}, "e2": {Online: 4}})
+		o.Wake()
+		time.Sleep(50 * time.Millisecond)
+		assert.Equal(t, s.active(), 2*maxPinned)
+	})
+}
+
 func TestFailedAndImpossibleItems(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSite(t)
--- a/cicadagateway/cicadabatch/schedule.go
+++ b/cicadagateway/cicadabatch/schedule.go
@@ -21,6 +21,9 @@
 	// breaks before the item gets on: the item may crash its endpoints.
 	maxRetryDelay = 5 * time.Second
 	maxBreaks     = 10
+	// maxPinned is how many items an owner protects at one endpoint: the other
+	// slots stay within the reach of online requests.
+	maxPinned = 1
 	// routeGrace is how long the configuration may lack a job's route before its
 	// items are given up.
 	routeGrace = 3 * time.Second
@@ -106,15 +109,30 @@
 // slots count as taken by online requests.
 func (o *Owner) pinUrgent(now time.Time) {
 	for _, running := range o.running {
+		free := maxPinned - pinnedOf(running)
 		for _, it := range running {
+			if free <= 0 {
+				break
+			}
 			if !it.pinned && o.pace.slack(it, now) < urgentSlack && it.job.due().After(now) {
 				it.pinned = true
 				it.grant.Pin()
+				free--
 			}
 		}
 	}
 }
 
+func pinnedOf(running []*item) int {
+	n := 0
+	for _, it := range running {
+		if it.pinned {
+			n++
+		}
+	}
+	return n
+}
+
 func (o *Owner) putAside(endpoint string, now time.Time) {
 	it := o.pace.putAside(o.running[endpoint], now)
 	if it == nil {
