--- a/cicadakernel/logwriter.go
+++ b/cicadakernel/logwriter.go
@@ -1,6 +1,7 @@
 package cicadakernel
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync"
@@ -15,6 +16,9 @@
 	logBuffer = 1 << 20
 	// logInterval is how often waiting text is written.
 	logInterval = 25 * time.Millisecond
+	// maxLogWrite is how much one write may hold, in bytes: a pipe takes so much as
+	// a whole, and does not mix it with what others write.
+	maxLogWrite = 4096
 )
 
 // A LogWriter passes lines on to another writer without ever blocking: a
@@ -97,11 +101,28 @@
 	if dropped > told {
 		text = fmt.Appendf(text, `{"@level":"warn","@message":"log lines dropped","lines":%d}`+"\n", dropped-told)
 	}
-	if len(text) > 0 {
-		_, _ = w.out.Write(text) // there is nowhere left to report a failure to
+	for rest := text; len(rest) > 0; {
+		n := wholeLines(rest)
+		_, _ = w.out.Write(rest[:n]) // there is nowhere left to report a failure to
+		rest = rest[n:]
 	}
 	w.mu.Lock()
 	w.spare = text[:0]
 	w.mu.Unlock()
 	return dropped
 }
+
+// wholeLines returns how much of a text fits in one write without cutting a line.
+// A line that is longer is written by itself.
+func wholeLines(text []byte) int {
+	if len(text) <= maxLogWrite {
+		return len(text)
+	}
+	if end := bytes.LastIndexByte(text[:maxLogWrite], '\n'); end >= 0 {
+		return end + 1
+	}
+	if end := bytes.IndexByte(text, '\n'); end >= 0 {
+		return end + 1
+	}
+	return len(text)
+}
--- a/cicadakernel/logwriter_test.go
+++ b/cicadakernel/logwriter_test.go
@@ -46,3 +46,12 @@
 		assert.Assert(t, strings.Contains(out.text.String(), `"lines":41`))
 	})
 }
+
+func TestWritesHoldWholeLines(t *testing.T) {
+	line := strings.Repeat("x", 999) + "\n"
+	long := strings.Repeat("y", 5000) + "\n"
+	assert.Equal(t, wholeLines([]byte(line)), 1000)
+	assert.Equal(t, wholeLines([]byte(strings.Repeat(line, 10))), 4000)
+	assert.Equal(t, wholeLines([]byte(long+line)), 5001)
+	assert.Equal(t, wholeLines([]byte(long[:5000])), 5000)
+}
