--- a/cicadagateway/cicadabatch/engine_test.go
+++ b/cicadagateway/cicadabatch/engine_test.go
@@ -149,7 +149,7 @@
 	cancel  []context.CancelFunc
 }
 
-func newSite(t *testing.T) *site {
+func newSite() *site {
 	memory := cicadaplatform.NewMemory()
 	routes := []cicadaview.Route{{
 		Name: "r", Host: "h", Prefix: "/j/", Kind: cicadaview.Batch, Due: 18 * time.Second, GiveUpAfter: time.Minute, Attempts: 3,
@@ -168,7 +168,7 @@
 }
 
 // start starts an owner that takes the owners given as the ones that may run jobs.
-func (s *site) start(t *testing.T, name string, owners func() []string, opts ...Option) *member {
+func (s *site) start(name string, owners func() []string, opts ...Option) *member {
 	ctx, cancel := context.WithCancel(context.Background())
 	log := hclog.NewNullLogger()
 	store := cicadaplatform.NewClient(s.backend)
--- a/cicadagateway/cicadabatch/owner_test.go
+++ b/cicadagateway/cicadabatch/owner_test.go
@@ -52,8 +52,8 @@
 
 func TestJobIsRunAndRead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newSite(t)
-		o := s.start(t, "o1", only("o1"))
+		s := newSite()
+		o := s.start("o1", only("o1"))
 		defer o.stop()
 		time.Sleep(time.Second)
 		events := []int{20, 30, 40}
@@ -77,8 +77,8 @@
 
 func TestReadWaitsForAResult(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newSite(t)
-		o := s.start(t, "o1", only("o1"))
+		s := newSite()
+		o := s.start("o1", only("o1"))
 		defer o.stop()
 		time.Sleep(time.Second)
 		o.call(t, submission("j", 10))
@@ -93,8 +93,8 @@
 
 func TestItemsPutAsideGoOnAfterTheirLastEvent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newSite(t)
-		o := s.start(t, "o1", only("o1"))
+		s := newSite()
+		o := s.start("o1", only("o1"))
 		defer o.stop()
 		time.Sleep(time.Second)
 		events := []int{100, 100, 100, 100, 100, 100}
@@ -117,8 +117,8 @@
 
 func TestItemNearItsDueTimeIsNotPutAside(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newSite(t)
-		o := s.start(t, "o1", only("o1"))
+		s := newSite()
+		o := s.start("o1", only("o1"))
 		defer o.stop()
 		time.Sleep(time.Second)
 		c := submission("j", 100)
@@ -136,8 +136,8 @@
 // once, after an outage: one item an endpoint is protected, the rest yields.
 func TestOnlineNeverWaitsBehindLateJobs(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newSite(t)
-		o := s.start(t, "o1", only("o1"))
+		s := newSite()
+		o := s.start("o1", only("o1"))
 		defer o.stop()
 		time.Sleep(time.Second)
 		c := submission("j", 100, 100, 100, 100, 100, 100, 100, 100)
@@ -154,8 +154,8 @@
 
 func TestFailedAndImpossibleItems(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newSite(t)
-		o := s.start(t, "o1", only("o1"))
+		s := newSite()
+		o := s.start("o1", only("o1"))
 		defer o.stop()
 		time.Sleep(time.Second)
 		o.call(t, submission("j", 422, 500, 5))
@@ -176,9 +176,9 @@
 
 func TestBrokenRunGoesOnElsewhere(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newSite(t)
+		s := newSite()
 		s.cutAt = 7
-		o := s.start(t, "o1", only("o1"))
+		o := s.start("o1", only("o1"))
 		defer o.stop()
 		time.Sleep(time.Second)
 		o.call(t, submission("j", 20, 20))
@@ -191,9 +191,9 @@
 
 func TestSilentEndpointIsLeft(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newSite(t)
+		s := newSite()
 		s.silent = true
-		o := s.start(t, "o1", only("o1"))
+		o := s.start("o1", only("o1"))
 		defer o.stop()
 		time.Sleep(time.Second)
 		o.call(t, submission("j", 20))
@@ -208,10 +208,10 @@
 
 func TestEndedJobStopsAndStaysReadable(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newSite(t)
-		o1 := s.start(t, "o1", only("o1"))
+		s := newSite()
+		o1 := s.start("o1", only("o1"))
 		defer o1.stop()
-		o2 := s.start(t, "o2", only("o1"))
+		o2 := s.start("o2", only("o1"))
 		defer o2.stop()
 		time.Sleep(time.Second)
 		o1.call(t, submission("j", 10, 200, 200))
@@ -231,10 +231,10 @@
 // be done twice, and each item is still listed once, at one position everywhere.
 func TestTwoOwnersOfOneJob(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newSite(t)
-		o1 := s.start(t, "o1", only("o1"))
+		s := newSite()
+		o1 := s.start("o1", only("o1"))
 		defer o1.stop()
-		o2 := s.start(t, "o2", only("o2"))
+		o2 := s.start("o2", only("o2"))
 		defer o2.stop()
 		time.Sleep(time.Second)
 		events := []int{10, 60, 25, 40, 33}
@@ -259,8 +259,8 @@
 
 func TestNewOwnerGoesOnFromTheStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newSite(t)
-		o1 := s.start(t, "o1", only("o1"))
+		s := newSite()
+		o1 := s.start("o1", only("o1"))
 		time.Sleep(time.Second)
 		events := []int{10, 100}
 		o1.call(t, submission("j", events...))
@@ -268,7 +268,7 @@
 		before := o1.results(t, "j", 0)
 		assert.Equal(t, len(before.Results), 1)
 		o1.stop()
-		o2 := s.start(t, "o2", only("o2"))
+		o2 := s.start("o2", only("o2"))
 		defer o2.stop()
 		time.Sleep(5 * time.Second)
 		after := o2.results(t, "j", 0)
@@ -279,17 +279,17 @@
 
 func TestMovedJobKeepsItsProgress(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newSite(t)
+		s := newSite()
 		var owner atomic.Value
 		owner.Store("o1")
 		owners := func() []string { return []string{owner.Load().(string)} }
 		var o2 *member
-		o1 := s.start(t, "o1", owners, WithHandOver(func(ctx context.Context, job string, p []Progress) error {
+		o1 := s.start("o1", owners, WithHandOver(func(ctx context.Context, job string, p []Progress) error {
 			_, err := o2.Handle(ctx, &Call{Kind: CallHandOver, Job: job, Progress: p})
 			return err
 		}))
 		defer o1.stop()
-		o2 = s.start(t, "o2", owners)
+		o2 = s.start("o2", owners)
 		defer o2.stop()
 		time.Sleep(time.Second)
 		o1.call(t, submission("j", 100, 100))
@@ -307,7 +307,7 @@
 
 func TestResultsWaitForTheStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newSite(t)
+		s := newSite()
 		var down atomic.Bool
 		create := s.backend.Create
 		s.backend.Create = func(ctx context.Context, name string, value []byte) (cicadaplatform.Object, error) {
@@ -316,7 +316,7 @@
 			}
 			return create(ctx, name, value)
 		}
-		o := s.start(t, "o1", only("o1"))
+		o := s.start("o1", only("o1"))
 		defer o.stop()
 		time.Sleep(time.Second)
 		o.call(t, submission("j", 30))
@@ -336,11 +336,11 @@
 
 func TestSubmissionInDoubtPromisesNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newSite(t)
+		s := newSite()
 		s.backend.Create = func(context.Context, string, []byte) (cicadaplatform.Object, error) {
 			return cicadaplatform.Object{}, cicadaplatform.ErrInDoubt
 		}
-		o := s.start(t, "o1", only("o1"))
+		o := s.start("o1", only("o1"))
 		defer o.stop()
 		time.Sleep(time.Second)
 		a := o.call(t, submission("j", 30))
@@ -350,8 +350,8 @@
 
 func TestOddSubmissionIsRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newSite(t)
-		o := s.start(t, "o1", only("o1"))
+		s := newSite()
+		o := s.start("o1", only("o1"))
 		defer o.stop()
 		a := o.call(t, &Call{Kind: CallSubmit, Job: "j", Body: []byte(`{"Items":7}`)})
 		assert.Equal(t, a.Status, http.StatusBadRequest)
--- a/cicadagateway/cicadafollow/follow_test.go
+++ b/cicadagateway/cicadafollow/follow_test.go
@@ -64,7 +64,7 @@
 	latest atomic.Pointer[string]
 }
 
-func newWorld(t *testing.T) *world {
+func newWorld() *world {
 	w := &world{memory: cicadaplatform.NewMemory(), seen: make(map[string]string)}
 	w.store = cicadaplatform.NewClient(w.wrap(w.memory.Backend()))
 	w.link = NewLink(hclog.NewNullLogger(), nil)
@@ -107,7 +107,7 @@
 
 func TestFollowerSeesChanges(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t)
+		w := newWorld()
 		w.put(t, "config/main", "1")
 		ctx, cancel := context.WithCancel(t.Context())
 		f := New(ctx, w.store, "config/", w.link, hclog.NewNullLogger(), w.apply)
@@ -127,7 +127,7 @@
 func TestPollingFollowerIsNotFooledByMuteWatches(t *testing.T) {
 	for _, polls := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
-			w := newWorld(t)
+			w := newWorld()
 			w.put(t, "config/main", "1")
 			w.mute.Store(true)
 			ctx, cancel := context.WithCancel(t.Context())
@@ -147,7 +147,7 @@
 
 func TestFollowerListsAnewAfterCompaction(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t)
+		w := newWorld()
 		w.put(t, "config/main", "1")
 		ctx, cancel := context.WithCancel(t.Context())
 		w.compacted.Store(true)
@@ -161,7 +161,7 @@
 
 func TestLastViewStaysWhileTheStoreIsAway(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t)
+		w := newWorld()
 		w.put(t, "config/main", "1")
 		w.mute.Store(true)
 		ctx, cancel := context.WithCancel(t.Context())
--- a/cicadakernel/process.go
+++ b/cicadakernel/process.go
@@ -198,18 +198,21 @@
 // names the settings file and --check validates it without starting.
 func Command(name, usage string, cfg Settings, start func(ctx context.Context, p *Process) error) *cli.Command {
 	return &cli.Command{
-		Name:                  name,
-		Usage:                 usage,
-		Version:               Version,
+		Name:    name,
+		Usage:   usage,
+		Version: Version,
+		Description: "The settings file is YAML; docs/OPERATIONS.md lists its keys and examples/ holds whole ones.\n" +
+			"A wrong key, unit or value is named with its file and line.",
 		EnableShellCompletion: true,
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "config", Aliases: []string{"c"}, Usage: "read settings from `FILE` (YAML)", Required: true},
 			&cli.BoolFlag{Name: "check", Usage: "validate the settings and exit"},
+			&cli.BoolFlag{Name: "debug", Usage: "show where in the program an error came from"},
 		},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
 			file := cmd.String("config")
 			if err := cicadasettings.Load(file, cfg); err != nil {
-				return cli.Exit(err, ExitUsage)
+				return usageError(name, err, cmd.Bool("debug"))
 			}
 			if cmd.Bool("check") {
 				fmt.Fprintf(cmd.Root().Writer, "%s: settings are valid\n", file)
@@ -220,6 +223,15 @@
 	}
 }
 
+// usageError is one line that says what is wrong and where; with debug the call
+// stack follows.
+func usageError(name string, err error, debug bool) error {
+	if debug {
+		return cli.Exit(fmt.Sprintf("%s: %+v", name, err), ExitUsage)
+	}
+	return cli.Exit(fmt.Sprintf("%s: %v", name, err), ExitUsage)
+}
+
 func run(ctx context.Context, name, file string, cfg Settings, start func(ctx context.Context, p *Process) error) error {
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer stop()
@@ -259,5 +271,5 @@
 		return
 	}
 	fmt.Fprintf(os.Stderr, "%s: %v\n", cmd.Name, err)
-	os.Exit(1)
+	os.Exit(ExitUsage)
 }
