--- a/cicadaagent/cicadaendpoint/settings.go
+++ b/cicadaagent/cicadaendpoint/settings.go
@@ -50,18 +50,16 @@
 	if err := s.Common.Validate(); err != nil {
 		return err
 	}
-	required := []struct{ key, value, expect string }{
-		{"name", s.Name, "the endpoint's name, as in the VM list"},
-		{"data-centre", s.DataCentre, "the data centre's name"},
-		{"group", s.Group, "the name of an endpoint group"},
-		{"listen", s.Listen, "an address such as 127.0.0.1:7100"},
-		{"engine.adapter", s.Engine.Adapter, "inference or plain"},
-		{"engine.address", s.Engine.Address, "a URL such as http://127.0.0.1:9000"},
-	}
-	for _, r := range required {
-		if r.value == "" {
-			return cicadasettings.Expected(r.key, r.expect)
-		}
+	err := cicadasettings.Require(
+		cicadasettings.Requirement{Key: "name", Value: s.Name, Expect: "the endpoint's name, as in the VM list"},
+		cicadasettings.Requirement{Key: "data-centre", Value: s.DataCentre, Expect: "the data centre's name"},
+		cicadasettings.Requirement{Key: "group", Value: s.Group, Expect: "the name of an endpoint group"},
+		cicadasettings.Requirement{Key: "listen", Value: s.Listen, Expect: "an address such as 127.0.0.1:7100"},
+		cicadasettings.Requirement{Key: "engine.adapter", Value: s.Engine.Adapter, Expect: "inference or plain"},
+		cicadasettings.Requirement{Key: "engine.address", Value: s.Engine.Address, Expect: "a URL such as http://127.0.0.1:9000"},
+	)
+	if err != nil {
+		return err
 	}
 	return s.TLS.Validate()
 }
--- a/cicadaentry/cicadanode/settings.go
+++ b/cicadaentry/cicadanode/settings.go
@@ -76,17 +76,15 @@
 	if err := s.Common.Validate(); err != nil {
 		return err
 	}
-	required := []struct{ key, value, expect string }{
-		{"name", s.Name, "the entry's name, as in the VM list"},
-		{"data-centre", s.DataCentre, "the data centre's name"},
-		{"listen", s.Listen, "an address such as 127.0.0.1:8080"},
-		{"peer-listen", s.PeerListen, "an address such as 127.0.0.1:7001"},
-		{"platform", s.Platform, "a URL such as http://127.0.0.1:7000"},
-	}
-	for _, r := range required {
-		if r.value == "" {
-			return cicadasettings.Expected(r.key, r.expect)
-		}
+	err := cicadasettings.Require(
+		cicadasettings.Requirement{Key: "name", Value: s.Name, Expect: "the entry's name, as in the VM list"},
+		cicadasettings.Requirement{Key: "data-centre", Value: s.DataCentre, Expect: "the data centre's name"},
+		cicadasettings.Requirement{Key: "listen", Value: s.Listen, Expect: "an address such as 127.0.0.1:8080"},
+		cicadasettings.Requirement{Key: "peer-listen", Value: s.PeerListen, Expect: "an address such as 127.0.0.1:7001"},
+		cicadasettings.Requirement{Key: "platform", Value: s.Platform, Expect: "a URL such as http://127.0.0.1:7000"},
+	)
+	if err != nil {
+		return err
 	}
 	if s.Shards < 0 {
 		return cicadasettings.Expected("shards", "a number above 0, the same at every entry")
--- a/cicadagateway/cicadabatch/calls.go
+++ b/cicadagateway/cicadabatch/calls.go
@@ -118,7 +118,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, acceptTime)
 	defer cancel()
-	_, err = o.store.Create(ctx, cicadaplatform.ClassClaim, JobsPrefix+c.Job, value)
+	obj, err := o.store.Create(ctx, cicadaplatform.ClassClaim, JobsPrefix+c.Job, value)
 	if err != nil && !errors.Is(err, cicadaplatform.ErrExists) {
 		return o.notAccepted(c, err)
 	}
@@ -127,6 +127,7 @@
 		o.do(func() {
 			if o.jobs[c.Job] == nil {
 				j := o.add(c.Job, r, now)
+				j.version = obj.Version()
 				j.loaded = true // it is new: there are no results yet
 			}
 			o.Wake()
--- a/cicadagateway/cicadabatch/job.go
+++ b/cicadagateway/cicadabatch/job.go
@@ -47,6 +47,8 @@
 	pending   []adapter.Result // finished and not yet written
 	oldest    time.Time        // when the oldest of pending finished
 	chunks    int              // chunks of results that are known
+	versions  []int64          // the store's, of the chunks
+	version   int64            // the store's, of the job
 	writing   bool
 	loaded    bool
 	loading   bool
@@ -75,6 +77,7 @@
 type chunk struct {
 	Writer  string           `json:"writer"`
 	Results []adapter.Result `json:"results"`
+	version int64            // the store's
 }
 
 func newJob(id string, r record, accepted time.Time) *job {
@@ -121,6 +124,7 @@
 // process was still running, or had finished itself, replaces its own.
 func (j *job) takeChunk(c chunk) (overtaken []*item) {
 	j.chunks++
+	j.versions = append(j.versions, c.version)
 	for _, r := range c.Results {
 		j.results = append(j.results, r)
 		it := j.byID[r.ID]
--- a/cicadagateway/cicadabatch/owner.go
+++ b/cicadagateway/cicadabatch/owner.go
@@ -39,8 +39,8 @@
 	// flushDelay is how long a result waits for others of its job to be written
 	// with it.
 	flushDelay = 400 * time.Millisecond
-	// keepTime is how long a finished job stays readable.
-	keepTime     = 10 * time.Minute
+	// defaultKeep is how long after its acceptance a job stays readable at least.
+	defaultKeep  = 10 * time.Minute
 	controlQueue = 256
 )
 
@@ -53,6 +53,7 @@
 	config  func() *cicadaview.Config
 	owners  func() []string
 	over    func(ctx context.Context, job string, p []Progress) error
+	keep    time.Duration
 	log     hclog.Logger
 	control chan func()
 	wakeup  chan struct{}
@@ -76,6 +77,10 @@
 	return func(o *Owner) { o.over = over }
 }
 
+// WithKeep sets how long after its acceptance a job stays readable. One that still
+// runs then is kept until it is whole.
+func WithKeep(keep time.Duration) Option { return func(o *Owner) { o.keep = keep } }
+
 // NewOwner starts an owner. owners returns the names of the owners, this one
 // included, that may run jobs now.
 func NewOwner(ctx context.Context, name string, store *cicadaplatform.Client, table *cicadaplace.Table, client *cicadaexchange.Client,
@@ -85,7 +90,7 @@
 		name: name, store: store, table: table, client: client, config: config, owners: owners, log: log,
 		control: make(chan func(), controlQueue), wakeup: make(chan struct{}, 1), ctx: ctx, started: time.Now(),
 		jobs: make(map[string]*job), running: make(map[string][]*item),
-		over: func(context.Context, string, []Progress) error { return nil },
+		over: func(context.Context, string, []Progress) error { return nil }, keep: defaultKeep,
 	}
 	for _, opt := range opts {
 		opt(o)
@@ -149,6 +154,7 @@
 		return
 	}
 	if known := o.jobs[id]; known != nil {
+		known.version = max(known.version, obj.Version())
 		if r.Ended && !known.ended {
 			o.end(known)
 		}
@@ -158,7 +164,7 @@
 	if full {
 		accepted = accepted.Add(-recordAge(r, accepted))
 	}
-	o.add(id, r, accepted)
+	o.add(id, r, accepted).version = obj.Version()
 }
 
 // recordAge is how long ago a job was accepted by the time of day, which may
@@ -210,7 +216,7 @@
 	o.assign()
 	for _, j := range o.jobs {
 		switch {
-		case now.Sub(j.accepted) > keepTime:
+		case now.Sub(j.accepted) > o.keep && (j.ended || j.listed() || !j.mine):
 			o.expire(j)
 		case j.mine && !j.loaded && !j.loading:
 			o.load(j)
@@ -250,16 +256,19 @@
 	if !j.mine {
 		return
 	}
-	id, chunks := j.id, j.chunks
+	id, version, versions := j.id, j.version, j.versions
 	o.wg.Go(func() {
-		for n := range chunks {
-			if err := o.store.Delete(o.ctx, cicadaplatform.ClassUpload, chunkName(id, n), 0); err != nil {
+		// The job goes first: results without a job are read by nobody, while a job
+		// without its results would be run again.
+		if err := o.store.Delete(o.ctx, cicadaplatform.ClassUpload, JobsPrefix+id, version); err != nil {
+			o.log.Warn("old job not deleted", "job", id, "error", err)
+			return
+		}
+		for n, v := range versions {
+			if err := o.store.Delete(o.ctx, cicadaplatform.ClassUpload, chunkName(id, n), v); err != nil {
 				o.log.Warn("old results not deleted", "job", id, "error", err)
 			}
 		}
-		if err := o.store.Delete(o.ctx, cicadaplatform.ClassUpload, JobsPrefix+id, 0); err != nil {
-			o.log.Warn("old job not deleted", "job", id, "error", err)
-		}
 	})
 }
 
--- a/cicadagateway/cicadabatch/owner_test.go
+++ b/cicadagateway/cicadabatch/owner_test.go
@@ -334,6 +334,24 @@
 	})
 }
 
+func TestOldJobsAreDeleted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite()
+		o := s.start("o1", only("o1"), WithKeep(20*time.Second))
+		defer o.stop()
+		time.Sleep(time.Second)
+		o.call(t, submission("j", 10))
+		o.call(t, submission("long", 1500))
+		time.Sleep(15 * time.Second)
+		whole(t, o.results(t, "j", 0), "j", 10)
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, o.call(t, &Call{Kind: CallRead, Job: "j"}).Status, http.StatusNotFound)
+		_, err := s.memory.Backend().Get(t.Context(), chunkName("j", 0))
+		assert.Assert(t, errors.Is(err, cicadaplatform.ErrNotFound), "%v", err)
+		assert.Equal(t, o.call(t, &Call{Kind: CallRead, Job: "long"}).Status, http.StatusOK, "a job that runs is kept")
+	})
+}
+
 func TestSubmissionInDoubtPromisesNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSite()
--- a/cicadagateway/cicadabatch/store.go
+++ b/cicadagateway/cicadabatch/store.go
@@ -38,6 +38,7 @@
 	if err := json.Unmarshal(obj.Value(), &c); err != nil {
 		return chunk{}, false, merry.Errorf("decode results of %s: %w", id, err)
 	}
+	c.version = obj.Version()
 	return c, true, nil
 }
 
@@ -48,8 +49,9 @@
 	if err != nil {
 		return chunk{}, merry.Errorf("encode results of %s: %w", id, err)
 	}
-	_, err = store.Create(ctx, cicadaplatform.ClassResult, chunkName(id, number), value)
+	obj, err := store.Create(ctx, cicadaplatform.ClassResult, chunkName(id, number), value)
 	if err == nil {
+		c.version = obj.Version()
 		return c, nil
 	}
 	if !errors.Is(err, cicadaplatform.ErrExists) {
--- a/cicadagateway/cicadaprocess/jobs.go
+++ b/cicadagateway/cicadaprocess/jobs.go
@@ -103,7 +103,7 @@
 func (n *Node) serveOwner(ctx, work context.Context) error {
 	peers := cicadabatch.NewClient(cicadawire.NewPool(), n.ownerPeers)
 	owner := cicadabatch.NewOwner(work, n.cfg.Name, n.store, n.table, n.client, n.config.Load, n.ownerNames, n.log,
-		cicadabatch.WithHandOver(peers.HandOver))
+		cicadabatch.WithHandOver(peers.HandOver), cicadabatch.WithKeep(n.cfg.KeepJobs.Or(defaultKeepJobs)+keepMargin))
 	n.owner.Store(owner)
 	n.wg.Go(func() { n.checkStore(work) })
 	retirements := newRetirements(work, n, owner.Idle)
@@ -141,6 +141,10 @@
 // heard that its jobs have moved.
 const ownerLinger = 1500 * time.Millisecond
 
+// keepMargin covers the time between a job's first submission and its acceptance,
+// and the reads that come just before its end.
+const keepMargin = 30 * time.Second
+
 const (
 	checkInterval = 500 * time.Millisecond
 	// checkAge is how old the store's last answer may be, while another owner has
--- a/cicadagateway/cicadaprocess/process.go
+++ b/cicadagateway/cicadaprocess/process.go
@@ -48,6 +48,8 @@
 	headerTime    = 5 * time.Second
 	idleTime      = 75 * time.Second
 	maxHeader     = 64 << 10
+	// bodyShare is the part of the memory setting for bodies of requests in flight.
+	bodyShare = 0.25
 	// catchUpDelay lets this process's own watch bring what a peer knows already.
 	catchUpDelay = 200 * time.Millisecond
 )
@@ -288,7 +290,8 @@
 	}
 	relay := cicadarelay.New(n.config.Load, n.table, n.client, n.log,
 		cicadarelay.WithScope(n.process.Scope()), cicadarelay.WithLeaving(n.leaving.Load), cicadarelay.WithJobs(n.jobs(client)),
-		cicadarelay.WithSuspects(&n.crashes.table, n.crashes.add))
+		cicadarelay.WithSuspects(&n.crashes.table, n.crashes.add),
+		cicadarelay.WithBodyMemory(int64(bodyShare*float64(n.cfg.Memory))))
 	srv := &http.Server{
 		Handler: relay, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHeader,
 		ErrorLog: n.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
--- a/cicadagateway/cicadaprocess/settings.go
+++ b/cicadagateway/cicadaprocess/settings.go
@@ -38,12 +38,15 @@
 	StoreReads  float64 `yaml:"store-reads"`
 	// Memory is what the process may use.
 	Memory cicadasettings.Size `yaml:"memory"`
+	// KeepJobs is how long after its acceptance a job stays readable.
+	KeepJobs cicadasettings.Duration `yaml:"keep-jobs"`
 	// DrainLimit is how long a graceful shutdown may take.
 	DrainLimit cicadasettings.Duration `yaml:"drain-limit"`
 }
 
 const (
 	defaultDrainLimit  = 8 * time.Second
+	defaultKeepJobs    = 10 * time.Minute
 	defaultStoreWrites = 100
 )
 
@@ -55,17 +58,15 @@
 	if s.Role != RoleEntry && s.Role != RoleOwner {
 		return cicadasettings.Expected("role", "entry or owner")
 	}
-	required := []struct{ key, value, expect string }{
-		{"name", s.Name, "the process's name"},
-		{"vm", s.VM, "the name of the VM"},
-		{"ip", s.IP, "the VM's address, such as 10.1.0.35"},
-		{"data-centre", s.DataCentre, "the data centre's name"},
-		{"platform", s.Platform, "a URL such as objects://10.200.1.7:8142"},
-	}
-	for _, r := range required {
-		if r.value == "" {
-			return cicadasettings.Expected(r.key, r.expect)
-		}
+	err := cicadasettings.Require(
+		cicadasettings.Requirement{Key: "name", Value: s.Name, Expect: "the process's name"},
+		cicadasettings.Requirement{Key: "vm", Value: s.VM, Expect: "the name of the VM"},
+		cicadasettings.Requirement{Key: "ip", Value: s.IP, Expect: "the VM's address, such as 10.1.0.35"},
+		cicadasettings.Requirement{Key: "data-centre", Value: s.DataCentre, Expect: "the data centre's name"},
+		cicadasettings.Requirement{Key: "platform", Value: s.Platform, Expect: "a URL such as objects://10.200.1.7:8142"},
+	)
+	if err != nil {
+		return err
 	}
 	if s.Role == RoleEntry && (s.Listen == "" || s.Ready == "") {
 		return cicadasettings.Expected("listen", "an address such as 10.1.0.35:8144, and another at ready")
--- a/cicadagateway/cicadaprocess/settings_test.go
+++ b/cicadagateway/cicadaprocess/settings_test.go
@@ -15,7 +15,7 @@
 var values = map[string]string{
 	"Node": "front-1", "Ip": "10.1.0.35", "Zone": "z-a", "Listen.Front": "10.1.0.35:8144", "Listen.Ready": "10.1.0.35:8140",
 	"PortRange.0": "7660", "Platform.Addr": "10.200.1.7:8142", "Platform.WritesPerS": "400", "Platform.ReadsPerS": "2000",
-	"Limits.MemoryMb": "284", "Bounds.GraceS": "8",
+	"Limits.MemoryMb": "284", "Bounds.GraceS": "8", "Bounds.StatusS": "120",
 }
 
 var (
--- a/cicadagateway/cicadarelay/relay.go
+++ b/cicadagateway/cicadarelay/relay.go
@@ -16,7 +16,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -37,9 +36,7 @@
 )
 
 const (
-	defaultMaxBody  = 4 << 20
 	defaultDeadline = 30 * time.Second
-	bodyTime        = 10 * time.Second // for reading a caller's body
 	// waitShare is the part of a route's goal that a request may wait for a slot:
 	// what remains is enough for the first event.
 	waitShare = 0.7
@@ -74,6 +71,7 @@
 	log     hclog.Logger
 	scope   tally.Scope
 	jobs    Jobs
+	bodies  bodies
 	leaving func() bool
 	// suspects knows requests that crash endpoints, and crashed passes on what
 	// this process has seen of them.
@@ -94,6 +92,9 @@
 // end after their answer.
 func WithLeaving(leaving func() bool) Option { return func(r *Relay) { r.leaving = leaving } }
 
+// WithBodyMemory bounds the bodies of all requests in flight, in bytes.
+func WithBodyMemory(limit int64) Option { return func(r *Relay) { r.bodies.limit = limit } }
+
 // WithSuspects shares what is known of requests that crash endpoints. crashed is
 // called for each run after which an endpoint's connection broke.
 func WithSuspects(table *cicadasuspect.Table, crashed func(request uint64, run string)) Option {
@@ -134,7 +135,8 @@
 		l.refuse(w, r, http.StatusNotFound, "no-route", 0)
 		return
 	}
-	body, err := readBody(w, r, config.Limits().MaxBody)
+	body, held, err := l.bodies.read(w, r, config.Limits().MaxBody)
+	defer l.bodies.release(held)
 	if err != nil {
 		l.refuseBody(w, r, err)
 		return
@@ -153,29 +155,16 @@
 	return r.Host
 }
 
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
-	if limit <= 0 {
-		limit = defaultMaxBody
-	}
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
-	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(bodyTime))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	if err != nil {
-		return nil, merry.Errorf("read body: %w", err)
-	}
-	_ = control.SetReadDeadline(time.Time{})
-	return body, nil
-}
-
 func (l *Relay) refuseBody(w http.ResponseWriter, r *http.Request, err error) {
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
 		l.refuse(w, r, http.StatusRequestEntityTooLarge, "body-too-large", 0)
 		return
 	}
+	if errors.Is(err, errBodies) {
+		l.refuse(w, r, http.StatusServiceUnavailable, "bodies-in-flight", bodyRetry)
+		return
+	}
 	l.log.Info("request not read", "id", r.Header.Get(adapter.HeaderRequestID), "error", err)
 	panic(http.ErrAbortHandler)
 }
--- a/cicadagateway/cicadarelay/relay_test.go
+++ b/cicadagateway/cicadarelay/relay_test.go
@@ -211,6 +211,28 @@
 	})
 }
 
+func TestBodiesInFlightAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &script{gone: make(chan struct{})}
+		l, _ := relayOf(s, kinds["unsafe"], 1)
+		l.bodies.limit = 100
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan bool)
+		go func() {
+			_, _, _, whole := ask(ctx, l, "/p/7", strings.Repeat("x", 60))
+			done <- whole
+		}()
+		time.Sleep(100 * time.Millisecond)
+		status, header, _, _ := ask(t.Context(), l, "/p/7", strings.Repeat("x", 60))
+		assert.Equal(t, status, http.StatusServiceUnavailable)
+		assert.Assert(t, header.Get("Retry-After") != "")
+		cancel()
+		<-done
+		<-s.gone
+		assert.Equal(t, l.bodies.held.Load(), int64(0), "what was held is given back")
+	})
+}
+
 func TestRouteThatIsRemovedMeanwhileIsNotServed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &script{answers: []string{"(refused)"}}
--- a/cicadakernel/cicadasettings/settings.go
+++ b/cicadakernel/cicadasettings/settings.go
@@ -52,6 +52,23 @@
 	return &KeyError{key: key, expect: expect}
 }
 
+// A Requirement is a key that must have a value.
+type Requirement struct {
+	Key    string
+	Value  string
+	Expect string // what the key takes, for the error
+}
+
+// Require returns a KeyError for the first key without a value.
+func Require(all ...Requirement) error {
+	for _, r := range all {
+		if r.Value == "" {
+			return Expected(r.Key, r.Expect)
+		}
+	}
+	return nil
+}
+
 // Error names the place as FILE:LINE, the key, and what was expected.
 func (e *KeyError) Error() string {
 	place := e.file
