--- a/cicadagateway/cicadafollow/follow_test.go
+++ b/cicadagateway/cicadafollow/follow_test.go
@@ -223,6 +223,38 @@
 	})
 }
 
+// TestMassOfVanishingEndpointsIsHeld answers an outage that this process did not
+// notice, as its watch went on waiting: the entries that lapsed vanish at once.
+func TestMassOfVanishingEndpointsIsHeld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		link := NewLink(hclog.NewNullLogger(), nil)
+		var known atomic.Int64
+		g := NewRegistry(ctx, link, hclog.NewNullLogger(), decodeTest, func(all []cicadaview.Endpoint) { known.Store(int64(len(all))) })
+		link.Report(nil)
+		time.Sleep(settleTime)
+		var here, gone []cicadaplatform.Object
+		for i := range 9 {
+			name := "servers/" + string(rune('a'+i))
+			here = append(here, cicadaplatform.NewObject(name, 1, []byte("x")))
+			gone = append(gone, cicadaplatform.NewObject(name, 2, nil))
+		}
+		g.Apply(Change{objects: here, full: true})
+		assert.Equal(t, known.Load(), int64(9))
+		g.Apply(Change{objects: gone[:2]})
+		assert.Equal(t, known.Load(), int64(7), "a few that vanish are gone")
+		time.Sleep(time.Second)
+		g.Apply(Change{objects: gone[2:]})
+		assert.Equal(t, known.Load(), int64(7), "many at once are held")
+		time.Sleep(time.Second)
+		g.Apply(Change{objects: here[2:6]})
+		time.Sleep(massHold)
+		assert.Equal(t, known.Load(), int64(4), "those that have not come back are gone")
+		cancel()
+		g.wg.Wait()
+	})
+}
+
 func TestDigestDoesNotDependOnOrder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
--- a/cicadagateway/cicadafollow/registry.go
+++ b/cicadagateway/cicadafollow/registry.go
@@ -17,12 +17,23 @@
 	"cicadalink.example/cicadakernel/cicadaview"
 )
 
-// sweepInterval is how often endpoints held over an outage are looked at.
-const sweepInterval = 250 * time.Millisecond
+const (
+	// sweepInterval is how often endpoints held over an outage are looked at.
+	sweepInterval = 250 * time.Millisecond
+	// When so many endpoints, and so large a part of all, vanish within a short
+	// time, their entries have lapsed while the store was away and this process did
+	// not notice. They are held for a time that ends before requests must no
+	// longer reach endpoints that are really gone.
+	massCount  = 3
+	massPart   = 1.0 / 3
+	massWindow = 500 * time.Millisecond
+	massHold   = 1800 * time.Millisecond
+)
 
 // A Registry is the set of endpoints that have registered. An endpoint whose
 // entry vanishes while the store is settled is gone at once; one that vanishes
-// over an outage is kept until the store has settled.
+// over an outage is kept until the store has settled. A large part of all that
+// vanishes at once is kept for a moment: an outage may pass unnoticed.
 type Registry struct {
 	mu      sync.Mutex
 	link    *Link
@@ -30,7 +41,8 @@
 	decode  func(id string, value []byte) (cicadaview.Endpoint, error)
 	publish func([]cicadaview.Endpoint)
 	known   map[string]cicadaview.Endpoint
-	missing map[string]bool
+	missing map[string]time.Time // endpoints that are held, and until when at most
+	lost    []time.Time          // when endpoints vanished last
 	digest  atomic.Uint64
 	wg      conc.WaitGroup
 }
@@ -41,7 +53,7 @@
 
 // NewRegistry returns an empty registry that calls publish with each new set.
 func NewRegistry(ctx context.Context, link *Link, log hclog.Logger, decode func(string, []byte) (cicadaview.Endpoint, error), publish func([]cicadaview.Endpoint)) *Registry {
-	g := &Registry{link: link, log: log, decode: decode, publish: publish, known: make(map[string]cicadaview.Endpoint), missing: make(map[string]bool)}
+	g := &Registry{link: link, log: log, decode: decode, publish: publish, known: make(map[string]cicadaview.Endpoint), missing: make(map[string]time.Time)}
 	g.wg.Go(func() {
 		for cicadaretry.Wait(ctx, sweepInterval) {
 			g.sweep()
@@ -55,11 +67,12 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	listed := make(map[string]bool, len(c.objects))
+	var vanished []string
 	for _, obj := range c.objects {
 		_, id, _ := strings.Cut(obj.Name(), "/")
 		listed[id] = true
 		if obj.Value() == nil {
-			g.lose(id)
+			vanished = append(vanished, id)
 			continue
 		}
 		g.set(id, obj)
@@ -67,10 +80,11 @@
 	if c.full {
 		for id := range g.known {
 			if !listed[id] {
-				g.lose(id)
+				vanished = append(vanished, id)
 			}
 		}
 	}
+	g.lose(vanished)
 	g.publishLocked()
 }
 
@@ -90,32 +104,58 @@
 	delete(g.missing, id)
 }
 
-func (g *Registry) lose(id string) {
-	if _, ok := g.known[id]; !ok {
-		return
+func (g *Registry) lose(vanished []string) {
+	now := time.Now()
+	present := 0
+	for _, id := range vanished {
+		if _, ok := g.known[id]; ok && g.missing[id].IsZero() {
+			g.lost = append(g.lost, now)
+			present++
+		}
 	}
-	if !g.link.Settled() {
-		g.log.Info("endpoint missing, held until the store settles", "endpoint", id)
-		g.missing[id] = true
-		return
+	for len(g.lost) > 0 && now.Sub(g.lost[0]) > massWindow {
+		g.lost = g.lost[1:]
+	}
+	mass := len(g.lost) >= massCount && float64(len(g.lost)) >= massPart*float64(len(g.known))
+	for _, id := range vanished {
+		if _, ok := g.known[id]; !ok || !g.missing[id].IsZero() {
+			continue
+		}
+		switch {
+		case !g.link.Settled():
+			g.log.Info("endpoint missing, held until the store settles", "endpoint", id)
+			g.missing[id] = now
+		case mass:
+			g.log.Info("endpoint missing with many others, held", "endpoint", id, "vanished", present, "known", len(g.known))
+			g.missing[id] = now.Add(massHold)
+		default:
+			g.log.Info("endpoint gone", "endpoint", id)
+			delete(g.known, id)
+		}
 	}
-	g.log.Info("endpoint gone", "endpoint", id)
-	delete(g.known, id)
-	delete(g.missing, id)
 }
 
+// sweep forgets the endpoints that were held and have not come back.
 func (g *Registry) sweep() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if len(g.missing) == 0 || !g.link.Settled() {
+	if len(g.missing) == 0 || !g.link.Up() {
 		return
 	}
-	for id := range g.missing {
+	now, settled := time.Now(), g.link.Settled()
+	changed := false
+	for id, until := range g.missing {
+		if !settled || now.Before(until) {
+			continue
+		}
 		g.log.Info("endpoint gone after outage", "endpoint", id)
 		delete(g.known, id)
+		delete(g.missing, id)
+		changed = true
+	}
+	if changed {
+		g.publishLocked()
 	}
-	clear(g.missing)
-	g.publishLocked()
 }
 
 func (g *Registry) publishLocked() {
--- a/cicadagateway/cicadaplace/table.go
+++ b/cicadagateway/cicadaplace/table.go
@@ -100,6 +100,7 @@
 	name       string
 	dataCentre string
 	byID       map[string]*endpoint
+	gone       map[string]*endpoint // endpoints that left while they had requests of ours
 	services   map[string]*service
 	peers      map[string]*peer
 	changed    func()
@@ -128,7 +129,8 @@
 }
 
 // SetEndpoints replaces the set of endpoints. An endpoint that started anew
-// keeps nothing but this sender's own counts.
+// keeps nothing but this sender's own counts, and one that comes back has the
+// requests that it still runs.
 func (t *Table) SetEndpoints(all []cicadaview.Endpoint) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -138,6 +140,9 @@
 	}
 	for _, e := range all {
 		known := t.byID[e.ID]
+		if known == nil {
+			known = t.gone[e.ID]
+		}
 		if known == nil {
 			known = &endpoint{}
 		}
@@ -152,11 +157,26 @@
 			svc.slots += e.Slots
 		}
 	}
+	t.gone = leftBehind(byID, t.byID, t.gone)
 	t.byID = byID
 	t.sumPeers()
 	t.wake()
 }
 
+// leftBehind returns the endpoints of earlier sets that are not in the present one
+// and still have requests of this sender.
+func leftBehind(present map[string]*endpoint, earlier ...map[string]*endpoint) map[string]*endpoint {
+	gone := make(map[string]*endpoint)
+	for _, set := range earlier {
+		for id, e := range set {
+			if present[id] == nil && e.own != (Count{}) {
+				gone[id] = e
+			}
+		}
+	}
+	return gone
+}
+
 func (t *Table) service(name string) *service {
 	svc := t.services[name]
 	if svc == nil {
--- a/cicadagateway/cicadaplace/table_test.go
+++ b/cicadagateway/cicadaplace/table_test.go
@@ -193,3 +193,20 @@
 	g.Release()
 	assert.Equal(t, len(table.Own()), 0)
 }
+
+func TestEndpointThatComesBackHasItsRequests(t *testing.T) {
+	table := NewTable("me")
+	table.SetEndpoints(endpoints(1, 4))
+	held := []*Grant{acquire(t, table, 0), acquire(t, table, 0), acquire(t, table, 0)}
+	table.SetEndpoints(nil)
+	held[0].Release()
+	table.SetEndpoints(nil)
+	table.SetEndpoints(endpoints(1, 4))
+	assert.DeepEqual(t, table.Own(), map[string]Count{"a": {Online: 2}})
+	acquire(t, table, 0)
+	acquire(t, table, 0)
+	_, err := table.Acquire(t.Context(), Want{Service: "s"})
+	assert.Assert(t, errors.Is(err, ErrBusy))
+	held[1].Release()
+	acquire(t, table, 0)
+}
--- a/cicadagateway/cicadaprocess/process.go
+++ b/cicadagateway/cicadaprocess/process.go
@@ -71,6 +71,7 @@
 	endpoints *cicadafollow.Follower
 	registry  *cicadafollow.Registry
 	following atomic.Bool // the three above are set
+	polling   atomic.Bool // this process polls the store for all
 	behind    atomic.Bool // a look at what peers know is under way
 	owner     atomic.Pointer[cicadabatch.Owner]
 
@@ -99,6 +100,7 @@
 	n.link = cicadafollow.NewLink(n.log, func(up bool) {
 		n.storeUp.Store(up)
 		n.notify()
+		n.electPoller()
 	})
 	n.table = cicadaplace.NewTable(cfg.Name, cicadaplace.WithDataCentre(cfg.DataCentre), cicadaplace.WithChanged(n.notify))
 	opened := p.Scope().Counter("endpoint_connections")
@@ -140,7 +142,7 @@
 		role = cicadapeer.RoleOwner
 	}
 	self := cicadapeer.Member{Name: n.cfg.Name, Role: role, Address: net.JoinHostPort(n.cfg.IP, strconv.Itoa(n.cfg.PeerPort))}
-	group, err := cicadapeer.New(ctx, self, n.log, n.state, n.peerState, func() {})
+	group, err := cicadapeer.New(ctx, self, n.log, n.state, n.peerState, n.electPoller)
 	if err != nil {
 		return merry.Errorf("start peers: %w", err)
 	}
@@ -213,6 +215,21 @@
 	n.catchUp(s)
 }
 
+// electPoller looks whether it has fallen to this process to poll the store, and
+// makes it begin: its watches may be waiting for long.
+func (n *Node) electPoller() {
+	if !n.following.Load() {
+		return
+	}
+	first := n.group.First(n.storeUp.Load())
+	if n.polling.Swap(first) || !first {
+		return
+	}
+	n.log.Info("polls the store for all")
+	n.follow.Refresh()
+	n.endpoints.Refresh()
+}
+
 // catchUp reads from the store what a peer has learnt and this process has not.
 func (n *Node) catchUp(s cicadapeer.State) {
 	if !n.following.Load() || !n.behind.CompareAndSwap(false, true) {
