Say whom a member misses instead of whom it hears, and slow changes down with size

Change: only missed names are sent, none in calm; states follow each other at a gap that grows with the square of the members beyond 20, up to the heartbeat.

--- a/cicadagateway/cicadapeer/peer.go
+++ b/cicadagateway/cicadapeer/peer.go
@@ -31,8 +31,12 @@
 	heartbeat = 250 * time.Millisecond
 	// silence is how long a member may be silent before it counts as dead.
 	silence = 1200 * time.Millisecond
-	// sendGap bounds how often a changing state is sent.
-	sendGap     = 3 * time.Millisecond
+	// sendGap bounds how often a changing state is sent. It grows with the square
+	// of the members beyond gapMembers, so that what each receives does not.
+	sendGap    = 3 * time.Millisecond
+	gapMembers = 20
+	// forgetTime is how long a silent member is still sent to.
+	forgetTime  = time.Minute
 	maxDatagram = 60 << 10
 )
 
@@ -78,8 +82,8 @@
 	EndpointsAsOf   int64
 	EndpointsDigest uint64
 	Loads           []Load
-	// Heard names the members that this one hears directly.
-	Heard []string
+	// Missed names the known members that this one does not hear directly.
+	Missed []string
 	// Relayed are states of members that some other member does not hear.
 	Relayed []State
 	// Crashes are the latest runs that ended with their endpoint's connection.
@@ -194,8 +198,7 @@
 			g.expire()
 		case <-g.notify:
 		}
-		g.sendState()
-		gap.Reset(sendGap)
+		gap.Reset(gapFor(g.sendState()))
 		select {
 		case <-ctx.Done():
 			return
@@ -204,12 +207,21 @@
 	}
 }
 
-func (g *Group) sendState() {
+// gapFor returns the time between two states of a member, when there are n others.
+func gapFor(n int) time.Duration {
+	if n <= gapMembers {
+		return sendGap
+	}
+	return min(sendGap*time.Duration(n*n)/(gapMembers*gapMembers), heartbeat)
+}
+
+// sendState sends the state to all members and returns how many there are.
+func (g *Group) sendState() int {
 	state := g.state()
 	g.mu.Lock()
 	g.sequence++
 	state.Member, state.Incarnation, state.Sequence = g.self, g.incarnation, g.sequence
-	state.Heard, state.Relayed = g.relay(time.Now())
+	state.Missed, state.Relayed = g.relay(time.Now())
 	addresses := make([]*net.UDPAddr, 0, len(g.addresses))
 	for _, a := range g.addresses {
 		addresses = append(addresses, a)
@@ -218,39 +230,40 @@
 	message, err := cbor.Marshal(state)
 	if err != nil {
 		g.log.Error("peer state not encoded", "error", err)
-		return
+		return len(addresses)
 	}
 	for _, a := range addresses {
 		if _, err := g.conn.WriteToUDP(message, a); err != nil {
 			g.log.Debug("peer send failed", "address", a.String(), "error", err)
 		}
 	}
+	return len(addresses)
 }
 
-// relay returns which members are heard directly, and the states of those among
-// them that a live member does not hear. The first member by name that hears
+// relay returns which known members are not heard directly, and the states of
+// those that are and that a live member misses. The first member by name that hears
 // such a one relays it.
-func (g *Group) relay(now time.Time) (heard []string, relayed []State) {
-	for name, s := range g.members {
-		if s.live && s.heardDirectly(now) {
-			heard = append(heard, name)
+func (g *Group) relay(now time.Time) (missed []string, relayed []State) {
+	for name := range g.addresses {
+		if s := g.members[name]; s == nil || !s.heardDirectly(now) {
+			missed = append(missed, name)
 		}
 	}
-	sort.Strings(heard)
-	for _, name := range heard {
-		if g.missed(name) && g.relays(name) {
-			state := g.members[name].state
-			state.Heard, state.Relayed, state.Crashes = nil, nil, nil
+	sort.Strings(missed)
+	for name, s := range g.members {
+		if s.live && s.heardDirectly(now) && g.missed(name) && g.relays(name) {
+			state := s.state
+			state.Missed, state.Relayed, state.Crashes = nil, nil, nil
 			relayed = append(relayed, state)
 		}
 	}
-	return heard, relayed
+	return missed, relayed
 }
 
 // missed reports whether a live member does not hear the one named.
 func (g *Group) missed(name string) bool {
 	for other, s := range g.members {
-		if other != name && s.live && !slices.Contains(s.state.Heard, name) {
+		if other != name && s.live && slices.Contains(s.state.Missed, name) {
 			return true
 		}
 	}
@@ -260,7 +273,7 @@
 // relays reports whether it falls to this member to relay the one named.
 func (g *Group) relays(name string) bool {
 	for other, s := range g.members {
-		if other != name && other < g.self.Name && s.live && slices.Contains(s.state.Heard, name) {
+		if other != name && other < g.self.Name && s.live && !slices.Contains(s.state.Missed, name) {
 			return false
 		}
 	}
@@ -309,7 +322,7 @@
 	case direct:
 		next.direct = now
 	case old != nil:
-		next.direct, next.state.Heard = old.direct, old.state.Heard
+		next.direct, next.state.Missed = old.direct, old.state.Missed
 	}
 	changed := old == nil || !old.live || old.state.StoreUp != state.StoreUp || old.state.Leaving != state.Leaving ||
 		old.state.Incarnation != state.Incarnation
@@ -333,6 +346,10 @@
 			g.log.Warn("peer silent", "peer", name, "age", time.Since(s.heard).String())
 			s.live, lost = false, true
 		}
+		if !s.live && time.Since(s.heard) > forgetTime {
+			delete(g.members, name)
+			delete(g.addresses, name)
+		}
 	}
 	g.mu.Unlock()
 	if lost {
@@ -372,7 +389,7 @@
 	now := time.Now()
 	first := ""
 	for other, s := range g.members {
-		if other == name || !s.live || s.state.Member.Role != RoleEntry || !s.heardDirectly(now) || !slices.Contains(s.state.Heard, name) {
+		if other == name || !s.live || s.state.Member.Role != RoleEntry || !s.heardDirectly(now) || slices.Contains(s.state.Missed, name) {
 			continue
 		}
 		if first == "" || other < first {
--- a/cicadagateway/cicadapeer/peer_test.go
+++ b/cicadagateway/cicadapeer/peer_test.go
@@ -49,7 +49,7 @@
 			Member: g.self, Incarnation: g.incarnation, Sequence: g.sequence, StoreUp: true,
 			Loads: []Load{{Endpoint: "e", Batch: batch}},
 		}
-		state.Heard, state.Relayed = g.relay(time.Now())
+		state.Missed, state.Relayed = g.relay(time.Now())
 		for other, to := range n.groups {
 			if other == name || n.cut[[2]string{name, other}] {
 				continue
@@ -106,6 +106,39 @@
 	})
 }
 
+func TestNothingIsMissedOrRelayedInCalm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork("a", "b", "c")
+		for range 8 {
+			n.round(1)
+		}
+		for name, g := range n.groups {
+			missed, relayed := g.relay(time.Now())
+			assert.Equal(t, len(missed)+len(relayed), 0, name)
+		}
+	})
+}
+
+func TestSilentMembersAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork("a", "b")
+		n.round(1)
+		n.cut[[2]string{"b", "a"}] = true
+		for range int(forgetTime/heartbeat) + 10 {
+			n.round(1)
+		}
+		missed, _ := n.groups["a"].relay(time.Now())
+		assert.Equal(t, len(missed), 0)
+		assert.Equal(t, len(n.groups["a"].addresses), 0)
+	})
+}
+
+func TestGapGrowsWithMembers(t *testing.T) {
+	assert.Equal(t, gapFor(8), sendGap)
+	assert.Equal(t, gapFor(40), 4*sendGap)
+	assert.Equal(t, gapFor(1000), heartbeat)
+}
+
 func TestOldStatesAreDropped(t *testing.T) {
 	n := newNetwork("a", "b")
 	state := func(incarnation int64, sequence uint64, batch uint16) State {
@@ -154,7 +187,7 @@
 }
 
 func FuzzState(f *testing.F) {
-	seed, err := cbor.Marshal(State{Member: Member{Name: "b"}, Heard: []string{"a"}})
+	seed, err := cbor.Marshal(State{Member: Member{Name: "b"}, Missed: []string{"a"}})
 	if err != nil {
 		f.Fatal(err)
 	}
