--- a/cicadagateway/cicadaprocess/settings_test.go
+++ b/cicadagateway/cicadaprocess/settings_test.go
@@ -74,6 +74,14 @@
 	}
 }
 
+func TestExamplesAreValid(t *testing.T) {
+	for _, role := range []string{RoleEntry, RoleOwner} {
+		var s Settings
+		assert.NilError(t, cicadasettings.Load("../../examples/gateway/"+role+".yaml", &s))
+		assert.Equal(t, s.Role, role)
+	}
+}
+
 func TestReloadKeepsWhatWasInForce(t *testing.T) {
 	n := &Node{file: "settings.yaml"}
 	n.drainLimit.Store(int64(3 * time.Second))
