Let a request that lost its endpoint wait for another before its first piece

Change: whoever lost an endpoint waits, within the same limit. Test first failing: TestWhoWaitsForAnEndpoint. Also: two fields renamed for what they do.

--- a/cicadaentry/cicadadispatch/run.go
+++ b/cicadaentry/cicadadispatch/run.go
@@ -93,11 +93,11 @@
 	}
 }
 
-// waitToResume waits a little before a stream that has begun is tried again: a
-// caller who has half an answer must not lose it to a moment without a free
-// endpoint.
+// waitToResume waits a little before a request whose endpoint was lost is tried
+// again: a caller who has half an answer, or whose request was under way, must not
+// lose it to a moment without a free endpoint.
 func (r *run) waitToResume(ctx context.Context) bool {
-	if r.pieces == 0 || r.head || r.nonIdempotent() || r.overKept() || r.isBatch() {
+	if (r.pieces == 0 && !r.lost) || r.head || r.nonIdempotent() || r.overKept() || r.isBatch() {
 		return false
 	}
 	now := r.d.now()
--- a/cicadagateway/cicadabatch/handover.go
+++ b/cicadagateway/cicadabatch/handover.go
@@ -43,7 +43,7 @@
 	o.wg.Go(func() {
 		ctx, cancel := context.WithTimeout(o.ctx, handOverTime)
 		defer cancel()
-		err := o.over(ctx, j.id, all)
+		err := o.sendOver(ctx, j.id, all)
 		o.log.Info("job handed over", "job", j.id, "items", len(all), "error", err)
 	})
 }
--- a/cicadagateway/cicadabatch/owner.go
+++ b/cicadagateway/cicadabatch/owner.go
@@ -46,20 +46,20 @@
 
 // An Owner runs the jobs that fall to it. One goroutine holds its state.
 type Owner struct {
-	name    string
-	store   *cicadaplatform.Client
-	table   *cicadaplace.Table
-	client  *cicadaexchange.Client
-	config  func() *cicadaview.Config
-	owners  func() []string
-	over    func(ctx context.Context, job string, p []Progress) error
-	keep    time.Duration
-	log     hclog.Logger
-	control chan func()
-	wakeup  chan struct{}
-	ctx     context.Context
-	started time.Time
-	wg      conc.WaitGroup
+	name     string
+	store    *cicadaplatform.Client
+	table    *cicadaplace.Table
+	client   *cicadaexchange.Client
+	config   func() *cicadaview.Config
+	owners   func() []string
+	sendOver func(ctx context.Context, job string, p []Progress) error
+	keep     time.Duration
+	log      hclog.Logger
+	control  chan func()
+	wakeup   chan struct{}
+	ctx      context.Context
+	started  time.Time
+	wg       conc.WaitGroup
 
 	// The fields below belong to the control goroutine.
 	jobs     map[string]*job
@@ -75,8 +75,8 @@
 
 // WithHandOver sets what passes the progress of a job to the owner that it has
 // moved to.
-func WithHandOver(over func(ctx context.Context, job string, p []Progress) error) Option {
-	return func(o *Owner) { o.over = over }
+func WithHandOver(sendOver func(ctx context.Context, job string, p []Progress) error) Option {
+	return func(o *Owner) { o.sendOver = sendOver }
 }
 
 // WithKeep sets how long after its acceptance a job stays readable. One that still
@@ -92,7 +92,7 @@
 		name: name, store: store, table: table, client: client, config: config, owners: owners, log: log,
 		control: make(chan func(), controlQueue), wakeup: make(chan struct{}, 1), ctx: ctx, started: time.Now(),
 		jobs: make(map[string]*job), running: make(map[string][]*item), services: make(map[string]bool),
-		over: func(context.Context, string, []Progress) error { return nil }, keep: defaultKeep,
+		sendOver: func(context.Context, string, []Progress) error { return nil }, keep: defaultKeep,
 	}
 	for _, opt := range opts {
 		opt(o)
--- a/cicadagateway/cicadaprocess/jobs.go
+++ b/cicadagateway/cicadaprocess/jobs.go
@@ -160,7 +160,7 @@
 			continue
 		}
 		if n.link.Age() > checkAge {
-			n.follow.Refresh()
+			n.configs.Refresh()
 		}
 		n.notify()
 	}
--- a/cicadagateway/cicadaprocess/process.go
+++ b/cicadagateway/cicadaprocess/process.go
@@ -66,8 +66,8 @@
 	client  *cicadaexchange.Client
 	group   *cicadapeer.Group
 	config  atomic.Pointer[cicadaview.Config]
-	// follow and endpoints follow the configuration and the endpoints.
-	follow    *cicadafollow.Follower
+	// configs and endpoints follow what the store holds of them.
+	configs   *cicadafollow.Follower
 	endpoints *cicadafollow.Follower
 	registry  *cicadafollow.Registry
 	following atomic.Bool // the three above are set
@@ -226,7 +226,7 @@
 		return
 	}
 	n.log.Info("polls the store for all")
-	n.follow.Refresh()
+	n.configs.Refresh()
 	n.endpoints.Refresh()
 }
 
@@ -246,7 +246,7 @@
 		defer n.behind.Store(false)
 		if c := n.config.Load(); stale && s.ConfigVersion > c.Version() {
 			n.log.Info("peer has a newer configuration", "peer", s.Member.Name, "theirs", s.ConfigVersion, "ours", c.Version())
-			n.follow.Refresh()
+			n.configs.Refresh()
 		}
 		if missing && s.EndpointsAsOf > endpoints.AsOf() && s.EndpointsDigest != n.registry.Digest() {
 			n.log.Info("peer has a newer set of endpoints", "peer", s.Member.Name, "theirs", s.EndpointsAsOf, "ours", endpoints.AsOf())
@@ -258,7 +258,7 @@
 func (n *Node) startFollowing(ctx context.Context) {
 	polls := cicadafollow.WithPoll(func() bool { return n.group.First(n.storeUp.Load()) })
 	n.registry = cicadafollow.NewRegistry(ctx, n.link, n.log, adapter.DecodeEndpoint, n.table.SetEndpoints)
-	n.follow = cicadafollow.New(ctx, n.store, adapter.ConfigPrefix, n.link, n.log, n.applyConfig, polls)
+	n.configs = cicadafollow.New(ctx, n.store, adapter.ConfigPrefix, n.link, n.log, n.applyConfig, polls)
 	n.endpoints = cicadafollow.New(ctx, n.store, adapter.EndpointsPrefix, n.link, n.log, n.registry.Apply, polls)
 	n.following.Store(true)
 	cicadafollow.New(ctx, n.store, peersPrefix, n.link, n.log, n.applyPeers)
