Tell peers at once of a slot granted to a waiting request

Cause, found by reading: a grant that a peer's message or a new set of endpoints brought about was announced with the next change, up to 250 ms later, so that others sent to the same slot at peaks. Change: the grant is announced when the request goes on. Test first failing: TestGrantToAWaitingRequestIsTold.

--- a/cicadagateway/cicadaplace/queue.go
+++ b/cicadagateway/cicadaplace/queue.go
@@ -60,6 +60,7 @@
 	var err error
 	select {
 	case g := <-waiting.grant:
+		t.changed()
 		return g, nil
 	case <-timer.C:
 		err = ErrBusy
@@ -72,6 +73,7 @@
 	select {
 	case g := <-waiting.grant:
 		if ctx.Err() == nil {
+			t.changed()
 			return g, nil
 		}
 		g.Release()
--- a/cicadagateway/cicadaplace/table_test.go
+++ b/cicadagateway/cicadaplace/table_test.go
@@ -210,3 +210,27 @@
 	held[1].Release()
 	acquire(t, table, 0)
 }
+
+// TestGrantToAWaitingRequestIsTold answers a slot that a peer gives back: the
+// others must hear at once that it is taken again.
+func TestGrantToAWaitingRequestIsTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		told := 0
+		table := NewTable("me", WithChanged(func() { told++ }))
+		table.SetEndpoints(endpoints(1, 4))
+		for range 3 {
+			acquire(t, table, 0)
+		}
+		table.SetPeer("other", map[string]Count{"a": {Online: 1}})
+		got := make(chan error, 1)
+		go func() {
+			_, err := table.Acquire(context.Background(), Want{Service: "s", MaxWait: time.Second})
+			got <- err
+		}()
+		synctest.Wait()
+		before := told
+		table.SetPeer("other", nil)
+		assert.NilError(t, <-got)
+		assert.Equal(t, told, before+1)
+	})
+}
