--- a/cicadagateway/cicadabatch/job.go
+++ b/cicadagateway/cicadabatch/job.go
@@ -42,25 +42,28 @@
 
 // A job is an accepted batch job at its owner.
 type job struct {
-	id        string
-	record    record
-	accepted  time.Time // by the steady clock of this process
-	items     []*item
-	byID      map[string]*item
-	results   []adapter.Result // listed, by position
-	pending   []adapter.Result // finished and not yet written
-	oldest    time.Time        // when the oldest of pending finished
-	chunks    int              // chunks of results that are known
-	versions  []int64          // the store's, of the chunks
-	version   int64            // the store's, of the job
-	writing   bool
-	loaded    bool
-	loading   bool
-	ended     bool
-	mine      bool
-	refreshed time.Time
-	routeless time.Time // since when the configuration has had no route for the job
-	waiters   []func()
+	id       string
+	record   record
+	accepted time.Time // by the steady clock of this process
+	// clockError is by how much accepted may be too early, since it was reckoned
+	// from another VM's time of day.
+	clockError time.Duration
+	items      []*item
+	byID       map[string]*item
+	results    []adapter.Result // listed, by position
+	pending    []adapter.Result // finished and not yet written
+	oldest     time.Time        // when the oldest of pending finished
+	chunks     int              // chunks of results that are known
+	versions   []int64          // the store's, of the chunks
+	version    int64            // the store's, of the job
+	writing    bool
+	loaded     bool
+	loading    bool
+	ended      bool
+	mine       bool
+	refreshed  time.Time
+	routeless  time.Time // since when the configuration has had no route for the job
+	waiters    []func()
 }
 
 // A record is what the store holds of a job.
@@ -99,7 +102,7 @@
 }
 
 func (j *job) giveUpAt() time.Time {
-	return j.accepted.Add(time.Duration(j.record.GiveUpMs) * time.Millisecond)
+	return j.accepted.Add(time.Duration(j.record.GiveUpMs)*time.Millisecond + j.clockError)
 }
 
 // done reports whether every item has a result.
--- a/cicadagateway/cicadabatch/owner.go
+++ b/cicadagateway/cicadabatch/owner.go
@@ -40,8 +40,11 @@
 	// with it.
 	flushDelay = 400 * time.Millisecond
 	// defaultKeep is how long after its acceptance a job stays readable at least.
-	defaultKeep  = 10 * time.Minute
-	controlQueue = 256
+	defaultKeep = 10 * time.Minute
+	// maxClockError is how far the times of day of two VMs may differ. A job whose
+	// age is known from another VM's clock is given up later by as much.
+	maxClockError = 10 * time.Second
+	controlQueue  = 256
 )
 
 // An Owner runs the jobs that fall to it. One goroutine holds its state.
@@ -162,11 +165,15 @@
 		}
 		return
 	}
-	accepted := time.Now()
+	now, age := time.Now(), time.Duration(0)
 	if full {
-		accepted = accepted.Add(-recordAge(r, accepted))
+		age = recordAge(r, now)
+	}
+	j := o.add(id, r, now.Add(-age))
+	j.version = obj.Version()
+	if age > 0 {
+		j.clockError = maxClockError
 	}
-	o.add(id, r, accepted).version = obj.Version()
 }
 
 // recordAge is how long ago a job was accepted by the time of day, which may
--- a/cicadagateway/cicadabatch/owner_test.go
+++ b/cicadagateway/cicadabatch/owner_test.go
@@ -354,6 +354,29 @@
 	})
 }
 
+// TestWrongClockGivesNothingUpEarly answers an owner that takes a job over while
+// its time of day is ahead of the acceptor's: the job is not given up before its
+// time.
+func TestWrongClockGivesNothingUpEarly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite()
+		s.silent = true
+		value, err := json.Marshal(record{
+			Host: "h", Path: "/j/", AcceptedMs: time.Now().Add(-8 * time.Second).UnixMilli(), DueMs: 18000, GiveUpMs: 60000, Total: 1,
+			Items: []adapter.Item{{ID: "j-0", Path: "/j/5"}},
+		})
+		assert.NilError(t, err)
+		_, err = s.memory.Backend().Create(t.Context(), JobsPrefix+"j", value)
+		assert.NilError(t, err)
+		o := s.start("o1", only("o1"))
+		defer o.stop()
+		time.Sleep(59 * time.Second)
+		assert.Equal(t, len(o.results(t, "j", 0).Results), 0)
+		time.Sleep(2*maxClockError + time.Second)
+		assert.Equal(t, o.results(t, "j", 0).Results[0].State, adapter.StateFailed)
+	})
+}
+
 func TestSubmissionInDoubtPromisesNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSite()
