--- a/cicadagateway/cicadabatch/calls.go
+++ b/cicadagateway/cicadabatch/calls.go
@@ -32,7 +32,7 @@
 	Wait   time.Duration
 	// Relayed calls come from a process that does not reach the owner.
 	Relayed bool
-	// Progress is what a CallHandOver hands over.
+	// Progress is what a CallHandOver hands over, and what a CallCheckpoint copies.
 	Progress []Progress
 }
 
@@ -46,6 +46,7 @@
 	CallItem
 	CallEnd
 	CallHandOver
+	CallCheckpoint
 )
 
 // An Answer is the answer to a Call, with an HTTP status.
@@ -76,6 +77,8 @@
 	case CallHandOver:
 		o.do(func() { o.adopt(c.Job, c.Progress) })
 		a = Answer{Status: http.StatusOK}
+	case CallCheckpoint:
+		a = o.takeCopy(c)
 	default:
 		a = Answer{Status: http.StatusBadRequest}
 	}
--- a/cicadagateway/cicadabatch/handover.go
+++ b/cicadagateway/cicadabatch/handover.go
@@ -8,31 +8,15 @@
 // handOverTime bounds one message that hands progress over.
 const handOverTime = time.Second
 
-// A Progress is how far an item has come, for the owner that its job moves to.
-type Progress struct {
-	Item     string
-	Last     int    // id of the last event in Text
-	Text     string // output so far
-	Failures int
-	State    string // the item's result if it has one that is not listed
-}
-
-func (it *item) progress() Progress {
-	return Progress{Item: it.ID, Last: it.last, Text: it.output.String(), Failures: it.failures}
-}
-
 // handOver passes on what is known of a job's items beyond what the store has.
-// Items that run now are passed on when their run has ended.
+// Items that still run are passed on once more when their run has ended.
 func (o *Owner) handOver(j *job) {
 	var all []Progress
 	for _, it := range j.items {
-		if it.state == itemWaiting && (it.last > 0 || it.failures > 0) {
-			all = append(all, it.progress())
+		if p, _, ok := it.news(mark{}); ok {
+			all = append(all, p)
 		}
 	}
-	for _, r := range j.pending {
-		all = append(all, Progress{Item: r.ID, Text: r.Output, State: r.State})
-	}
 	o.sendProgress(j, all)
 }
 
@@ -57,7 +41,7 @@
 	taken := 0
 	for _, p := range all {
 		it := j.byID[p.Item]
-		if it == nil || it.state >= itemFinished || (p.State == "" && p.Last <= it.last) {
+		if it == nil || it.state >= itemFinished || (p.State == "" && p.Last <= it.reached()) {
 			continue
 		}
 		taken++
@@ -77,18 +61,8 @@
 func (o *Owner) takeProgress(it *item) {
 	p := it.adopted
 	it.adopted = nil
-	if p == nil {
-		return
-	}
-	if p.State != "" {
-		it.job.finish(it, p.State, p.Text, time.Now())
-		return
-	}
-	it.failures = max(it.failures, p.Failures)
-	if p.Last > it.last {
-		it.output.Reset()
-		it.output.WriteString(p.Text)
-		it.last = p.Last
+	if p != nil {
+		it.job.resume(it, *p)
 	}
 }
 
--- a/cicadagateway/cicadabatch/job.go
+++ b/cicadagateway/cicadabatch/job.go
@@ -2,7 +2,7 @@
 
 import (
 	"math"
-	"strings"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -24,13 +24,15 @@
 // the run is put aside or breaks, and the next run goes on after it.
 type item struct {
 	adapter.Item
+	partial
 	job       *job
 	point     float64 // where the item falls among its route's services, 0 to 1
 	state     itemState
-	output    strings.Builder
-	last      int // id of the last event in output
-	failures  int // answers that say the item failed
-	breaks    int // runs that broke since the item last got on
+	result    string // its state as listed, once it is finished
+	run       *run   // its present or latest run
+	breaks    int    // runs that broke since the item last got on
+	saved     mark   // in the checkpoint file
+	copied    mark   // at the next owner
 	adopted   *Progress
 	avoid     []string
 	notBefore time.Time
@@ -64,6 +66,9 @@
 	refreshed  time.Time
 	routeless  time.Time // since when the configuration has had no route for the job
 	waiters    []func()
+	recovered  int  // items with progress from before this process started
+	copying    bool // a checkpoint is on its way to the next owner
+	copyWhole  bool // the next checkpoint must tell everything
 }
 
 // A record is what the store holds of a job.
@@ -120,13 +125,40 @@
 
 // finish records an item's result.
 func (j *job) finish(it *item, state, output string, now time.Time) {
-	it.state = itemFinished
+	it.state, it.result = itemFinished, state
 	if len(j.pending) == 0 {
 		j.oldest = now
 	}
 	j.pending = append(j.pending, adapter.Result{ID: it.ID, State: state, Output: output})
 }
 
+// resume makes an item that does not run go on from a progress. It reports false
+// if events between are missing.
+func (j *job) resume(it *item, p Progress) bool {
+	if it.state != itemWaiting {
+		return true
+	}
+	if !it.take(p) {
+		return false
+	}
+	switch p.State {
+	case adapter.StateComplete:
+		j.finish(it, p.State, it.output.String(), time.Now())
+	case adapter.StateFailed:
+		j.finish(it, p.State, "", time.Now())
+	}
+	return true
+}
+
+// forget drops an item's progress: its result is listed, here not yet known.
+func (j *job) forget(it *item) {
+	if it.state != itemWaiting && it.state != itemFinished {
+		return
+	}
+	it.state, it.partial = itemWaiting, partial{}
+	j.withdraw(it.ID)
+}
+
 // takeChunk lists the results of the next chunk. A result for an item that this
 // process was still running, or had finished itself, replaces its own.
 func (j *job) takeChunk(c chunk) (overtaken []*item) {
@@ -144,16 +176,16 @@
 		it.state = itemListed
 		it.output.Reset()
 		it.Body = nil
-		for i, p := range j.pending {
-			if p.ID == r.ID {
-				j.pending = append(j.pending[:i], j.pending[i+1:]...)
-				break
-			}
-		}
+		j.withdraw(r.ID)
 	}
 	return overtaken
 }
 
+// withdraw drops the pending result of an item.
+func (j *job) withdraw(id string) {
+	j.pending = slices.DeleteFunc(j.pending, func(r adapter.Result) bool { return r.ID == id })
+}
+
 // page returns the results from a position on, about maxPage bytes of them.
 func (j *job) page(after int) []adapter.Result {
 	after = min(max(after, 0), len(j.results))
--- a/cicadagateway/cicadabatch/order_test.go
+++ b/cicadagateway/cicadabatch/order_test.go
@@ -9,7 +9,7 @@
 )
 
 func itemOf(j *job, id string, last int) *item {
-	it := &item{job: j, last: last}
+	it := &item{job: j, partial: partial{last: last}}
 	it.ID = id
 	return it
 }
--- a/cicadagateway/cicadabatch/owner.go
+++ b/cicadagateway/cicadabatch/owner.go
@@ -56,6 +56,8 @@
 	config   func() *cicadaview.Config
 	owners   func() []string
 	sendOver func(ctx context.Context, job string, p []Progress) error
+	copyOver func(ctx context.Context, p Checkpoint) error
+	file     *CheckpointFile
 	keep     time.Duration
 	log      hclog.Logger
 	control  chan func()
@@ -71,6 +73,13 @@
 	view     string             // the owners at the last assignment
 	looked   time.Time          // when the items that wait were looked through
 	services map[string]bool    // for which items waited then
+
+	checkpointed time.Time
+	saving       bool // a checkpoint is being written
+	saveWhole    bool // the next one must tell everything
+	found        map[string]map[string]*recovered
+	listed       bool // the store's list of jobs is known
+	settled      bool // what was found belongs to jobs by now
 }
 
 // An Option changes an Owner as it is made.
@@ -86,6 +95,18 @@
 // runs then is kept until it is whole.
 func WithKeep(keep time.Duration) Option { return func(o *Owner) { o.keep = keep } }
 
+// WithCopies sets what passes checkpoints to the owner that would be next to run
+// a job.
+func WithCopies(copyOver func(ctx context.Context, p Checkpoint) error) Option {
+	return func(o *Owner) { o.copyOver = copyOver }
+}
+
+// WithCheckpoints makes the owner keep checkpoints in a file and go on from those
+// found there.
+func WithCheckpoints(file *CheckpointFile) Option {
+	return func(o *Owner) { o.file, o.found = file, file.found }
+}
+
 // NewOwner starts an owner. owners returns the names of the owners, this one
 // included, that may run jobs now.
 func NewOwner(ctx context.Context, name string, store *cicadaplatform.Client, table *cicadaplace.Table, client *cicadaexchange.Client,
@@ -95,7 +116,9 @@
 		name: name, store: store, table: table, client: client, config: config, owners: owners, log: log,
 		control: make(chan func(), controlQueue), wakeup: make(chan struct{}, 1), ctx: ctx, started: time.Now(),
 		jobs: make(map[string]*job), running: make(map[string][]*item), services: make(map[string]bool),
-		sendOver: func(context.Context, string, []Progress) error { return nil }, keep: defaultKeep,
+		sendOver: func(context.Context, string, []Progress) error { return nil },
+		copyOver: func(context.Context, Checkpoint) error { return nil },
+		keep:     defaultKeep, saveWhole: true,
 	}
 	for _, opt := range opts {
 		opt(o)
@@ -143,6 +166,7 @@
 		for _, obj := range objects {
 			o.applyJob(obj, full)
 		}
+		o.listed = o.listed || full
 		o.Wake()
 	})
 }
@@ -187,6 +211,7 @@
 	j := newJob(id, r, accepted)
 	j.mine = ownerOf(id, o.owners()) == o.name
 	o.jobs[id] = j
+	o.recover(j)
 	o.log.Info("job known", "job", id, "items", r.Total, "mine", j.mine, "ended", r.Ended, "age", time.Since(accepted).String())
 	return j
 }
@@ -223,6 +248,8 @@
 		return
 	}
 	o.assign()
+	o.settleRecovered()
+	o.checkpoint(now)
 	for _, j := range o.jobs {
 		switch {
 		case now.Sub(j.accepted) > o.keep && (j.ended || j.listed() || !j.mine):
--- a/cicadagateway/cicadabatch/rpc.go
+++ b/cicadagateway/cicadabatch/rpc.go
@@ -135,6 +135,18 @@
 	return err
 }
 
+// errGap reports that the receiver of a checkpoint lacks what comes before it.
+var errGap = merry.Sentinel("cicadabatch: checkpoint does not follow on the last")
+
+// Copy passes a checkpoint of a job to the owner that would be next to run it.
+func (c *Client) Copy(ctx context.Context, p Checkpoint) error {
+	a, err := c.Call(ctx, &Call{Kind: CallCheckpoint, Job: p.Job, Progress: p.Items})
+	if err == nil && a.Status != http.StatusOK {
+		err = errGap
+	}
+	return err
+}
+
 func rank(id string, owners []Peer) []Peer {
 	owners = slices.Clone(owners)
 	hash := func(p Peer) uint64 { return xxhash.Sum64String(p.Name + " " + id) }
--- a/cicadagateway/cicadabatch/run.go
+++ b/cicadagateway/cicadabatch/run.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -45,6 +46,7 @@
 // A run is one run of an item at an endpoint. It collects what the endpoint puts
 // out after the event from which it started.
 type run struct {
+	mu     sync.Mutex // guards text and last while the run goes on
 	text   strings.Builder
 	last   int
 	begun  time.Duration // until the first event
@@ -143,6 +145,8 @@
 	if event.id != x.last+1 {
 		return merry.Errorf("event %d after %d: %w", event.id, x.last, cicadaexchange.ErrBroken)
 	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
 	if x.last > 0 {
 		x.text.WriteByte('\n')
 	}
@@ -151,6 +155,13 @@
 	return nil
 }
 
+// after returns what the run has put out beyond so many bytes, and its last event.
+func (x *run) after(length int) (text string, last int) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.text.String()[max(length, 0):], x.last
+}
+
 // eventText is one event as its lines come.
 type eventText struct {
 	begun   bool
--- a/cicadagateway/cicadabatch/schedule.go
+++ b/cicadagateway/cicadabatch/schedule.go
@@ -184,6 +184,7 @@
 	it.state, it.grant, it.stop, it.started, it.pinned = itemRunning, grant, cancel, time.Now(), false
 	o.running[endpoint.ID] = append(o.running[endpoint.ID], it)
 	x := &run{last: it.last}
+	it.run = x
 	q := o.request(it, endpoint.ID)
 	o.wg.Go(func() {
 		defer cancel()
--- a/cicadagateway/cicadaprocess/jobs.go
+++ b/cicadagateway/cicadaprocess/jobs.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/url"
+	"path/filepath"
 	"slices"
 	"strconv"
 	"time"
@@ -21,6 +22,9 @@
 	adapter "cicadalink.example/platform"
 )
 
+// checkpointFolder holds the checkpoints within the data folder.
+const checkpointFolder = "checkpoints"
+
 // callMargin is the time of a call on a job beyond its wait.
 const callMargin = 3 * time.Second
 
@@ -102,8 +106,9 @@
 // serveOwner runs jobs until ctx ends.
 func (n *Node) serveOwner(ctx, work context.Context) error {
 	peers := cicadabatch.NewClient(cicadawire.NewPool(), n.ownerPeers)
-	owner := cicadabatch.NewOwner(work, n.cfg.Name, n.store, n.table, n.client, n.config.Load, n.ownerNames, n.log,
-		cicadabatch.WithHandOver(peers.HandOver), cicadabatch.WithKeep(n.cfg.KeepJobs.Or(defaultKeepJobs)+keepMargin))
+	opts := append(n.checkpoints(), cicadabatch.WithHandOver(peers.HandOver), cicadabatch.WithCopies(peers.Copy),
+		cicadabatch.WithKeep(n.cfg.KeepJobs.Or(defaultKeepJobs)+keepMargin))
+	owner := cicadabatch.NewOwner(work, n.cfg.Name, n.store, n.table, n.client, n.config.Load, n.ownerNames, n.log, opts...)
 	n.owner.Store(owner)
 	n.wg.Go(func() { n.checkStore(work) })
 	retirements := newRetirements(work, n, owner.Idle)
@@ -119,6 +124,22 @@
 	return nil
 }
 
+// checkpoints opens the checkpoints on the VM's disk. An owner whose disk fails goes
+// without: its items then begin anew after a crash.
+func (n *Node) checkpoints() []cicadabatch.Option {
+	if n.cfg.DataDir == "" {
+		n.log.Info("no checkpoints", "reason", "no data folder")
+		return nil
+	}
+	file, err := cicadabatch.OpenCheckpoints(filepath.Join(n.cfg.DataDir, checkpointFolder))
+	if err != nil {
+		n.log.Error("no checkpoints", "folder", n.cfg.DataDir, "error", err)
+		return nil
+	}
+	n.log.Info("checkpoints read", "folder", n.cfg.DataDir, "jobs", file.Jobs(), "torn", file.Torn())
+	return []cicadabatch.Option{cicadabatch.WithCheckpoints(file)}
+}
+
 // servePeers serves calls on jobs from other processes.
 func (n *Node) servePeers(ctx context.Context, register func(drpc.Mux) error) error {
 	srv := cicadawire.NewServer()
--- a/cicadagateway/cicadaprocess/settings.go
+++ b/cicadagateway/cicadaprocess/settings.go
@@ -36,6 +36,9 @@
 	// StoreWrites and StoreReads are what all processes may call, a second.
 	StoreWrites float64 `yaml:"store-writes"`
 	StoreReads  float64 `yaml:"store-reads"`
+	// DataDir is a folder on the VM's disk, for checkpoints of batch items. An owner
+	// without one has none.
+	DataDir string `yaml:"data-dir"`
 	// Memory is what the process may use.
 	Memory cicadasettings.Size `yaml:"memory"`
 	// KeepJobs is how long after its acceptance a job stays readable.
