--- a/cicadagateway/cicadabatch/owner.go
+++ b/cicadagateway/cicadabatch/owner.go
@@ -37,8 +37,10 @@
 	startDelay = 900 * time.Millisecond
 	tick       = 100 * time.Millisecond
 	// flushDelay is how long a result waits for others of its job to be written
-	// with it.
-	flushDelay = 400 * time.Millisecond
+	// with it, and dueFlushDelay that while its job is due within dueSoon.
+	flushDelay    = time.Second
+	dueFlushDelay = 400 * time.Millisecond
+	dueSoon       = 6 * time.Second
 	// defaultKeep is how long after its acceptance a job stays readable at least.
 	defaultKeep = 10 * time.Minute
 	// maxClockError is how far the times of day of two VMs may differ. A job whose
--- a/cicadagateway/cicadabatch/schedule.go
+++ b/cicadagateway/cicadabatch/schedule.go
@@ -318,7 +318,7 @@
 	if len(j.pending) == 0 || j.writing || !j.loaded {
 		return
 	}
-	if !j.done() && now.Sub(j.oldest) < flushDelay {
+	if !j.done() && now.Sub(j.oldest) < j.flushDelay(now) {
 		return
 	}
 	j.writing = true
@@ -330,6 +330,15 @@
 	})
 }
 
+// flushDelay is how long results of the job may wait to be written together. They
+// last meanwhile in the checkpoints.
+func (j *job) flushDelay(now time.Time) time.Duration {
+	if j.due().Sub(now) < dueSoon {
+		return dueFlushDelay
+	}
+	return flushDelay
+}
+
 func (o *Owner) flushDone(j *job, number int, written chunk, err error) {
 	j.writing = false
 	if err != nil {
--- a/cicadagateway/cicadafollow/follow.go
+++ b/cicadagateway/cicadafollow/follow.go
@@ -60,6 +60,7 @@
 	apply  func(Change)
 	poke   chan struct{}
 	polls  func() bool
+	gather time.Duration
 	asOf   atomic.Int64
 	wg     conc.WaitGroup
 }
@@ -72,6 +73,10 @@
 // covers for all of them.
 func WithPoll(polls func() bool) Option { return func(f *Follower) { f.polls = polls } }
 
+// WithGather makes the follower wait after a change before it watches on, so that
+// changes which come together cost one call.
+func WithGather(d time.Duration) Option { return func(f *Follower) { f.gather = d } }
+
 // New starts to follow a prefix until ctx ends. apply is called from one
 // goroutine.
 func New(ctx context.Context, store *cicadaplatform.Client, prefix string, link *Link, log hclog.Logger, apply func(Change), opts ...Option) *Follower {
@@ -183,6 +188,7 @@
 		f.asOf.Store(version)
 		if len(page.Objects()) > 0 {
 			f.apply(Change{objects: page.Objects()})
+			cicadaretry.Wait(ctx, f.gather)
 		}
 		if f.polls() {
 			return
--- a/cicadagateway/cicadafollow/follow_test.go
+++ b/cicadagateway/cicadafollow/follow_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -55,6 +56,28 @@
 	return b
 }
 
+// TestChangesThatComeTogetherCostOneCall answers a start of all processes at once,
+// whose entries each would cost every follower a call.
+func TestChangesThatComeTogetherCostOneCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		ctx, cancel := context.WithCancel(t.Context())
+		f := New(ctx, w.store, "config/", w.link, hclog.NewNullLogger(), w.apply, WithGather(500*time.Millisecond))
+		time.Sleep(100 * time.Millisecond)
+		before := w.store.Reads()
+		for i := range 20 {
+			w.put(t, "config/"+strconv.Itoa(i), "x")
+			time.Sleep(10 * time.Millisecond)
+		}
+		w.put(t, "config/main", "last")
+		time.Sleep(600 * time.Millisecond)
+		assert.Equal(t, w.value(), "last")
+		assert.Assert(t, w.store.Reads()-before <= 2, "%d calls", w.store.Reads()-before)
+		cancel()
+		f.Wait()
+	})
+}
+
 type world struct {
 	trouble
 	memory *cicadaplatform.Memory
--- a/cicadagateway/cicadapeer/peer.go
+++ b/cicadagateway/cicadapeer/peer.go
@@ -396,6 +396,13 @@
 	return s != nil && s.live && s.heardDirectly(time.Now())
 }
 
+// Heard reports whether the member named has been heard within the last minute.
+func (g *Group) Heard(name string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.members[name] != nil
+}
+
 // Through returns the address of a live entry that hears the member named and is
 // heard here, for calls to a member that this one does not reach.
 func (g *Group) Through(name string) (address string, ok bool) {
--- a/cicadagateway/cicadaprocess/jobs.go
+++ b/cicadagateway/cicadaprocess/jobs.go
@@ -113,7 +113,7 @@
 	n.wg.Go(func() { n.checkStore(work) })
 	retirements := newRetirements(work, n, owner.Idle)
 	cicadafollow.New(work, n.store, adapter.RetirementsPrefix, n.link, n.log, retirements.apply)
-	cicadafollow.New(work, n.store, cicadabatch.JobsPrefix, n.link, n.log, owner.Apply)
+	cicadafollow.New(work, n.store, cicadabatch.JobsPrefix, n.link, n.log, owner.Apply, cicadafollow.WithGather(gatherTime))
 	if err := n.servePeers(work, owner.Register); err != nil {
 		return err
 	}
--- a/cicadagateway/cicadaprocess/process.go
+++ b/cicadagateway/cicadaprocess/process.go
@@ -10,13 +10,10 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
 	"math"
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -39,19 +36,23 @@
 )
 
 const (
-	peersPrefix = adapter.OwnKind + "peers/"
 	// unreadyTime is how long a leaving entry still takes connections: the
 	// balancer asks once a second and needs two misses.
-	unreadyTime   = 2500 * time.Millisecond
-	exitMargin    = 400 * time.Millisecond // before the platform kills the process
-	registerPause = 500 * time.Millisecond // between tries to register
-	headerTime    = 5 * time.Second
-	idleTime      = 75 * time.Second
-	maxHeader     = 64 << 10
+	unreadyTime = 2500 * time.Millisecond
+	exitMargin  = 400 * time.Millisecond // before the platform kills the process
+	headerTime  = 5 * time.Second
+	idleTime    = 75 * time.Second
+	maxHeader   = 64 << 10
 	// bodyShare is the part of the memory setting for bodies of requests in flight.
 	bodyShare = 0.25
 	// catchUpDelay lets this process's own watch bring what a peer knows already.
 	catchUpDelay = 200 * time.Millisecond
+	// gatherTime is how long news of peers and jobs may wait for others: nothing
+	// depends on their coming at once.
+	gatherTime = time.Second
+	// endpointGather is short against the time in which an endpoint that leaves must
+	// get no more requests.
+	endpointGather = 200 * time.Millisecond
 )
 
 // A Node is one process.
@@ -65,7 +66,9 @@
 	table   *cicadaplace.Table
 	client  *cicadaexchange.Client
 	group   *cicadapeer.Group
-	config  atomic.Pointer[cicadaview.Config]
+
+	directory *directory
+	config    atomic.Pointer[cicadaview.Config]
 	// configs and endpoints follow what the store holds of them.
 	configs   *cicadafollow.Follower
 	endpoints *cicadafollow.Follower
@@ -147,41 +150,12 @@
 		return merry.Errorf("start peers: %w", err)
 	}
 	n.group = group
-	n.wg.Go(func() { n.register(ctx, self) })
-	return nil
-}
-
-// register writes this process's address to the store, where peers find it.
-func (n *Node) register(ctx context.Context, self cicadapeer.Member) {
-	value, err := json.Marshal(self)
-	if err != nil {
-		n.log.Error("not registered", "error", err)
-		return
+	n.directory = &directory{
+		self: self, store: n.store, log: n.log, found: group.SetMembers, heard: group.Heard,
+		tidy: func() bool { return group.First(n.storeUp.Load()) },
 	}
-	name := peersPrefix + self.Name
-	for ctx.Err() == nil {
-		if err := n.put(ctx, name, value); err == nil {
-			n.log.Info("registered", "name", self.Name, "address", self.Address)
-			return
-		}
-		cicadaretry.Wait(ctx, registerPause)
-	}
-}
-
-func (n *Node) put(ctx context.Context, name string, value []byte) error {
-	_, err := n.store.Create(ctx, cicadaplatform.ClassLease, name, value)
-	if !errors.Is(err, cicadaplatform.ErrExists) {
-		return err
-	}
-	old, err := n.store.Get(ctx, name)
-	if err != nil {
-		return err
-	}
-	if string(old.Value()) == string(value) {
-		return nil
-	}
-	_, err = n.store.Update(ctx, cicadaplatform.ClassLease, name, old.Version(), value)
-	return err
+	n.directory.start(ctx)
+	return nil
 }
 
 func (n *Node) state() cicadapeer.State {
@@ -259,9 +233,10 @@
 	polls := cicadafollow.WithPoll(func() bool { return n.group.First(n.storeUp.Load()) })
 	n.registry = cicadafollow.NewRegistry(ctx, n.link, n.log, adapter.DecodeEndpoint, n.table.SetEndpoints)
 	n.configs = cicadafollow.New(ctx, n.store, adapter.ConfigPrefix, n.link, n.log, n.applyConfig, polls)
-	n.endpoints = cicadafollow.New(ctx, n.store, adapter.EndpointsPrefix, n.link, n.log, n.registry.Apply, polls)
+	n.endpoints = cicadafollow.New(ctx, n.store, adapter.EndpointsPrefix, n.link, n.log, n.registry.Apply, polls,
+		cicadafollow.WithGather(endpointGather))
 	n.following.Store(true)
-	cicadafollow.New(ctx, n.store, peersPrefix, n.link, n.log, n.applyPeers)
+	cicadafollow.New(ctx, n.store, peersPrefix, n.link, n.log, n.directory.apply, cicadafollow.WithGather(gatherTime))
 }
 
 func (n *Node) applyConfig(c cicadafollow.Change) {
@@ -284,22 +259,6 @@
 	}
 }
 
-func (n *Node) applyPeers(c cicadafollow.Change) {
-	var members []cicadapeer.Member
-	for _, obj := range c.Objects() {
-		if obj.Value() == nil {
-			continue
-		}
-		var m cicadapeer.Member
-		if err := json.Unmarshal(obj.Value(), &m); err != nil {
-			n.log.Warn("peer entry refused", "name", strings.TrimPrefix(obj.Name(), peersPrefix), "error", err)
-			continue
-		}
-		members = append(members, m)
-	}
-	n.group.SetMembers(members)
-}
-
 func (n *Node) serveCallers(ctx, work context.Context) error {
 	client := cicadabatch.NewClient(cicadawire.NewPool(), n.ownerPeers)
 	if err := n.servePeers(work, client.Register); err != nil {
