--- a/cicadagateway/cicadabatch/checkpoint.go
+++ b/cicadagateway/cicadabatch/checkpoint.go
@@ -175,8 +175,11 @@
 		o.do(func() {
 			o.saving, o.saveWhole = false, full || err != nil
 			if err != nil {
+				o.metrics.saveFailed.Inc(1)
 				o.log.Warn("checkpoint not written", "jobs", len(points), "error", err)
+				return
 			}
+			o.metrics.saved.Inc(1)
 		})
 	})
 }
--- a/cicadagateway/cicadabatch/owner.go
+++ b/cicadagateway/cicadabatch/owner.go
@@ -24,6 +24,7 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
 
 	"cicadalink.example/cicadagateway/cicadaexchange"
 	"cicadalink.example/cicadagateway/cicadafollow"
@@ -61,6 +62,7 @@
 	copyOver func(ctx context.Context, p Checkpoint) error
 	file     *CheckpointFile
 	keep     time.Duration
+	metrics  *metrics
 	log      hclog.Logger
 	control  chan func()
 	wakeup   chan struct{}
@@ -109,6 +111,11 @@
 	return func(o *Owner) { o.file, o.found = file, file.found }
 }
 
+// WithScope sets where items are counted.
+func WithScope(scope tally.Scope) Option {
+	return func(o *Owner) { o.metrics = newMetrics(scope) }
+}
+
 // NewOwner starts an owner. owners returns the names of the owners, this one
 // included, that may run jobs now.
 func NewOwner(ctx context.Context, name string, store *cicadaplatform.Client, table *cicadaplace.Table, client *cicadaexchange.Client,
@@ -120,7 +127,7 @@
 		jobs: make(map[string]*job), running: make(map[string][]*item), services: make(map[string]bool),
 		sendOver: func(context.Context, string, []Progress) error { return nil },
 		copyOver: func(context.Context, Checkpoint) error { return nil },
-		keep:     defaultKeep, saveWhole: true,
+		keep:     defaultKeep, saveWhole: true, metrics: newMetrics(tally.NoopScope),
 	}
 	for _, opt := range opts {
 		opt(o)
--- a/cicadagateway/cicadabatch/owner_test.go
+++ b/cicadagateway/cicadabatch/owner_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 
 	"cicadalink.example/cicadagateway/cicadaplace"
@@ -436,6 +437,7 @@
 	o := &Owner{
 		table: table, config: func() *cicadaview.Config { return s.config }, log: hclog.NewNullLogger(),
 		jobs: make(map[string]*job), running: make(map[string][]*item), services: make(map[string]bool),
+		metrics: newMetrics(tally.NoopScope),
 	}
 	for n := range 10 {
 		items := make([]adapter.Item, 200)
--- a/cicadagateway/cicadabatch/schedule.go
+++ b/cicadagateway/cicadabatch/schedule.go
@@ -158,6 +158,7 @@
 	if it == nil {
 		return
 	}
+	o.metrics.putAside.Inc(1)
 	o.log.Info("item put aside", "item", it.ID, "job", it.job.id, "endpoint", endpoint, "event", it.last,
 		"slack", o.pace.slack(it, now).String())
 	it.stop()
@@ -234,10 +235,12 @@
 	o.log.Info("run ended", "item", it.ID, "job", it.job.id, "outcome", ended.String(), "endpoint", grant.Endpoint().ID,
 		"status", x.status, "event", it.last, "failures", it.failures, "took", now.Sub(it.started).String(),
 		"slack", o.pace.slack(it, now).String(), "error", err)
+	o.metrics.runs[ended].Inc(1)
 	switch ended {
 	case runComplete:
 		grant.Succeeded()
 		if fresh {
+			o.metrics.runTime.RecordDuration(now.Sub(it.started))
 			o.pace.add(now.Sub(it.started), it.last)
 		}
 		it.job.finish(it, adapter.StateComplete, it.output.String(), now)
@@ -351,6 +354,7 @@
 	if j.chunks == number {
 		o.takeChunk(j, written)
 	}
+	o.metrics.left.RecordDuration(time.Until(j.due()))
 	o.log.Info("results listed", "job", j.id, "chunk", number, "listed", len(j.results), "items", j.record.Total,
 		"left", time.Until(j.due()).String())
 	o.notify(j)
--- a/cicadagateway/cicadaplace/batch.go
+++ b/cicadagateway/cicadaplace/batch.go
@@ -111,10 +111,34 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	svc := t.service(service)
-	for _, e := range svc.endpoints {
+	return svc.idle(), svc.slots
+}
+
+func (s *service) idle() int {
+	idle := 0
+	for _, e := range s.endpoints {
 		if !e.Draining {
-			free += max(e.Slots-e.total(), 0)
+			idle += max(e.Slots-e.total(), 0)
 		}
 	}
-	return free, svc.slots
+	return idle
+}
+
+// A Load is what this sender knows of a service's load.
+type Load struct {
+	Service string
+	Slots   int // of endpoints that are not draining
+	Idle    int // slots that nobody holds
+	Waiting int // requests that wait here
+}
+
+// Loads returns the load of each service.
+func (t *Table) Loads() []Load {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var loads []Load
+	for name, svc := range t.services {
+		loads = append(loads, Load{Service: name, Slots: svc.slots, Idle: svc.idle(), Waiting: len(svc.waiters)})
+	}
+	return loads
 }
--- a/cicadagateway/cicadaplace/table_test.go
+++ b/cicadagateway/cicadaplace/table_test.go
@@ -234,3 +234,20 @@
 		assert.Equal(t, told, before+1)
 	})
 }
+
+func TestLoadsCountWhoWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := NewTable("a")
+		table.SetEndpoints([]cicadaview.Endpoint{{ID: "e1", Service: "s", Slots: 2}, {ID: "e2", Service: "s", Slots: 2, Draining: true}})
+		g, err := table.Acquire(t.Context(), Want{Service: "s"})
+		assert.NilError(t, err)
+		assert.DeepEqual(t, table.Loads(), []Load{{Service: "s", Slots: 2, Idle: 1}})
+		table.SetPeer("b", map[string]Count{"e1": {Online: 1}})
+		go func() { _, _ = table.Acquire(t.Context(), Want{Service: "s", MaxWait: time.Second}) }()
+		synctest.Wait()
+		assert.DeepEqual(t, table.Loads(), []Load{{Service: "s", Slots: 2, Waiting: 1}})
+		g.Release()
+		synctest.Wait()
+		assert.DeepEqual(t, table.Loads(), []Load{{Service: "s", Slots: 2}})
+	})
+}
--- a/cicadagateway/cicadaprocess/jobs.go
+++ b/cicadagateway/cicadaprocess/jobs.go
@@ -107,6 +107,7 @@
 func (n *Node) serveOwner(ctx, work context.Context) error {
 	peers := cicadabatch.NewClient(cicadawire.NewPool(), n.ownerPeers)
 	opts := append(n.checkpoints(), cicadabatch.WithHandOver(peers.HandOver), cicadabatch.WithCopies(peers.Copy),
+		cicadabatch.WithScope(n.process.Scope()),
 		cicadabatch.WithKeep(n.cfg.KeepJobs.Or(defaultKeepJobs)+keepMargin))
 	owner := cicadabatch.NewOwner(work, n.cfg.Name, n.store, n.table, n.client, n.config.Load, n.ownerNames, n.log, opts...)
 	n.owner.Store(owner)
--- a/cicadagateway/cicadaprocess/process.go
+++ b/cicadagateway/cicadaprocess/process.go
@@ -95,11 +95,8 @@
 	n := &Node{cfg: cfg, file: p.SettingsFile(), log: p.Log(), process: p}
 	n.drainLimit.Store(int64(cfg.DrainLimit.Or(defaultDrainLimit)))
 	limitMemory(cfg)
-	writes := cfg.StoreWrites
-	if writes <= 0 {
-		writes = defaultStoreWrites
-	}
-	n.store = cicadaplatform.NewClient(backend, cicadaplatform.WithWriteRate(writes), cicadaplatform.WithScope(p.Scope()))
+	n.store = cicadaplatform.NewClient(backend, cicadaplatform.WithWriteRate(cfg.storeWrites()),
+		cicadaplatform.WithReadRate(cfg.storeReads()), cicadaplatform.WithScope(p.Scope()))
 	n.link = cicadafollow.NewLink(n.log, func(up bool) {
 		n.storeUp.Store(up)
 		n.notify()
@@ -127,6 +124,7 @@
 	}
 	n.startFollowing(work)
 	n.wg.Go(func() { n.watchSettings(work) })
+	n.wg.Go(func() { n.serveGauges(work) })
 	if n.cfg.Role == RoleOwner {
 		return n.serveOwner(ctx, work)
 	}
@@ -145,7 +143,7 @@
 		role = cicadapeer.RoleOwner
 	}
 	self := cicadapeer.Member{Name: n.cfg.Name, Role: role, Address: net.JoinHostPort(n.cfg.IP, strconv.Itoa(n.cfg.PeerPort))}
-	group, err := cicadapeer.New(ctx, self, n.log, n.state, n.peerState, n.electPoller)
+	group, err := cicadapeer.New(ctx, self, n.log, n.state, n.peerState, n.membership)
 	if err != nil {
 		return merry.Errorf("start peers: %w", err)
 	}
@@ -189,6 +187,15 @@
 	n.catchUp(s)
 }
 
+// membership takes in that a peer has come or gone, or reaches the store or not.
+func (n *Node) membership() {
+	if !n.following.Load() {
+		return // the peers' goroutine may run before this process has started whole
+	}
+	n.shareBudget()
+	n.electPoller()
+}
+
 // electPoller looks whether it has fallen to this process to poll the store, and
 // makes it begin: its watches may be waiting for long.
 func (n *Node) electPoller() {
--- a/cicadagateway/cicadaprocess/settings.go
+++ b/cicadagateway/cicadaprocess/settings.go
@@ -51,8 +51,20 @@
 	defaultDrainLimit  = 8 * time.Second
 	defaultKeepJobs    = 10 * time.Minute
 	defaultStoreWrites = 100
+	defaultStoreReads  = 500
 )
 
+func (s *Settings) storeWrites() float64 { return orDefault(s.StoreWrites, defaultStoreWrites) }
+
+func (s *Settings) storeReads() float64 { return orDefault(s.StoreReads, defaultStoreReads) }
+
+func orDefault(rate, standard float64) float64 {
+	if rate <= 0 {
+		return standard
+	}
+	return rate
+}
+
 // Validate checks the settings.
 func (s *Settings) Validate() error {
 	if err := s.Common.Validate(); err != nil {
--- a/cicadagateway/cicadarelay/exchange.go
+++ b/cicadagateway/cicadarelay/exchange.go
@@ -201,26 +201,36 @@
 	return true
 }
 
+// Reasons why a request is not answered.
+const (
+	reasonFailed     = "failed"
+	reasonCallerLeft = "caller-left"
+	reasonTimeout    = "timeout"
+	reasonBusy       = "busy"
+	reasonNoEndpoint = "no-endpoint"
+)
+
 // giveUp ends the request without a whole answer. What has surely not run, or
 // may run again, is refused; of the rest nothing is promised.
 func (x *exchange) giveUp(ctx context.Context, err error) {
-	reason := "failed"
+	reason := reasonFailed
 	cause := context.Cause(ctx)
 	switch {
 	case cause != nil && !errors.Is(cause, errTimeout):
-		reason = "caller-left"
+		reason = reasonCallerLeft
 	case errors.Is(cause, errTimeout):
-		reason = "timeout"
+		reason = reasonTimeout
 	case errors.Is(err, cicadaplace.ErrBusy):
-		reason = "busy"
+		reason = reasonBusy
 	case errors.Is(err, cicadaplace.ErrNoEndpoint):
-		reason = "no-endpoint"
+		reason = reasonNoEndpoint
 	}
 	status := x.failureStatus(reason)
 	x.relay.scope.Tagged(map[string]string{"reason": reason}).Counter("failed").Inc(1)
+	x.relay.metrics.failed(reason, time.Since(x.start))
 	x.relay.log.Info("not answered", "id", x.id, "route", x.route.Name, "kind", x.route.Kind.String(), "reason", reason,
 		"status", status, "runs", x.runs, "sends", x.sends, "started", x.headOut, "after", time.Since(x.start).String(), "error", err)
-	if x.headOut || reason == "caller-left" {
+	if x.headOut || reason == reasonCallerLeft {
 		panic(http.ErrAbortHandler)
 	}
 	if status == http.StatusServiceUnavailable {
@@ -234,7 +244,7 @@
 	switch {
 	case x.runs == 0:
 		return http.StatusServiceUnavailable
-	case reason == "timeout":
+	case reason == reasonTimeout:
 		return http.StatusGatewayTimeout
 	}
 	return http.StatusBadGateway
@@ -327,6 +337,7 @@
 func (x *exchange) finish(grant *cicadaplace.Grant, status int, sent time.Time) {
 	now := time.Now()
 	x.relay.scope.Tagged(map[string]string{"kind": x.route.Kind.String()}).Counter("answered").Inc(1)
+	x.relay.metrics.answered(x.route.Kind, grant.Waited(), x.events.firstAfter(x.start), now.Sub(x.start))
 	x.relay.log.Info("answered", "id", x.id, "route", x.route.Name, "kind", x.route.Kind.String(), "status", status,
 		"endpoint", grant.Endpoint().ID, "load", grant.Load(), "waited", grant.Waited().String(), "sends", x.sends, "runs", x.runs,
 		"sent-after", sent.Sub(x.start).String(), "first-event", x.events.firstAfter(x.start).String(), "took", now.Sub(x.start).String())
--- /dev/null
+++ b/cicadagateway/cicadarelay/metrics_test.go
@@ -0,0 +1,32 @@
+package cicadarelay
+
+import (
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"gotest.tools/v3/assert"
+
+	"cicadalink.example/cicadakernel/cicadaview"
+)
+
+func TestLatenciesAreRecorded(t *testing.T) {
+	scope := tally.NewTestScope("", nil)
+	m := newMetrics(scope)
+	m.answered(cicadaview.Stream, time.Millisecond, 20*time.Millisecond, time.Second)
+	m.answered(cicadaview.Safe, 0, 0, 60*time.Millisecond)
+	m.failed(reasonBusy, 70*time.Millisecond)
+	m.failed("no such reason", time.Second)
+	samples := make(map[string]int64)
+	for name, h := range scope.Snapshot().Histograms() {
+		for _, n := range h.Durations() {
+			samples[name] += n
+		}
+	}
+	for name, want := range map[string]int64{
+		"first_event_time+": 1, "slot_wait_time+": 2, "answer_time+kind=stream": 1, "answer_time+kind=safe": 1,
+		"answer_time+kind=unsafe": 0, "failure_time+reason=busy": 1, "failure_time+reason=timeout": 0,
+	} {
+		assert.Equal(t, samples[name], want, name)
+	}
+}
--- a/cicadagateway/cicadarelay/relay.go
+++ b/cicadagateway/cicadarelay/relay.go
@@ -70,6 +70,7 @@
 	client  *cicadaexchange.Client
 	log     hclog.Logger
 	scope   tally.Scope
+	metrics *metrics
 	jobs    Jobs
 	bodies  bodies
 	leaving func() bool
@@ -110,6 +111,7 @@
 	for _, opt := range opts {
 		opt(r)
 	}
+	r.metrics = newMetrics(r.scope)
 	return r
 }
 
--- a/cicadakernel/cicadaplatform/client.go
+++ b/cicadakernel/cicadaplatform/client.go
@@ -43,24 +43,28 @@
 func (c Class) String() string { return classNames[c] }
 
 const (
-	defaultWriteRate  = 100.0
-	defaultDeadline   = 2 * time.Second
-	firstBackoff      = 50 * time.Millisecond
-	maxBackoff        = 2 * time.Second
-	writeBurstSeconds = 0.5
-	minWriteBurst     = 4
+	defaultWriteRate = 100.0
+	defaultDeadline  = 2 * time.Second
+	firstBackoff     = 50 * time.Millisecond
+	maxBackoff       = 2 * time.Second
+	burstSeconds     = 0.5
+	minBurst         = 4
 )
 
+// callBuckets reach from 1 ms to 8 s.
+var callBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14)
+
 // A Client makes calls to the platform within a budget. It decides lost
 // answers by reading back, and backs off with jitter while the store is down.
 type Client struct {
-	backend  Backend
-	deadline time.Duration
-	limits   [classCount]*rate.Limiter
-	scope    tally.Scope
-	writes   atomic.Int64
-	reads    atomic.Int64
-	readBack bool
+	backend   Backend
+	deadline  time.Duration
+	limits    [classCount]*rate.Limiter
+	readLimit *rate.Limiter
+	scope     tally.Scope
+	writes    atomic.Int64
+	reads     atomic.Int64
+	readBack  bool
 }
 
 // A ClientOption changes a Client as it is made.
@@ -68,15 +72,36 @@
 
 // WithWriteRate sets the client's write budget in writes a second.
 func WithWriteRate(perSecond float64) ClientOption {
-	return func(c *Client) {
-		for class := range classCount {
-			share := max(perSecond*classShares[class], classFloors[class])
-			burst := max(int(share*writeBurstSeconds), minWriteBurst)
-			c.limits[class] = rate.NewLimiter(rate.Limit(share), burst)
-		}
+	return func(c *Client) { c.setWriteRate(perSecond) }
+}
+
+// WithReadRate bounds the client's reads, lists and watches a second. Without it
+// they have no bound.
+func WithReadRate(perSecond float64) ClientOption {
+	return func(c *Client) { c.setReadRate(perSecond) }
+}
+
+// SetRates changes the client's budgets, as processes that share the store's rates
+// come and go.
+func (c *Client) SetRates(writes, reads float64) {
+	c.setWriteRate(writes)
+	c.setReadRate(reads)
+}
+
+func (c *Client) setWriteRate(perSecond float64) {
+	for class := range classCount {
+		share := max(perSecond*classShares[class], classFloors[class])
+		setLimit(c.limits[class], share)
 	}
 }
 
+func (c *Client) setReadRate(perSecond float64) { setLimit(c.readLimit, perSecond) }
+
+func setLimit(l *rate.Limiter, perSecond float64) {
+	l.SetLimit(rate.Limit(perSecond))
+	l.SetBurst(max(int(perSecond*burstSeconds), minBurst))
+}
+
 // WithDeadline sets the time that one call may take.
 func WithDeadline(d time.Duration) ClientOption {
 	return func(c *Client) { c.deadline = d }
@@ -95,8 +120,14 @@
 
 // NewClient returns a client of a backend.
 func NewClient(backend Backend, opts ...ClientOption) *Client {
-	c := &Client{backend: backend, deadline: defaultDeadline, scope: tally.NoopScope, readBack: true}
-	WithWriteRate(defaultWriteRate)(c)
+	c := &Client{
+		backend: backend, deadline: defaultDeadline, scope: tally.NoopScope, readBack: true,
+		readLimit: rate.NewLimiter(rate.Inf, minBurst),
+	}
+	for class := range classCount {
+		c.limits[class] = rate.NewLimiter(0, 0)
+	}
+	c.setWriteRate(defaultWriteRate)
 	for _, opt := range opts {
 		opt(c)
 	}
@@ -109,9 +140,19 @@
 // Reads returns how many reads, lists and watches the client has made.
 func (c *Client) Reads() int64 { return c.reads.Load() }
 
-func (c *Client) countRead(kind string) {
+// countRead waits for the read budget and counts a call.
+func (c *Client) countRead(ctx context.Context, kind string) error {
+	if err := c.readLimit.Wait(ctx); err != nil {
+		return merry.Errorf("wait for read budget: %w: %w", ErrUnavailable, err)
+	}
 	c.reads.Add(1)
 	c.scope.Tagged(map[string]string{"call": kind}).Counter("platform_calls").Inc(1)
+	return nil
+}
+
+// timed records how long a call took.
+func (c *Client) timed(kind string, start time.Time) {
+	c.scope.Tagged(map[string]string{"call": kind}).Histogram("platform_call_time", callBuckets).RecordDuration(time.Since(start))
 }
 
 func (c *Client) countWrite(class Class) {
@@ -121,7 +162,10 @@
 
 // Get returns an object, or ErrNotFound.
 func (c *Client) Get(ctx context.Context, name string) (Object, error) {
-	c.countRead("get")
+	if err := c.countRead(ctx, "get"); err != nil {
+		return Object{}, err
+	}
+	defer c.timed("get", time.Now())
 	ctx, cancel := context.WithTimeout(ctx, c.deadline)
 	defer cancel()
 	obj, err := c.backend.Get(ctx, name)
@@ -133,7 +177,10 @@
 
 // List returns a page of the objects under a prefix.
 func (c *Client) List(ctx context.Context, prefix, after string, limit int) (Page, error) {
-	c.countRead("list")
+	if err := c.countRead(ctx, "list"); err != nil {
+		return Page{}, err
+	}
+	defer c.timed("list", time.Now())
 	ctx, cancel := context.WithTimeout(ctx, c.deadline)
 	defer cancel()
 	page, err := c.backend.List(ctx, prefix, after, limit)
@@ -145,7 +192,9 @@
 
 // Watch waits for changes under a prefix after a version.
 func (c *Client) Watch(ctx context.Context, prefix string, from int64) (Page, error) {
-	c.countRead("watch")
+	if err := c.countRead(ctx, "watch"); err != nil {
+		return Page{}, err
+	}
 	page, err := c.backend.Watch(ctx, prefix, from)
 	if err != nil {
 		return Page{}, merry.Errorf("watch objects: %w", err)
@@ -155,7 +204,9 @@
 
 // VMs returns the VM list.
 func (c *Client) VMs(ctx context.Context) ([]VM, error) {
-	c.countRead("vms")
+	if err := c.countRead(ctx, "vms"); err != nil {
+		return nil, err
+	}
 	ctx, cancel := context.WithTimeout(ctx, c.deadline)
 	defer cancel()
 	vms, err := c.backend.VMs(ctx)
@@ -246,6 +297,7 @@
 }
 
 func (c *Client) attempt(ctx context.Context, write func(context.Context) (Object, error)) (Object, error) {
+	defer c.timed("write", time.Now())
 	ctx, cancel := context.WithTimeout(ctx, c.deadline)
 	defer cancel()
 	return write(ctx)
--- a/cicadakernel/logwriter.go
+++ b/cicadakernel/logwriter.go
@@ -2,12 +2,14 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/sourcegraph/conc"
 )
 
@@ -19,6 +21,7 @@
 	// maxLogWrite is how much one write may hold, in bytes: a pipe takes so much as
 	// a whole, and does not mix it with what others write.
 	maxLogWrite = 4096
+	closeTime   = 200 * time.Millisecond
 )
 
 // A LogWriter passes lines on to another writer without ever blocking: a
@@ -75,11 +78,23 @@
 // Dropped returns how many lines were dropped.
 func (w *LogWriter) Dropped() int64 { return w.dropped.Load() }
 
-// Close writes what has gathered.
+// Close writes what has gathered. If the output is stuck it gives up after
+// closeTime: a process must be able to end.
 func (w *LogWriter) Close() error {
 	close(w.done)
-	w.wg.Wait()
-	return nil
+	ended := make(chan struct{})
+	go func() {
+		w.wg.Wait()
+		close(ended)
+	}()
+	timer := time.NewTimer(closeTime)
+	defer timer.Stop()
+	select {
+	case <-ended:
+		return nil
+	case <-timer.C:
+		return merry.Errorf("close log: %w", context.DeadlineExceeded)
+	}
 }
 
 // pause lets lines gather, so that one call writes many.
--- a/cicadakernel/logwriter_test.go
+++ b/cicadakernel/logwriter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"strings"
 	"sync"
 	"testing"
@@ -47,6 +48,22 @@
 	})
 }
 
+// TestProcessEndsThoughItsOutputIsStuck answers a pipe that nobody reads when the
+// process is told to stop.
+func TestProcessEndsThoughItsOutputIsStuck(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &stuckWriter{freed: make(chan struct{})}
+		w := NewLogWriter(out)
+		_, err := w.Write([]byte("last\n"))
+		assert.NilError(t, err)
+		start := time.Now()
+		assert.ErrorIs(t, w.Close(), context.DeadlineExceeded)
+		assert.Equal(t, time.Since(start), closeTime)
+		close(out.freed)
+		synctest.Wait()
+	})
+}
+
 func TestWritesHoldWholeLines(t *testing.T) {
 	line := strings.Repeat("x", 999) + "\n"
 	long := strings.Repeat("y", 5000) + "\n"
--- a/cicadakernel/process.go
+++ b/cicadakernel/process.go
@@ -114,6 +114,7 @@
 	scope   tally.Scope
 	metrics http.Handler
 	ready   atomic.Bool
+	lines   *LogWriter // nil if lines are written directly
 	closers []io.Closer
 }
 
@@ -148,6 +149,15 @@
 // SettingsFile returns the file that the settings were read from, or nothing.
 func (p *Process) SettingsFile() string { return p.file }
 
+// LogDropped returns how many lines of the log were dropped, since its output did
+// not take them.
+func (p *Process) LogDropped() int64 {
+	if p.lines == nil {
+		return 0
+	}
+	return p.lines.Dropped()
+}
+
 // Scope returns the root of the process's metrics.
 func (p *Process) Scope() tally.Scope { return p.scope }
 
@@ -236,13 +246,14 @@
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	var out io.Writer = os.Stderr
+	var lines *LogWriter
 	if cfg.Base().Log.Output == "stdout" {
-		lines := NewLogWriter(os.Stdout)
+		lines = NewLogWriter(os.Stdout)
 		defer lines.Close()
 		out = lines
 	}
 	p := NewProcess(name, cfg.Base(), out)
-	p.file = file
+	p.file, p.lines = file, lines
 	if addr := cfg.Base().Admin; addr != "" {
 		srv, err := p.serveAdmin(addr)
 		if err != nil {
