--- a/cicadagateway/cicadabatch/schedule.go
+++ b/cicadagateway/cicadabatch/schedule.go
@@ -13,9 +13,6 @@
 )
 
 const (
-	// reserve is how many idle slots an endpoint keeps for online requests
-	// before a batch item with slack starts there.
-	reserve = 1
 	// retryDelay is how long an item waits after a run that did not succeed.
 	retryDelay = 50 * time.Millisecond
 	// maxRetryDelay is the longest such wait. It doubles with each run that
@@ -78,11 +75,7 @@
 		return 1
 	})
 	for _, it := range waiting {
-		keep := reserve
-		if o.pace.slack(it, now) < urgentSlack {
-			keep = 0
-		}
-		grant := o.table.AcquireBatch(service, keep, it.avoid)
+		grant := o.table.AcquireBatch(service, o.pace.slack(it, now) < urgentSlack, it.avoid)
 		if grant != nil {
 			o.start(it, grant)
 		} else if len(it.avoid) == 0 {
--- a/cicadagateway/cicadaplace/batch.go
+++ b/cicadagateway/cicadaplace/batch.go
@@ -5,13 +5,23 @@
 	"time"
 )
 
-// AcquireBatch returns a slot for a batch item, or nil. It takes a slot only at
-// an endpoint that keeps more than reserve slots free for online requests, and
-// never waits. Endpoints to avoid are used when there is no other.
-func (t *Table) AcquireBatch(service string, reserve int, avoid []string) *Grant {
+// idleShare is the part of a service's slots that batch items leave idle for online
+// requests. Requests that come together find slots there; the rest take those of
+// batch items. The more slots there are, the smaller a part evens out the traffic,
+// but a slot kept idle at each endpoint costs batch more than it helps.
+const idleShare = 1.0 / 16
+
+// AcquireBatch returns a slot for a batch item, or nil. It never waits, and takes
+// one of the last idle slots of a service only for an urgent item. Endpoints to
+// avoid are used when there is no other.
+func (t *Table) AcquireBatch(service string, urgent bool, avoid []string) *Grant {
 	t.mu.Lock()
 	now := time.Now()
 	svc := t.service(service)
+	if !urgent && svc.idle(now) <= max(1, int(idleShare*float64(svc.slots))) {
+		t.mu.Unlock()
+		return nil
+	}
 	w := Want{Avoid: avoid}
 	if !svc.usable(w) {
 		w.Avoid = nil
@@ -19,11 +29,8 @@
 	var found *endpoint
 	most := 0.0
 	for _, e := range svc.endpoints {
-		if e.Draining || w.avoids(e.ID) || now.Before(e.restTill) {
-			continue
-		}
-		free := e.Slots - e.total() - reserve
-		if free <= 0 {
+		free := e.Slots - e.total()
+		if e.Draining || w.avoids(e.ID) || now.Before(e.restTill) || free <= 0 {
 			continue
 		}
 		if rank := float64(free) + jitter*rand.Float64(); found == nil || rank > most {
@@ -111,13 +118,15 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	svc := t.service(service)
-	return svc.idle(), svc.slots
+	return svc.idle(time.Now()), svc.slots
 }
 
-func (s *service) idle() int {
+// idle returns the slots that nobody holds at endpoints that do not rest after a
+// failure.
+func (s *service) idle(now time.Time) int {
 	idle := 0
 	for _, e := range s.endpoints {
-		if !e.Draining {
+		if !e.Draining && !now.Before(e.restTill) {
 			idle += max(e.Slots-e.total(), 0)
 		}
 	}
@@ -138,7 +147,7 @@
 	defer t.mu.Unlock()
 	var loads []Load
 	for name, svc := range t.services {
-		loads = append(loads, Load{Service: name, Slots: svc.slots, Idle: svc.idle(), Waiting: len(svc.waiters)})
+		loads = append(loads, Load{Service: name, Slots: svc.slots, Idle: svc.idle(time.Now()), Waiting: len(svc.waiters)})
 	}
 	return loads
 }
--- a/cicadagateway/cicadaplace/load_test.go
+++ b/cicadagateway/cicadaplace/load_test.go
@@ -96,7 +96,7 @@
 			}
 		}
 		for {
-			g := table.AcquireBatch("s", 1, nil)
+			g := table.AcquireBatch("s", false, nil)
 			if g == nil {
 				break
 			}
--- a/cicadagateway/cicadaplace/table_test.go
+++ b/cicadagateway/cicadaplace/table_test.go
@@ -154,14 +154,32 @@
 	table := NewTable("owner")
 	table.SetEndpoints(endpoints(1, 4))
 	for range 3 {
-		assert.Assert(t, table.AcquireBatch("s", 1, nil) != nil)
+		assert.Assert(t, table.AcquireBatch("s", false, nil) != nil)
 	}
-	assert.Assert(t, table.AcquireBatch("s", 1, nil) == nil)
+	assert.Assert(t, table.AcquireBatch("s", false, nil) == nil)
 	assert.Equal(t, len(table.Excess()), 0)
 	table.SetPeer("entry", map[string]Count{"a": {Online: 3}})
 	assert.DeepEqual(t, table.Excess(), map[string]int{"a": 2})
 }
 
+// TestReserveEvensOutOverTheService answers two sites of different size: what batch
+// leaves idle is a part of all slots, not a slot of each endpoint.
+func TestReserveEvensOutOverTheService(t *testing.T) {
+	for _, c := range []struct{ endpoints, slots, idle int }{{9, 8, 4}, {18, 8, 9}, {47, 7, 20}, {1, 4, 1}, {1, 40, 2}} {
+		table := NewTable("owner")
+		table.SetEndpoints(endpoints(c.endpoints, c.slots))
+		for table.AcquireBatch("s", false, nil) != nil {
+		}
+		free, slots := table.Free("s")
+		assert.Equal(t, slots, c.endpoints*c.slots)
+		assert.Equal(t, free, c.idle)
+		for range c.idle {
+			assert.Assert(t, table.AcquireBatch("s", true, nil) != nil, "an urgent item takes any idle slot")
+		}
+		assert.Assert(t, table.AcquireBatch("s", true, nil) == nil)
+	}
+}
+
 func TestOwnersAgreeWhoYields(t *testing.T) {
 	counts := map[string]Count{"o1": {Batch: 3}, "o2": {Batch: 2}, "o3": {Batch: 1}}
 	total := 0
@@ -169,7 +187,7 @@
 		table := NewTable(name)
 		table.SetEndpoints(endpoints(1, 8))
 		for range own.Batch {
-			assert.Assert(t, table.AcquireBatch("s", 0, nil) != nil)
+			assert.Assert(t, table.AcquireBatch("s", true, nil) != nil)
 		}
 		for other, n := range counts {
 			if other != name {
@@ -185,7 +203,7 @@
 func TestPinnedItemCountsAsOnline(t *testing.T) {
 	table := NewTable("owner")
 	table.SetEndpoints(endpoints(1, 2))
-	g := table.AcquireBatch("s", 0, nil)
+	g := table.AcquireBatch("s", true, nil)
 	g.Pin()
 	table.SetPeer("entry", map[string]Count{"a": {Online: 2}})
 	assert.Equal(t, len(table.Excess()), 0)
