--- a/cicadagateway/cicadaprocess/process.go
+++ b/cicadagateway/cicadaprocess/process.go
@@ -275,8 +275,10 @@
 		cicadarelay.WithScope(n.process.Scope()), cicadarelay.WithLeaving(n.leaving.Load), cicadarelay.WithJobs(n.jobs(client)),
 		cicadarelay.WithSuspects(&n.crashes.table, n.crashes.add),
 		cicadarelay.WithBodyMemory(int64(bodyShare*float64(n.cfg.Memory))))
+	var callers connections
 	srv := &http.Server{
-		Handler: relay, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHeader,
+		ConnState: callers.changed,
+		Handler:   relay, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHeader,
 		ErrorLog: n.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
 	ln, err := net.Listen("tcp", n.cfg.Listen)
@@ -289,25 +291,30 @@
 	}
 	readySrv := &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: headerTime}
 	failed := make(chan error, 2)
-	n.wg.Go(func() { failed <- srv.Serve(ln) })
+	n.wg.Go(func() { failed <- srv.Serve(callerListener{ln}) })
 	n.wg.Go(func() { failed <- readySrv.Serve(ready) })
 	select {
 	case err := <-failed:
 		return merry.Errorf("serve callers: %w", err)
 	case <-ctx.Done():
 	}
-	return n.shutDown(srv)
+	err = n.shutDown(&callers, ln)
+	_ = srv.Close() // ends what the shutdown had no time for, and its report says so
+	return err
 }
 
 // shutDown goes on serving until the balancer has noticed, then waits for the
 // requests that are being served.
-func (n *Node) shutDown(srv *http.Server) error {
+func (n *Node) shutDown(callers *connections, ln net.Listener) error {
 	end := time.Now().Add(time.Duration(n.drainLimit.Load()) - exitMargin)
 	n.leave()
 	cicadaretry.Wait(context.Background(), unreadyTime)
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
-	if err := srv.Shutdown(ctx); err != nil {
+	if err := ln.Close(); err != nil {
+		n.log.Warn("listener for callers not closed", "error", err)
+	}
+	if err := callers.drain(ctx); err != nil {
 		n.log.Warn("requests cut by the end of the shutdown", "error", err)
 	}
 	n.log.Info("stopped")
