--- a/cicadagateway/cicadaprocess/connections.go
+++ b/cicadagateway/cicadaprocess/connections.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+
+	"cicadalink.example/cicadagateway/cicadarelay"
 )
 
 const (
@@ -16,6 +18,9 @@
 	drainInterval = 20 * time.Millisecond
 	// newTime is how long a connection may stand before its first byte comes.
 	newTime = time.Second
+	// quietTime is how long a kept connection must have been idle before a leaving
+	// entry closes it: callers know that they may not use it so late.
+	quietTime = cicadarelay.KeepAliveTime + 200*time.Millisecond
 )
 
 // connections knows the connections of callers, so that a graceful shutdown closes
@@ -104,13 +109,23 @@
 	s.open[c] = connState{state: state, since: time.Now()}
 }
 
-// drain closes each connection once no request is under way on it. It returns when
-// none is left, or with an error when ctx ends.
-func (s *connections) drain(ctx context.Context) error {
+// drain closes each connection once no request is under way on it. It goes on
+// accepting connections until none is left or lastAccept has come, then closes the
+// listener. It returns when nothing is left, or with an error when ctx ends.
+func (s *connections) drain(ctx context.Context, ln net.Listener, lastAccept time.Time) error {
 	ticker := time.NewTicker(drainInterval)
 	defer ticker.Stop()
+	accepting := true
 	for {
-		busy := s.closeIdle(time.Now())
+		now := time.Now()
+		busy := s.closeIdle(now)
+		if accepting && (busy == 0 || now.After(lastAccept)) {
+			accepting = false
+			if err := ln.Close(); err != nil {
+				return merry.Errorf("close listener for callers: %w", err)
+			}
+			busy = s.closeIdle(now) // one may have come since
+		}
 		if busy == 0 {
 			return nil
 		}
@@ -128,7 +143,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c, known := range s.open {
-		unused := known.state == http.StateIdle || known.state == http.StateNew && now.Sub(known.since) > newTime
+		quiet := now.Sub(known.since)
+		unused := known.state == http.StateIdle && quiet > quietTime || known.state == http.StateNew && quiet > newTime
 		if !unused || !c.closeUnused() {
 			busy++
 		}
--- a/cicadagateway/cicadaprocess/process.go
+++ b/cicadagateway/cicadaprocess/process.go
@@ -40,9 +40,12 @@
 	// balancer asks once a second and needs two misses.
 	unreadyTime = 2500 * time.Millisecond
 	exitMargin  = 400 * time.Millisecond // before the platform kills the process
-	headerTime  = 5 * time.Second
-	idleTime    = 75 * time.Second
-	maxHeader   = 64 << 10
+	// lastRequestTime is kept for requests on the last connection that a leaving entry
+	// accepts.
+	lastRequestTime = 2 * time.Second
+	headerTime      = 5 * time.Second
+	idleTime        = 75 * time.Second
+	maxHeader       = 64 << 10
 	// bodyShare is the part of the memory setting for bodies of requests in flight.
 	bodyShare = 0.25
 	// catchUpDelay lets this process's own watch bring what a peer knows already.
@@ -311,10 +314,7 @@
 	cicadaretry.Wait(context.Background(), unreadyTime)
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
-	if err := ln.Close(); err != nil {
-		n.log.Warn("listener for callers not closed", "error", err)
-	}
-	if err := callers.drain(ctx); err != nil {
+	if err := callers.drain(ctx, ln, end.Add(-lastRequestTime)); err != nil {
 		n.log.Warn("requests cut by the end of the shutdown", "error", err)
 	}
 	n.log.Info("stopped")
--- a/cicadagateway/cicadarelay/metrics_test.go
+++ b/cicadagateway/cicadarelay/metrics_test.go
@@ -1,12 +1,16 @@
 package cicadarelay
 
 import (
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 
+	"cicadalink.example/cicadagateway/cicadaplace"
 	"cicadalink.example/cicadakernel/cicadaview"
 )
 
@@ -30,3 +34,21 @@
 		assert.Equal(t, samples[name], want, name)
 	}
 }
+
+// TestCallersAreToldHowLongAConnectionLives answers a shutdown: callers that know the
+// time do not use a connection that may be closed at that moment.
+func TestCallersAreToldHowLongAConnectionLives(t *testing.T) {
+	leaving := false
+	l := New(func() *cicadaview.Config { return nil }, cicadaplace.NewTable("a"), nil, hclog.NewNullLogger(),
+		WithLeaving(func() bool { return leaving }))
+	for _, c := range []struct {
+		leaving           bool
+		keepAlive, closes string
+	}{{false, "timeout=1", ""}, {true, "", "close"}} {
+		leaving = c.leaving
+		w := httptest.NewRecorder()
+		l.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/x", nil))
+		assert.Equal(t, w.Header().Get("Keep-Alive"), c.keepAlive)
+		assert.Equal(t, w.Header().Get("Connection"), c.closes)
+	}
+}
--- a/cicadagateway/cicadarelay/relay.go
+++ b/cicadagateway/cicadarelay/relay.go
@@ -115,12 +115,20 @@
 	return r
 }
 
+// KeepAliveTime is how long callers may use an idle connection again. A leaving entry
+// closes no connection sooner, so that no request crosses its close.
+const KeepAliveTime = time.Second
+
+var keepAlive = "timeout=" + strconv.Itoa(int(KeepAliveTime.Seconds()))
+
 var errTimeout = merry.Sentinel("cicadarelay: route's timeout")
 
 // ServeHTTP serves one request of a caller.
 func (l *Relay) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if l.leaving() {
 		w.Header().Set("Connection", "close")
+	} else {
+		w.Header().Set("Keep-Alive", keepAlive)
 	}
 	w.Header()["Date"] = nil
 	config := l.config()
