--- a/cicadagateway/cicadafollow/follow.go
+++ b/cicadagateway/cicadafollow/follow.go
@@ -94,7 +94,7 @@
 				wait = firstBackoff
 				continue
 			}
-			cicadaretry.Wait(ctx, wait/2+rand.N(wait))
+			f.pause(ctx, wait/2+rand.N(wait))
 			wait = min(2*wait, maxBackoff)
 		}
 	})
@@ -125,15 +125,16 @@
 		return false
 	}
 	if f.polls() {
-		f.pause(ctx)
+		f.pause(ctx, pollInterval)
 		return true
 	}
 	f.watch(ctx, version)
 	return true
 }
 
-func (f *Follower) pause(ctx context.Context) {
-	timer := time.NewTimer(pollInterval)
+// pause waits between two calls, unless the follower is poked.
+func (f *Follower) pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/cicadagateway/cicadafollow/follow_test.go
+++ b/cicadagateway/cicadafollow/follow_test.go
@@ -211,6 +211,90 @@
 	return cicadaview.Endpoint{ID: id, Address: string(value)}, nil
 }
 
+// TestEndpointThatLeftBehindACutIsGoneAtOnce answers a process that alone was cut off
+// from the store: an endpoint that left meanwhile gets no more requests, since peers
+// have had the store all along and its entry cannot have lapsed.
+func TestEndpointThatLeftBehindACutIsGoneAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		link := NewLink(hclog.NewNullLogger(), nil)
+		var known atomic.Int64
+		var vouched atomic.Bool
+		g := NewRegistry(ctx, link, hclog.NewNullLogger(), decodeTest,
+			func(all []cicadaview.Endpoint) { known.Store(int64(len(all))) }, WithVouched(vouched.Load))
+		full := func(ids ...string) {
+			var objects []cicadaplatform.Object
+			for _, id := range ids {
+				objects = append(objects, cicadaplatform.NewObject("servers/"+id, 1, []byte("x")))
+			}
+			g.Apply(Change{objects: objects, full: true})
+		}
+		link.Report(nil)
+		time.Sleep(settleTime)
+		for _, c := range []struct {
+			vouched bool
+			want    int64
+		}{{false, 8}, {true, 7}} {
+			vouched.Store(c.vouched)
+			full("a", "b", "c", "d", "e", "f", "g", "h")
+			link.Report(cicadaplatform.ErrUnavailable)
+			time.Sleep(10 * time.Second)
+			link.Report(nil)
+			full("b", "c", "d", "e", "f", "g", "h")
+			assert.Equal(t, known.Load(), c.want, "vouched %v", c.vouched)
+		}
+		cancel()
+		g.wg.Wait()
+	})
+}
+
+// TestSteadyLink answers an outage that a process whose calls are rare does not
+// notice: it does not vouch for the store.
+func TestSteadyLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		link := NewLink(hclog.NewNullLogger(), nil)
+		answers := func(n int, gap time.Duration) {
+			for range n {
+				link.Report(nil)
+				time.Sleep(gap)
+			}
+		}
+		assert.Assert(t, !link.Steady())
+		answers(2, 900*time.Millisecond)
+		assert.Assert(t, !link.Steady(), "not for long enough")
+		answers(2, 900*time.Millisecond)
+		assert.Assert(t, link.Steady())
+		time.Sleep(8 * time.Second)
+		assert.Assert(t, !link.Steady(), "silent")
+		assert.Assert(t, link.Settled())
+		link.Report(nil)
+		assert.Assert(t, !link.Steady(), "the store may have been away")
+		answers(3, 900*time.Millisecond)
+		assert.Assert(t, link.Steady())
+		link.Report(cicadaplatform.ErrUnavailable)
+		assert.Assert(t, !link.Steady())
+	})
+}
+
+// TestPokedFollowerDoesNotWaitForItsBackoff answers a store that returns: the first
+// follower of a process that hears of it wakes the others.
+func TestPokedFollowerDoesNotWaitForItsBackoff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		w.put(t, "config/main", "1")
+		w.down.Store(true)
+		ctx, cancel := context.WithCancel(t.Context())
+		f := New(ctx, w.store, "config/", w.link, hclog.NewNullLogger(), w.apply)
+		time.Sleep(20 * time.Second)
+		w.down.Store(false)
+		f.Refresh()
+		time.Sleep(time.Millisecond)
+		assert.Equal(t, w.value(), "1")
+		cancel()
+		f.Wait()
+	})
+}
+
 func TestRegistryHoldsEndpointsOverAnOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
--- a/cicadagateway/cicadafollow/link.go
+++ b/cicadagateway/cicadafollow/link.go
@@ -11,6 +11,10 @@
 // may still be missing from it.
 const settleTime = 2200 * time.Millisecond
 
+// steadyGap is the longest time between two answers of a store that is taken to have
+// been there all along.
+const steadyGap = 2500 * time.Millisecond
+
 // A Link is what a process believes of its connection to the platform's store.
 // It starts out lost, is up after an answer, and settles some time after that.
 type Link struct {
@@ -19,6 +23,7 @@
 	ever    bool
 	since   time.Time
 	heard   time.Time // the last answer
+	steady  time.Time // since when answers have come without a gap
 	changed func(up bool)
 	log     hclog.Logger
 }
@@ -33,14 +38,16 @@
 func (l *Link) Report(err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	up := err == nil
+	up, now := err == nil, time.Now()
 	if up {
-		l.heard = time.Now()
+		if !l.up || now.Sub(l.heard) > steadyGap {
+			l.steady = now
+		}
+		l.heard = now
 	}
 	if up == l.up {
 		return
 	}
-	now := time.Now()
 	if up {
 		l.log.Info("store regained", "lost-for", now.Sub(l.since).String(), "first", !l.ever)
 	} else {
@@ -73,3 +80,13 @@
 	defer l.mu.Unlock()
 	return l.up && time.Since(l.since) >= settleTime
 }
+
+// Steady reports whether the store has answered this process again and again for so
+// long that an entry missing from it is gone, whoever misses it. A process that
+// hears little of the store may not have noticed that it was away.
+func (l *Link) Steady() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	return l.up && now.Sub(l.heard) <= steadyGap && now.Sub(l.steady) >= settleTime
+}
--- a/cicadagateway/cicadafollow/registry.go
+++ b/cicadagateway/cicadafollow/registry.go
@@ -40,6 +40,7 @@
 	log     hclog.Logger
 	decode  func(id string, value []byte) (cicadaview.Endpoint, error)
 	publish func([]cicadaview.Endpoint)
+	vouched func() bool // reports whether another process has had the store all along
 	known   map[string]cicadaview.Endpoint
 	missing map[string]time.Time // endpoints that are held, and until when at least
 	lost    []time.Time          // when endpoints vanished last
@@ -51,9 +52,22 @@
 // known.
 func (g *Registry) Digest() uint64 { return g.digest.Load() }
 
+// A RegistryOption changes a Registry as it is made.
+type RegistryOption func(*Registry)
+
+// WithVouched sets what reports whether another process's connection to the store is
+// steady. If it is, the store was not away while this process was cut off from it,
+// and nothing that is missing on its return has lapsed.
+func WithVouched(vouched func() bool) RegistryOption {
+	return func(g *Registry) { g.vouched = vouched }
+}
+
 // NewRegistry returns an empty registry that calls publish with each new set.
-func NewRegistry(ctx context.Context, link *Link, log hclog.Logger, decode func(string, []byte) (cicadaview.Endpoint, error), publish func([]cicadaview.Endpoint)) *Registry {
-	g := &Registry{link: link, log: log, decode: decode, publish: publish, known: make(map[string]cicadaview.Endpoint), missing: make(map[string]time.Time)}
+func NewRegistry(ctx context.Context, link *Link, log hclog.Logger, decode func(string, []byte) (cicadaview.Endpoint, error), publish func([]cicadaview.Endpoint), opts ...RegistryOption) *Registry {
+	g := &Registry{link: link, log: log, decode: decode, publish: publish, known: make(map[string]cicadaview.Endpoint), missing: make(map[string]time.Time), vouched: func() bool { return false }}
+	for _, opt := range opts {
+		opt(g)
+	}
 	g.wg.Go(func() {
 		for cicadaretry.Wait(ctx, sweepInterval) {
 			g.sweep()
@@ -122,7 +136,7 @@
 			continue
 		}
 		switch {
-		case !g.link.Settled():
+		case !g.settled():
 			g.log.Info("endpoint missing, held until the store settles", "endpoint", id)
 			g.missing[id] = now
 		case mass:
@@ -135,6 +149,9 @@
 	}
 }
 
+// settled reports whether an entry that is missing from the store is gone.
+func (g *Registry) settled() bool { return g.link.Settled() || g.link.Up() && g.vouched() }
+
 // sweep forgets the endpoints that were held and have not come back.
 func (g *Registry) sweep() {
 	g.mu.Lock()
@@ -142,7 +159,7 @@
 	if len(g.missing) == 0 || !g.link.Up() {
 		return
 	}
-	now, settled := time.Now(), g.link.Settled()
+	now, settled := time.Now(), g.settled()
 	changed := false
 	for id, until := range g.missing {
 		if !settled || now.Before(until) {
--- a/cicadagateway/cicadapeer/peer.go
+++ b/cicadagateway/cicadapeer/peer.go
@@ -77,6 +77,8 @@
 	// it last StoreAge milliseconds before.
 	StoreUp  bool
 	StoreAge uint32
+	// StoreSteady says that it has answered all along, for some seconds.
+	StoreSteady bool
 	// Leaving says that the member shuts down or is to be retired.
 	Leaving       bool
 	ConfigVersion int64
@@ -388,6 +390,18 @@
 	return true
 }
 
+// StoreSteady reports whether the store has answered a live member all along.
+func (g *Group) StoreSteady() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, s := range g.members {
+		if s.live && s.state.StoreSteady {
+			return true
+		}
+	}
+	return false
+}
+
 // Direct reports whether this member hears the one named directly.
 func (g *Group) Direct(name string) bool {
 	g.mu.Lock()
--- a/cicadagateway/cicadaprocess/process.go
+++ b/cicadagateway/cicadaprocess/process.go
@@ -104,6 +104,10 @@
 		n.storeUp.Store(up)
 		n.notify()
 		n.electPoller()
+		if up && n.following.Load() {
+			n.configs.Refresh()
+			n.endpoints.Refresh()
+		}
 	})
 	n.table = cicadaplace.NewTable(cfg.Name, cicadaplace.WithDataCentre(cfg.DataCentre), cicadaplace.WithChanged(n.notify))
 	opened := p.Scope().Counter("endpoint_connections")
@@ -161,7 +165,7 @@
 
 func (n *Node) state() cicadapeer.State {
 	s := cicadapeer.State{
-		StoreUp: n.storeUp.Load(), StoreAge: uint32(min(n.link.Age().Milliseconds(), math.MaxUint32)),
+		StoreUp: n.storeUp.Load(), StoreSteady: n.link.Steady(), StoreAge: uint32(min(n.link.Age().Milliseconds(), math.MaxUint32)),
 		Leaving: n.leaving.Load() || n.retiring.Load(),
 	}
 	if c := n.config.Load(); c != nil {
@@ -241,7 +245,8 @@
 
 func (n *Node) startFollowing(ctx context.Context) {
 	polls := cicadafollow.WithPoll(func() bool { return n.group.First(n.storeUp.Load()) })
-	n.registry = cicadafollow.NewRegistry(ctx, n.link, n.log, adapter.DecodeEndpoint, n.table.SetEndpoints)
+	n.registry = cicadafollow.NewRegistry(ctx, n.link, n.log, adapter.DecodeEndpoint, n.table.SetEndpoints,
+		cicadafollow.WithVouched(n.group.StoreSteady))
 	n.configs = cicadafollow.New(ctx, n.store, adapter.ConfigPrefix, n.link, n.log, n.applyConfig, polls)
 	n.endpoints = cicadafollow.New(ctx, n.store, adapter.EndpointsPrefix, n.link, n.log, n.registry.Apply, polls,
 		cicadafollow.WithGather(endpointGather))
