--- a/cicadagateway/cicadabatch/checkpoint.go
+++ b/cicadagateway/cicadabatch/checkpoint.go
@@ -72,13 +72,11 @@
 		}
 		for _, p := range point.Items {
 			it := items[p.Item]
-			if it == nil {
+			if it == nil || p.From == 0 { // a whole progress replaces all before it
 				it = &recovered{}
 				items[p.Item] = it
 			}
-			if p.Listed {
-				*it = recovered{}
-			} else if it.take(p) && p.State != "" {
+			if !p.Listed && it.take(p) && p.State != "" {
 				it.state = p.State
 			}
 		}
--- a/cicadagateway/cicadabatch/checkpoint_test.go
+++ b/cicadagateway/cicadabatch/checkpoint_test.go
@@ -12,6 +12,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"gotest.tools/v3/assert"
 
 	"cicadalink.example/cicadakernel/cicadaplatform"
@@ -53,7 +54,7 @@
 			o = s.start("o1", only("o1"), WithCheckpoints(opened(t, dir)))
 		}
 		time.Sleep(6 * time.Second)
-		whole(t, o.results(t, "j", 0), "j", 200, 200)
+		s.whole(t, o.results(t, "j", 0), "j", 200, 200)
 		o.stop()
 		s.madeAtMost(t, 200, 2)
 	})
@@ -83,7 +84,7 @@
 		o1.stop()
 		owner.Store("o2")
 		time.Sleep(6 * time.Second)
-		whole(t, o2.results(t, "j", 0), "j", 10, 200, 200)
+		s.whole(t, o2.results(t, "j", 0), "j", 10, 200, 200)
 		s.madeAtMost(t, 200, 1)
 	})
 }
@@ -139,7 +140,7 @@
 		}))
 		defer o1.stop()
 		time.Sleep(6 * time.Second)
-		whole(t, o2.results(t, "j", 0), "j", 300)
+		s.whole(t, o2.results(t, "j", 0), "j", 300)
 		s.madeAtMost(t, 300, 2)
 	})
 }
@@ -160,7 +161,9 @@
 		}
 		assert.Equal(t, copied(Progress{From: 3, Last: 5, Text: "x"}), http.StatusConflict)
 		assert.Equal(t, copied(Progress{Last: 2, Text: "a\nb"}), http.StatusOK)
-		assert.Equal(t, copied(Progress{From: 2, Last: 3, Text: "\nc"}), http.StatusOK)
+		base := xxhash.Sum64String("a\nb")
+		assert.Equal(t, copied(Progress{From: 2, Base: base + 1, Last: 3, Text: "\nc"}), http.StatusConflict, "of another run")
+		assert.Equal(t, copied(Progress{From: 2, Base: base, Last: 3, Text: "\nc"}), http.StatusOK)
 		assert.Equal(t, copied(Progress{From: 4, Last: 5, Text: "\ne"}), http.StatusConflict)
 		assert.Equal(t, copied(Progress{Last: 5, Text: "a\nb\nc\nd\ne"}), http.StatusOK)
 		assert.Equal(t, copied(Progress{From: 5, Last: 5, State: adapter.StateComplete}), http.StatusOK)
@@ -176,7 +179,7 @@
 }
 
 // TestCheckpointsUnderCrashes kills and starts owners with damaged files at random
-// times; each item must be listed once with its whole output.
+// times, and lets both run the same job for a while; each item must be listed once with its whole output.
 func TestCheckpointsUnderCrashes(t *testing.T) {
 	for seed := *first; seed < *first+uint64(*seeds)/4; seed++ {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
@@ -191,7 +194,7 @@
 	*site
 	dir     string
 	members [2]atomic.Pointer[member]
-	view    atomic.Pointer[[]string] // the owners that may run jobs
+	views   [2]atomic.Pointer[[]string] // the owners that may run jobs, as each member sees it
 }
 
 func pairName(i int) string { return fmt.Sprint("o", i+1) }
@@ -210,7 +213,7 @@
 }
 
 func (p *pair) startMember(t *testing.T, i int) {
-	p.members[i].Store(p.start(pairName(i), func() []string { return *p.view.Load() },
+	p.members[i].Store(p.start(pairName(i), func() []string { return *p.views[i].Load() },
 		WithCheckpoints(opened(t, filepath.Join(p.dir, pairName(i)))),
 		WithCopies(func(ctx context.Context, c Checkpoint) error {
 			return p.send(ctx, i, &Call{Kind: CallCheckpoint, Job: c.Job, Progress: c.Items})
@@ -220,6 +223,20 @@
 		})))
 }
 
+// see makes all members see the same owners.
+func (p *pair) see(names ...string) {
+	for i := range p.views {
+		p.views[i].Store(&names)
+	}
+}
+
+// split makes each member see itself alone: both run what they know.
+func (p *pair) split() {
+	for i := range p.views {
+		p.views[i].Store(&[]string{pairName(i)})
+	}
+}
+
 func (p *pair) stopMember(i int) {
 	p.members[i].Swap(nil).stop()
 	synctest.Wait()
@@ -228,8 +245,7 @@
 func crashes(t *testing.T, random *rand.Rand) {
 	p := &pair{site: newSite(), dir: t.TempDir()}
 	p.cutAt = random.IntN(60)
-	both := []string{pairName(0), pairName(1)}
-	p.view.Store(&both)
+	p.see(pairName(0), pairName(1))
 	p.startMember(t, 0)
 	p.startMember(t, 1)
 	time.Sleep(time.Second)
@@ -246,8 +262,13 @@
 			p.stopMember(i)
 			damage(t, filepath.Join(p.dir, pairName(i)), random)
 		}
-		if len(live) > 0 && random.IntN(2) == 0 {
-			p.view.Store(&live)
+		switch random.IntN(3) {
+		case 0:
+			p.split()
+		case 1:
+			if len(live) > 0 {
+				p.see(live...)
+			}
 		}
 		time.Sleep(time.Duration(random.IntN(2000)) * time.Millisecond)
 		for i := range p.members {
@@ -255,11 +276,12 @@
 				p.startMember(t, i)
 			}
 		}
-		p.view.Store(&both)
+		time.Sleep(time.Duration(random.IntN(1000)) * time.Millisecond)
+		p.see(pairName(0), pairName(1))
 	}
 	time.Sleep(20 * time.Second)
 	for i := range p.members {
-		whole(t, p.members[i].Load().results(t, "j", 0), "j", events...)
+		p.whole(t, p.members[i].Load().results(t, "j", 0), "j", events...)
 	}
 	for i := range p.members {
 		p.stopMember(i)
--- a/cicadagateway/cicadabatch/engine_test.go
+++ b/cicadagateway/cicadabatch/engine_test.go
@@ -35,13 +35,14 @@
 	mu      sync.Mutex
 	events  map[string]int // made, by item
 	starts  map[string]int
+	asked   map[string][]int // the event after which each run of an item was asked to go on
 	running int
 	cutAt   int // the first run of each item is cut after this event, if above 0
 	silent  bool
 }
 
 func newEngines() *engines {
-	return &engines{events: make(map[string]int), starts: make(map[string]int)}
+	return &engines{events: make(map[string]int), starts: make(map[string]int), asked: make(map[string][]int)}
 }
 
 // active returns how many items run.
@@ -92,7 +93,10 @@
 	}
 	n, _ := strconv.Atoi(req.URL.Path[strings.LastIndex(req.URL.Path, "/")+1:])
 	e.mu.Lock()
+	from, _ := strconv.Atoi(req.Header.Get(adapter.HeaderLastEventID))
+	e.asked[id] = append(e.asked[id], from)
 	e.starts[id]++
+	run := e.starts[id]
 	cut := e.cutAt > 0 && e.starts[id] == 1
 	silent := e.silent
 	e.running++
@@ -111,7 +115,6 @@
 		return
 	}
 	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+head+"Transfer-Encoding: chunked\r\n\r\n")
-	from, _ := strconv.Atoi(req.Header.Get(adapter.HeaderLastEventID))
 	for i := from + 1; i <= n; i++ {
 		select {
 		case <-gone:
@@ -124,7 +127,7 @@
 		e.mu.Lock()
 		e.events[id]++
 		e.mu.Unlock()
-		event := fmt.Sprintf("id: %d\ndata: %s-%d\n\n", i, id, i)
+		event := fmt.Sprintf("id: %d\ndata: %s-%d run %d\n\n", i, id, i, run)
 		if _, err := fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event), event); err != nil {
 			return
 		}
@@ -132,12 +135,24 @@
 	_, _ = io.WriteString(conn, "0\r\n\r\n")
 }
 
-func outputOf(id string, n int) string {
-	parts := make([]string, n)
-	for i := range parts {
-		parts[i] = fmt.Sprintf("%s-%d", id, i+1)
+// checkOutput checks that a text has each of n events once and in order, and that
+// each run in it goes on where it was asked to.
+func (e *engines) checkOutput(t *testing.T, id, text string, n int) {
+	t.Helper()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	lines := strings.Split(text, "\n")
+	assert.Equal(t, len(lines), n, "events of %s", id)
+	before := 0
+	for i, line := range lines {
+		var run int
+		_, err := fmt.Sscanf(line, id+"-"+strconv.Itoa(i+1)+" run %d", &run)
+		assert.NilError(t, err, "event %d of %s is %q", i+1, id, line)
+		if run != before {
+			assert.Equal(t, e.asked[id][run-1], i, "run %d of %s was not asked to go on after event %d", run, id, i)
+		}
+		before = run
 	}
-	return strings.Join(parts, "\n")
 }
 
 // site is a deployment of owners before stand-in engines.
--- a/cicadagateway/cicadabatch/job.go
+++ b/cicadagateway/cicadabatch/job.go
@@ -133,14 +133,18 @@
 }
 
 // resume makes an item that does not run go on from a progress. It reports false
-// if events between are missing.
+// if the progress goes on from another output than the item's.
 func (j *job) resume(it *item, p Progress) bool {
 	if it.state != itemWaiting {
 		return true
 	}
+	before := it.last
 	if !it.take(p) {
 		return false
 	}
+	if p.From == 0 && it.last > before {
+		it.saved, it.copied = mark{}, mark{} // of the output that was replaced
+	}
 	switch p.State {
 	case adapter.StateComplete:
 		j.finish(it, p.State, it.output.String(), time.Now())
@@ -156,6 +160,7 @@
 		return
 	}
 	it.state, it.partial = itemWaiting, partial{}
+	it.saved, it.copied = mark{}, mark{}
 	j.withdraw(it.ID)
 }
 
--- a/cicadagateway/cicadabatch/owner_test.go
+++ b/cicadagateway/cicadabatch/owner_test.go
@@ -37,7 +37,7 @@
 }
 
 // whole checks that each item is listed once, complete, with its whole output.
-func whole(t *testing.T, p page, id string, events ...int) {
+func (e *engines) whole(t *testing.T, p page, id string, events ...int) {
 	t.Helper()
 	assert.Equal(t, p.Total, len(events))
 	seen := make(map[string]bool)
@@ -48,7 +48,7 @@
 		_, err := fmt.Sscanf(r.ID, id+"-%d", &n)
 		assert.NilError(t, err)
 		assert.Equal(t, r.State, adapter.StateComplete)
-		assert.Equal(t, r.Output, outputOf(r.ID, events[n]))
+		e.checkOutput(t, r.ID, r.Output, events[n])
 	}
 	assert.Equal(t, len(seen), len(events))
 }
@@ -65,7 +65,7 @@
 		body := o.call(t, &Call{Kind: CallItem, Job: "j", Item: "j-1"})
 		assert.Equal(t, string(body.Body), "\xab\xcd\xef")
 		time.Sleep(3 * time.Second)
-		whole(t, o.results(t, "j", 0), "j", events...)
+		s.whole(t, o.results(t, "j", 0), "j", events...)
 		tail := o.results(t, "j", 2)
 		assert.Equal(t, len(tail.Results), 1)
 		assert.Equal(t, tail.Next, 3)
@@ -110,7 +110,7 @@
 		time.Sleep(800 * time.Millisecond)
 		o.table.SetPeer("entry", nil)
 		time.Sleep(6 * time.Second)
-		whole(t, o.results(t, "j", 0), "j", events...)
+		s.whole(t, o.results(t, "j", 0), "j", events...)
 		for _, id := range s.items() {
 			n, _ := s.made(id)
 			assert.Assert(t, n <= 101, "%s made %d events: it ran anew instead of going on", id, n)
@@ -186,7 +186,7 @@
 		time.Sleep(time.Second)
 		o.call(t, submission("j", 20, 20))
 		time.Sleep(3 * time.Second)
-		whole(t, o.results(t, "j", 0), "j", 20, 20)
+		s.whole(t, o.results(t, "j", 0), "j", 20, 20)
 		n, _ := s.made("j-0")
 		assert.Equal(t, n, 20, "no event was made twice")
 	})
@@ -205,7 +205,7 @@
 		s.silent = false
 		s.mu.Unlock()
 		time.Sleep(stallTime + 2*time.Second)
-		whole(t, o.results(t, "j", 0), "j", 20)
+		s.whole(t, o.results(t, "j", 0), "j", 20)
 	})
 }
 
@@ -255,8 +255,8 @@
 				}
 			}
 		}
-		whole(t, o1.results(t, "j", 0), "j", events...)
-		whole(t, o2.results(t, "j", 0), "j", events...)
+		s.whole(t, o1.results(t, "j", 0), "j", events...)
+		s.whole(t, o2.results(t, "j", 0), "j", events...)
 	})
 }
 
@@ -275,7 +275,7 @@
 		defer o2.stop()
 		time.Sleep(5 * time.Second)
 		after := o2.results(t, "j", 0)
-		whole(t, after, "j", events...)
+		s.whole(t, after, "j", events...)
 		assert.DeepEqual(t, after.Results[0], before.Results[0])
 	})
 }
@@ -299,7 +299,7 @@
 		time.Sleep(1500 * time.Millisecond)
 		owner.Store("o2")
 		time.Sleep(4 * time.Second)
-		whole(t, o2.results(t, "j", 0), "j", 100, 100)
+		s.whole(t, o2.results(t, "j", 0), "j", 100, 100)
 		for _, id := range s.items() {
 			n, _ := s.made(id)
 			assert.Assert(t, n < 115, "%s made %d events: it ran anew", id, n)
@@ -329,7 +329,7 @@
 		assert.Equal(t, o.call(t, submission("k", 30)).Status, http.StatusServiceUnavailable)
 		down.Store(false)
 		time.Sleep(4 * time.Second)
-		whole(t, o.results(t, "j", 0), "j", 30)
+		s.whole(t, o.results(t, "j", 0), "j", 30)
 		_, first := s.made("j-0")
 		assert.Equal(t, first, 1)
 		_, refused := s.made("k-0")
@@ -346,7 +346,7 @@
 		o.call(t, submission("j", 10))
 		o.call(t, submission("long", 1500))
 		time.Sleep(15 * time.Second)
-		whole(t, o.results(t, "j", 0), "j", 10)
+		s.whole(t, o.results(t, "j", 0), "j", 10)
 		time.Sleep(10 * time.Second)
 		assert.Equal(t, o.call(t, &Call{Kind: CallRead, Job: "j"}).Status, http.StatusNotFound)
 		_, err := s.memory.Backend().Get(t.Context(), chunkName("j", 0))
--- a/cicadagateway/cicadabatch/progress.go
+++ b/cicadagateway/cicadabatch/progress.go
@@ -2,6 +2,8 @@
 
 import (
 	"strings"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // A Progress is how far an item has come, for another owner or for this one after
@@ -9,8 +11,11 @@
 type Progress struct {
 	Item string
 	// From is the last event that the receiver is taken to have: Text begins after
-	// it. At 0 the progress is whole.
+	// it. At 0 the progress is whole. Base is the hash of the output up to From. Two
+	// owners may have run the item, and what one run put out must not be continued
+	// with what another one did.
 	From     int
+	Base     uint64
 	Last     int    // id of the last event in Text
 	Text     string // output
 	Failures int
@@ -26,15 +31,16 @@
 	failures int // answers that say the item failed
 }
 
-// take adds what a progress tells. It reports false if events between are missing.
+// take adds what a progress tells. It reports false if the progress goes on from
+// another output than this one.
 func (t *partial) take(p Progress) bool {
 	t.failures = max(t.failures, p.Failures)
 	switch {
 	case p.Last <= t.last:
 		return true
-	case p.From == t.last:
 	case p.From == 0:
 		t.output.Reset()
+	case p.From == t.last && p.Base == xxhash.Sum64String(t.output.String()):
 	default:
 		return false
 	}
@@ -53,7 +59,7 @@
 	if it.state != itemRunning {
 		return it.last
 	}
-	_, last := it.run.after(0)
+	_, last := it.run.soFar()
 	return last
 }
 
@@ -75,13 +81,16 @@
 	case m.state >= itemFinished:
 		return Progress{}, m, false
 	}
-	text := it.output.String()[min(m.length, it.output.Len()):]
+	text := it.output.String()
 	if it.state == itemRunning {
-		tail, last := it.run.after(m.length - it.output.Len())
+		tail, last := it.run.soFar()
 		text += tail
-		next.event, next.length = last, m.length+len(text)
+		next.event, next.length = last, len(text)
+	}
+	p = Progress{Item: it.ID, From: m.event, Last: next.event, Text: text[m.length:], Failures: it.failures}
+	if m.event > 0 {
+		p.Base = xxhash.Sum64String(text[:m.length])
 	}
-	p = Progress{Item: it.ID, From: m.event, Last: next.event, Text: text, Failures: it.failures}
 	if it.state == itemFinished {
 		p.State = it.result
 	}
--- a/cicadagateway/cicadabatch/run.go
+++ b/cicadagateway/cicadabatch/run.go
@@ -155,11 +155,11 @@
 	return nil
 }
 
-// after returns what the run has put out beyond so many bytes, and its last event.
-func (x *run) after(length int) (text string, last int) {
+// soFar returns what the run has put out, and its last event.
+func (x *run) soFar() (text string, last int) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return x.text.String()[max(length, 0):], x.last
+	return x.text.String(), x.last
 }
 
 // eventText is one event as its lines come.
