--- a/cicadagateway/cicadabatch/owner.go
+++ b/cicadagateway/cicadabatch/owner.go
@@ -19,6 +19,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"time"
 
@@ -74,7 +75,7 @@
 	jobs     map[string]*job
 	pace     pace
 	running  map[string][]*item // by endpoint
-	view     string             // the owners at the last assignment
+	assigned []string           // the owners at the last assignment, by which all jobs are mine or not
 	looked   time.Time          // when the items that wait were looked through
 	services map[string]bool    // for which items waited then
 
@@ -218,7 +219,7 @@
 
 func (o *Owner) add(id string, r record, accepted time.Time) *job {
 	j := newJob(id, r, accepted)
-	j.mine = ownerOf(id, o.owners()) == o.name
+	j.mine = ownerOf(id, o.assigned) == o.name
 	o.jobs[id] = j
 	o.recover(j)
 	o.log.Info("job known", "job", id, "items", r.Total, "mine", j.mine, "ended", r.Ended, "age", time.Since(accepted).String())
@@ -275,12 +276,11 @@
 // assign looks up who runs each job after the set of owners has changed.
 func (o *Owner) assign() {
 	owners := o.owners()
-	view := strings.Join(owners, " ")
-	if view == o.view {
+	if slices.Equal(owners, o.assigned) {
 		return
 	}
-	o.log.Info("owners changed", "from", o.view, "to", view)
-	o.view = view
+	o.log.Info("owners changed", "from", strings.Join(o.assigned, " "), "to", strings.Join(owners, " "))
+	o.assigned = owners
 	for _, j := range o.jobs {
 		mine := ownerOf(j.id, owners) == o.name
 		if mine == j.mine {
--- a/cicadagateway/cicadabatch/owner_test.go
+++ b/cicadagateway/cicadabatch/owner_test.go
@@ -280,6 +280,30 @@
 	})
 }
 
+// TestJobAcceptedInAMomentOfDoubtIsRun answers a set of owners that changes for less
+// than the time between two looks at it, just when a job comes: the job is run by the
+// owner that all others take for the one.
+func TestJobAcceptedInAMomentOfDoubtIsRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite()
+		var others atomic.Bool
+		o := s.start("o1", func() []string {
+			if others.Load() {
+				return []string{"o2"}
+			}
+			return []string{"o1"}
+		})
+		defer o.stop()
+		time.Sleep(time.Second + tick/2)
+		others.Store(true)
+		assert.Equal(t, o.call(t, submission("j", 10)).Status, http.StatusAccepted)
+		synctest.Wait()
+		others.Store(false)
+		time.Sleep(5 * time.Second)
+		s.whole(t, o.results(t, "j", 0), "j", 10)
+	})
+}
+
 func TestMovedJobKeepsItsProgress(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSite()
