--- a/cicadabench/main.go
+++ b/cicadabench/main.go
@@ -7,8 +7,11 @@
 //
 //	go run ./cicadabench
 //	go run ./cicadabench -o json --plots /tmp/plots links items
+//	go run ./cicadabench report --site vdb-leest --plots /tmp/plots
+//	go run ./cicadabench report --command "" --broken
 //
-// Each measurement is bounded in time and size.
+// Each measurement is bounded in time and size. report sums up the journal of the
+// users' bench.
 package main
 
 import (
@@ -36,7 +39,8 @@
 			&cli.StringFlag{Name: "output", Aliases: []string{"o"}, Value: "table", Usage: "`FORMAT`: table or json"},
 			&cli.StringFlag{Name: "plots", Usage: "write an SVG of each slope to `DIR`"},
 		},
-		Action: run,
+		Action:   run,
+		Commands: []*cli.Command{reportCommand()},
 	}
 	cicadakernel.Main(cmd)
 }
