--- a/cicadagateway/cicadabatch/checkpoint.go
+++ b/cicadagateway/cicadabatch/checkpoint.go
@@ -18,6 +18,8 @@
 	// with what is still needed, in bytes.
 	maxCheckpointFile = 16 << 20
 	checkpointTime    = time.Second // for another owner to take a copy
+	// saveRetry is how long a disk that failed is left alone: each try begins a file.
+	saveRetry = 3 * time.Second
 )
 
 // A Checkpoint is how far the items of a job have come since the last one.
@@ -151,7 +153,7 @@
 // saveProgress writes to the disk, unless the last write is still under way: a slow
 // disk makes checkpoints rarer and holds nothing up.
 func (o *Owner) saveProgress() {
-	if o.file == nil || o.saving || !o.settled {
+	if o.file == nil || o.saving || !o.settled || time.Now().Before(o.saveAfter) {
 		return
 	}
 	whole := o.saveWhole
@@ -174,6 +176,7 @@
 			o.saving, o.saveWhole = false, full || err != nil
 			if err != nil {
 				o.metrics.saveFailed.Inc(1)
+				o.saveAfter = time.Now().Add(saveRetry)
 				o.log.Warn("checkpoint not written", "jobs", len(points), "error", err)
 				return
 			}
--- a/cicadagateway/cicadabatch/checkpoint_test.go
+++ b/cicadagateway/cicadabatch/checkpoint_test.go
@@ -122,6 +122,34 @@
 	})
 }
 
+// TestFailedDiskIsTriedAgain answers a disk that refuses writes for a while: items go
+// on meanwhile, and later checkpoints hold everything again.
+func TestFailedDiskIsTriedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, dir := newSite(), t.TempDir()
+		file := opened(t, dir)
+		o := s.start("o1", only("o1"), WithCheckpoints(file))
+		time.Sleep(time.Second)
+		o.call(t, submission("j", 300, 300))
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		o.ask(func() {
+			assert.Check(t, !o.saving)
+			assert.Check(t, file.log.Close())
+		})
+		time.Sleep(saveRetry + 2*time.Second)
+		o.stop()
+		entries, err := os.ReadDir(dir)
+		assert.NilError(t, err)
+		assert.Equal(t, len(entries), 1, "what was written before the fault is removed")
+		o = s.start("o1", only("o1"), WithCheckpoints(opened(t, dir)))
+		time.Sleep(8 * time.Second)
+		s.whole(t, o.results(t, "j", 0), "j", 300, 300)
+		o.stop()
+		s.madeAtMost(t, 300, 1)
+	})
+}
+
 // TestRecoveredProgressGoesToTheOwner answers a job that moved while the owner that
 // had run it was away, and did not come back to it.
 func TestRecoveredProgressGoesToTheOwner(t *testing.T) {
--- a/cicadagateway/cicadabatch/owner.go
+++ b/cicadagateway/cicadabatch/owner.go
@@ -82,6 +82,7 @@
 	checkpointed time.Time
 	saving       bool // a checkpoint is being written
 	saveWhole    bool // the next one must tell everything
+	saveAfter    time.Time
 	found        map[string]map[string]*recovered
 	listed       bool // the store's list of jobs is known
 	settled      bool // what was found belongs to jobs by now
