--- a/cicadagateway/cicadabatch/calls.go
+++ b/cicadagateway/cicadabatch/calls.go
@@ -14,8 +14,11 @@
 const (
 	acceptTime   = 2500 * time.Millisecond // for the store to take a job
 	refreshAfter = 300 * time.Millisecond  // age at which another owner's job is read anew
-	readTime     = 2 * time.Second         // for the store to answer a read
-	retryAfter   = 300 * time.Millisecond
+	// doubtTime is how long after a job has moved here its results are read anew as
+	// well: the store may still do a write of the former owner.
+	doubtTime  = 10 * time.Second
+	readTime   = 2 * time.Second // for the store to answer a read
+	retryAfter = 300 * time.Millisecond
 )
 
 // A Call is a call on a job, as entries pass it on.
@@ -159,7 +162,7 @@
 	fresh := false
 	look := func() {
 		j = o.jobs[id]
-		fresh = j != nil && j.loaded && (j.mine || j.listed() || time.Since(j.refreshed) < refreshAfter)
+		fresh = j != nil && j.current(time.Now())
 	}
 	o.ask(look)
 	if fresh {
@@ -202,6 +205,15 @@
 	}
 }
 
+// current reports whether all results of the job that anyone may have read are known
+// here.
+func (j *job) current(now time.Time) bool {
+	if !j.loaded {
+		return false
+	}
+	return j.listed() || j.mine && now.Sub(j.mineSince) > doubtTime || now.Sub(j.refreshed) < refreshAfter
+}
+
 // fetch reads a job that is not known from the store.
 func (o *Owner) fetch(ctx context.Context, id string) *Answer {
 	obj, err := o.store.Get(ctx, JobsPrefix+id)
--- a/cicadagateway/cicadabatch/job.go
+++ b/cicadagateway/cicadabatch/job.go
@@ -1,6 +1,7 @@
 package cicadabatch
 
 import (
+	"context"
 	"math"
 	"slices"
 	"time"
@@ -63,12 +64,14 @@
 	loading    bool
 	ended      bool
 	mine       bool
+	mineSince  time.Time // when it moved here; zero if it was accepted here
 	refreshed  time.Time
 	routeless  time.Time // since when the configuration has had no route for the job
 	waiters    []func()
-	recovered  int  // items with progress from before this process started
-	copying    bool // a checkpoint is on its way to the next owner
-	copyWhole  bool // the next checkpoint must tell everything
+	stopWrite  context.CancelFunc // ends the write of results that is under way
+	recovered  int                // items with progress from before this process started
+	copying    bool               // a checkpoint is on its way to the next owner
+	copyWhole  bool               // the next checkpoint must tell everything
 }
 
 // A record is what the store holds of a job.
--- a/cicadagateway/cicadabatch/owner.go
+++ b/cicadagateway/cicadabatch/owner.go
@@ -205,7 +205,7 @@
 		age = recordAge(r, now)
 	}
 	j := o.add(id, r, now.Add(-age))
-	j.version = obj.Version()
+	j.version, j.mineSince = obj.Version(), now
 	if age > 0 {
 		j.clockError = maxClockError
 	}
@@ -287,10 +287,13 @@
 		if mine == j.mine {
 			continue
 		}
-		j.mine = mine
+		j.mine, j.mineSince = mine, time.Now()
 		o.log.Info("job moved", "job", j.id, "mine", mine, "listed", len(j.results))
 		if !mine {
 			o.stopAll(j, "job moved")
+			if j.writing {
+				j.stopWrite()
+			}
 			o.handOver(j)
 		}
 		j.loaded = false
--- a/cicadagateway/cicadabatch/owner_test.go
+++ b/cicadagateway/cicadabatch/owner_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -304,6 +305,47 @@
 	})
 }
 
+// TestResultsOnceReadStayReadable answers a write of the former owner that the store
+// does seconds after the job has moved: who reads at the new owner finds what was
+// read elsewhere.
+func TestResultsOnceReadStayReadable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite()
+		create := s.backend.Create
+		var late atomic.Bool
+		s.backend.Create = func(ctx context.Context, name string, value []byte) (cicadaplatform.Object, error) {
+			if !strings.HasPrefix(name, resultsPrefix) || !late.CompareAndSwap(false, true) {
+				return create(ctx, name, value)
+			}
+			time.AfterFunc(3*time.Second, func() { _, _ = create(context.Background(), name, value) })
+			<-ctx.Done()
+			return cicadaplatform.Object{}, cicadaplatform.ErrInDoubt
+		}
+		var owner atomic.Value
+		owner.Store("o1")
+		owners := func() []string { return []string{owner.Load().(string)} }
+		o1 := s.start("o1", owners)
+		defer o1.stop()
+		o2 := s.start("o2", owners)
+		defer o2.stop()
+		time.Sleep(time.Second)
+		o1.call(t, submission("j", 10, 100))
+		for !late.Load() {
+			time.Sleep(tick)
+		}
+		s.mu.Lock()
+		s.silent = true // the new owner gets nowhere
+		s.mu.Unlock()
+		owner.Store("o2")
+		for range 60 {
+			time.Sleep(100 * time.Millisecond)
+			before := len(o1.results(t, "j", 0).Results)
+			assert.Assert(t, len(o2.results(t, "j", 0).Results) >= before, "read %d before", before)
+		}
+		assert.Equal(t, len(o2.results(t, "j", 0).Results), 1)
+	})
+}
+
 func TestMovedJobKeepsItsProgress(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSite()
--- a/cicadagateway/cicadabatch/schedule.go
+++ b/cicadagateway/cicadabatch/schedule.go
@@ -320,8 +320,11 @@
 	j.writing = true
 	number := j.chunks
 	c := chunk{Writer: o.name, Results: append([]adapter.Result(nil), j.pending[:split(j.pending)]...)}
+	ctx, cancel := context.WithCancel(o.ctx)
+	j.stopWrite = cancel
 	o.wg.Go(func() {
-		written, err := writeChunk(o.ctx, o.store, j.id, number, c)
+		defer cancel()
+		written, err := writeChunk(ctx, o.store, j.id, number, c)
 		o.do(func() { o.flushDone(j, number, written, err) })
 	})
 }
