--- a/cicadagateway/cicadapeer/peer.go
+++ b/cicadagateway/cicadapeer/peer.go
@@ -16,8 +16,6 @@
 	"context"
 	"errors"
 	"net"
-	"slices"
-	"sort"
 	"sync"
 	"time"
 
@@ -259,46 +257,6 @@
 	return len(addresses)
 }
 
-// relay returns which known members are not heard directly, and the states of
-// those that are and that a live member misses. The first member by name that hears
-// such a one relays it.
-func (g *Group) relay(now time.Time) (missed []string, relayed []State) {
-	for name := range g.addresses {
-		if s := g.members[name]; s == nil || !s.heardDirectly(now) {
-			missed = append(missed, name)
-		}
-	}
-	sort.Strings(missed)
-	for name, s := range g.members {
-		if s.live && s.heardDirectly(now) && g.missed(name) && g.relays(name) {
-			state := s.state
-			state.Missed, state.Relayed, state.Crashes = nil, nil, nil
-			relayed = append(relayed, state)
-		}
-	}
-	return missed, relayed
-}
-
-// missed reports whether a live member does not hear the one named.
-func (g *Group) missed(name string) bool {
-	for other, s := range g.members {
-		if other != name && s.live && slices.Contains(s.state.Missed, name) {
-			return true
-		}
-	}
-	return false
-}
-
-// relays reports whether it falls to this member to relay the one named.
-func (g *Group) relays(name string) bool {
-	for other, s := range g.members {
-		if other != name && other < g.self.Name && s.live && !slices.Contains(s.state.Missed, name) {
-			return false
-		}
-	}
-	return true
-}
-
 func (g *Group) receive() {
 	buf := make([]byte, maxDatagram)
 	for {
@@ -373,78 +331,3 @@
 		g.membership()
 	}
 }
-
-// First reports whether this member is, by name, the first of those that reach
-// the store. storeUp says whether this one does.
-func (g *Group) First(storeUp bool) bool {
-	if !storeUp {
-		return false
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for name, s := range g.members {
-		if s.live && s.state.StoreUp && !s.state.Leaving && name < g.self.Name {
-			return false
-		}
-	}
-	return true
-}
-
-// StoreSteady reports whether the store has answered a live member all along.
-func (g *Group) StoreSteady() bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for _, s := range g.members {
-		if s.live && s.state.StoreSteady {
-			return true
-		}
-	}
-	return false
-}
-
-// Direct reports whether this member hears the one named directly.
-func (g *Group) Direct(name string) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	s := g.members[name]
-	return s != nil && s.live && s.heardDirectly(time.Now())
-}
-
-// Heard reports whether the member named has been heard within the last minute.
-func (g *Group) Heard(name string) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.members[name] != nil
-}
-
-// Through returns the address of a live entry that hears the member named and is
-// heard here, for calls to a member that this one does not reach.
-func (g *Group) Through(name string) (address string, ok bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	now := time.Now()
-	first := ""
-	for other, s := range g.members {
-		if other == name || !s.live || s.state.Member.Role != RoleEntry || !s.heardDirectly(now) || slices.Contains(s.state.Missed, name) {
-			continue
-		}
-		if first == "" || other < first {
-			first, address = other, s.state.Member.Address
-		}
-	}
-	return address, first != ""
-}
-
-// Live returns the states of the live members of a role, by name.
-func (g *Group) Live(role Role) []State {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	var out []State
-	for _, s := range g.members {
-		if s.live && s.state.Member.Role == role {
-			out = append(out, s.state)
-		}
-	}
-	sort.Slice(out, func(i, j int) bool { return out[i].Member.Name < out[j].Member.Name })
-	return out
-}
