--- a/cicadagateway/cicadabatch/checkpoint.go
+++ b/cicadagateway/cicadabatch/checkpoint.go
@@ -31,8 +31,9 @@
 // A CheckpointFile keeps checkpoints on the VM's disk. The owner that starts there
 // next goes on from them.
 type CheckpointFile struct {
-	log   *cicadacheckpoint.Log
-	found map[string]map[string]*recovered // by job and item
+	log     *cicadacheckpoint.Log
+	found   map[string]map[string]*recovered // by job and item
+	refused int                              // records that could not be decoded
 }
 
 // recovered is the progress of an item as the checkpoints before a restart tell it.
@@ -59,11 +60,15 @@
 // Torn returns how many files ended in a record that was not whole.
 func (f *CheckpointFile) Torn() int { return f.log.Torn() }
 
+// Refused returns how many whole records could not be decoded.
+func (f *CheckpointFile) Refused() int { return f.refused }
+
 // replay takes in a record. One that cannot be decoded, or that does not follow on
 // what is known, costs its items their progress and nothing else.
 func (f *CheckpointFile) replay(record []byte) {
 	var points []Checkpoint
 	if cbor.Unmarshal(record, &points) != nil {
+		f.refused++
 		return
 	}
 	for _, point := range points {
--- a/cicadagateway/cicadabatch/checkpoint_test.go
+++ b/cicadagateway/cicadabatch/checkpoint_test.go
@@ -173,6 +173,18 @@
 	})
 }
 
+func TestRecordsThatCannotBeDecodedAreCounted(t *testing.T) {
+	dir := t.TempDir()
+	file := opened(t, dir)
+	_, err := file.save([]Checkpoint{{Job: "j", Items: []Progress{{Item: "j-0", Last: 1, Text: "a"}}}}, false)
+	assert.NilError(t, err)
+	assert.NilError(t, file.log.Append([]byte("\xff no list")))
+	again := opened(t, dir)
+	assert.Equal(t, again.Jobs(), 1)
+	assert.Equal(t, again.Refused(), 1)
+	assert.Equal(t, again.Torn(), 0)
+}
+
 func TestCopyThatDoesNotFollowOnIsRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSite()
--- a/cicadagateway/cicadaplace/table_test.go
+++ b/cicadagateway/cicadaplace/table_test.go
@@ -168,9 +168,12 @@
 	for _, c := range []struct{ endpoints, slots, idle int }{{9, 8, 4}, {18, 8, 9}, {47, 7, 20}, {1, 4, 1}, {1, 40, 2}} {
 		table := NewTable("owner")
 		table.SetEndpoints(endpoints(c.endpoints, c.slots))
+		granted := 0
 		for table.AcquireBatch("s", false, nil) != nil {
+			granted++
 		}
 		free, slots := table.Free("s")
+		assert.Equal(t, granted, slots-c.idle)
 		assert.Equal(t, slots, c.endpoints*c.slots)
 		assert.Equal(t, free, c.idle)
 		for range c.idle {
--- a/cicadagateway/cicadaprocess/connections.go
+++ b/cicadagateway/cicadaprocess/connections.go
@@ -115,19 +115,18 @@
 func (s *connections) drain(ctx context.Context, ln net.Listener, lastAccept time.Time) error {
 	ticker := time.NewTicker(drainInterval)
 	defer ticker.Stop()
+	var closed error
 	accepting := true
 	for {
 		now := time.Now()
 		busy := s.closeIdle(now)
 		if accepting && (busy == 0 || now.After(lastAccept)) {
 			accepting = false
-			if err := ln.Close(); err != nil {
-				return merry.Errorf("close listener for callers: %w", err)
-			}
+			closed = ln.Close()
 			busy = s.closeIdle(now) // one may have come since
 		}
 		if busy == 0 {
-			return nil
+			return closed
 		}
 		select {
 		case <-ticker.C:
--- a/cicadagateway/cicadaprocess/jobs.go
+++ b/cicadagateway/cicadaprocess/jobs.go
@@ -137,7 +137,7 @@
 		n.log.Error("no checkpoints", "folder", n.cfg.DataDir, "error", err)
 		return nil
 	}
-	n.log.Info("checkpoints read", "folder", n.cfg.DataDir, "jobs", file.Jobs(), "torn", file.Torn())
+	n.log.Info("checkpoints read", "folder", n.cfg.DataDir, "jobs", file.Jobs(), "torn", file.Torn(), "refused", file.Refused())
 	return []cicadabatch.Option{cicadabatch.WithCheckpoints(file)}
 }
 
--- a/cicadagateway/cicadaprocess/process.go
+++ b/cicadagateway/cicadaprocess/process.go
@@ -251,6 +251,7 @@
 	n.endpoints = cicadafollow.New(ctx, n.store, adapter.EndpointsPrefix, n.link, n.log, n.registry.Apply, polls,
 		cicadafollow.WithGather(endpointGather))
 	n.following.Store(true)
+	n.shareBudget()
 	cicadafollow.New(ctx, n.store, peersPrefix, n.link, n.log, n.directory.apply, cicadafollow.WithGather(gatherTime))
 }
 
@@ -320,7 +321,7 @@
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	if err := callers.drain(ctx, ln, end.Add(-lastRequestTime)); err != nil {
-		n.log.Warn("requests cut by the end of the shutdown", "error", err)
+		n.log.Warn("shutdown was not clean", "error", err)
 	}
 	n.log.Info("stopped")
 	return nil
