Add the counts of a peer's message instead of summing all peers

Cause: with 94 processes each receives some 1,400 messages a second, and for each of them cicadaplace added up the counts of all peers at all endpoints again: 36.5 us a message at 100 peers (BenchmarkSetPeer, beside load), 5% of a core, on entries that have 0.144 cores. It grew with the number of peers. An owner with a backlog also scanned it for each message, because idle slots of the online reserve counted as slots for items.

Change: the table subtracts a peer's old counts and adds the new ones, and expires peers when the oldest is due. BatchSlots tells owners which slots an item that is not urgent may take.

--- a/cicadagateway/cicadabatch/schedule.go
+++ b/cicadagateway/cicadabatch/schedule.go
@@ -55,12 +55,13 @@
 	}
 }
 
-// slotAvailable reports whether a service that had waiting items at the last scan has an
-// idle slot, or no items were waiting then. Without this check, a long backlog would be
-// scanned at each change of a peer's load, which would take most of the CPU time.
+// slotAvailable reports whether a service that had waiting items at the last scan has a
+// slot for them, or no items were waiting then. Without this check, a long backlog would
+// be scanned at each change of a peer's load, which would take most of the CPU time.
+// Urgent items may take more slots; they wait for the next scan.
 func (o *Owner) slotAvailable() bool {
 	for service := range o.waitingServices {
-		if free, _ := o.table.FreeSlots(service); free > 0 {
+		if o.table.BatchSlots(service) > 0 {
 			return true
 		}
 	}
--- a/cicadagateway/cicadaplace/batch.go
+++ b/cicadagateway/cicadaplace/batch.go
@@ -19,7 +19,7 @@
 	t.mu.Lock()
 	now := time.Now()
 	svc := t.service(service)
-	if !urgent && svc.idleSlots(now) <= max(1, int(onlineReserve*float64(svc.slots))) {
+	if !urgent && svc.batchSlots(now) <= 0 {
 		t.mu.Unlock()
 		return nil
 	}
@@ -126,6 +126,18 @@
 	return svc.idleSlots(time.Now()), svc.slots
 }
 
+// BatchSlots returns the number of idle slots of a service that an item which is not urgent
+// may take. It is not positive while only the online reserve is idle.
+func (t *Table) BatchSlots(service string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.service(service).batchSlots(time.Now())
+}
+
+func (s *service) batchSlots(now time.Time) int {
+	return s.idleSlots(now) - max(1, int(onlineReserve*float64(s.slots)))
+}
+
 // idleSlots returns the number of idle slots at endpoints that are neither
 // draining nor in backoff.
 func (s *service) idleSlots(now time.Time) int {
--- a/cicadagateway/cicadaplace/table.go
+++ b/cicadagateway/cicadaplace/table.go
@@ -39,8 +39,6 @@
 )
 
 const (
-	// peerTimeout is how long the last counts of a peer remain valid.
-	peerTimeout     = 1500 * time.Millisecond
 	minBackoff      = 150 * time.Millisecond // after the first failure of an endpoint
 	maxBackoff      = 3 * time.Second
 	overloadBackoff = 15 * time.Millisecond // after an endpoint reported that it is full
@@ -68,7 +66,7 @@
 type endpointState struct {
 	cicadaview.Endpoint
 	local        InFlight
-	peers        InFlight // sum over live peers, recomputed on each change
+	peers        InFlight // sum over live peers
 	backoffUntil time.Time
 	backoff      time.Duration // length of the latest backoff; 0 after a success
 }
@@ -77,11 +75,6 @@
 func (e *endpointState) batch() int  { return e.local.Batch + e.peers.Batch }
 func (e *endpointState) total() int  { return e.online() + e.batch() }
 
-type peer struct {
-	counts    map[string]InFlight // by endpoint
-	updatedAt time.Time
-}
-
 type waiter struct {
 	request    SlotRequest
 	enqueuedAt time.Time
@@ -105,6 +98,7 @@
 	removed       map[string]*endpointState // removed endpoints that still have local requests
 	services      map[string]*service
 	peers         map[string]*peer
+	nextExpiry    time.Time // no counts of a peer expire before this
 	onChange      func()
 }
 
@@ -162,6 +156,7 @@
 	}
 	t.removed = removedInUse(byID, t.endpointsByID, t.removed)
 	t.endpointsByID = byID
+	t.expirePeers(time.Now())
 	t.sumPeers()
 	t.grantWaiters()
 }
@@ -190,36 +185,6 @@
 	return svc
 }
 
-// SetPeer replaces the counts of a peer, by endpoint.
-func (t *Table) SetPeer(name string, counts map[string]InFlight) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.peers[name] = &peer{counts: counts, updatedAt: time.Now()}
-	t.sumPeers()
-	t.grantWaiters()
-}
-
-// sumPeers removes peers whose counts have expired and recomputes the sum of the
-// peers' counts at each endpoint.
-func (t *Table) sumPeers() {
-	for _, e := range t.endpointsByID {
-		e.peers = InFlight{}
-	}
-	now := time.Now()
-	for name, p := range t.peers {
-		if now.Sub(p.updatedAt) > peerTimeout {
-			delete(t.peers, name)
-			continue
-		}
-		for id, n := range p.counts {
-			if e := t.endpointsByID[id]; e != nil {
-				e.peers.Online += n.Online
-				e.peers.Batch += n.Batch
-			}
-		}
-	}
-}
-
 // LocalInFlight returns the nonzero counts of this process, by endpoint.
 func (t *Table) LocalInFlight() map[string]InFlight {
 	t.mu.Lock()
