Choose endpoints by what others have sent since their last messages

Counts of peers are up to 66 ms old there, and every entry sent to the endpoint with the lowest count, so all chose the same few.

--- a/cicadagateway/cicadapeer/peer.go
+++ b/cicadagateway/cicadapeer/peer.go
@@ -15,14 +15,19 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/hashicorp/go-hclog"
 	"github.com/sourcegraph/conc"
+	"golang.org/x/time/rate"
+
+	"cicadalink.example/cicadakernel/cicadaretry"
 )
 
 const (
@@ -33,12 +38,17 @@
 	// restartTimeout is the time without messages from an incarnation after which one
 	// with a lower number replaces it.
 	restartTimeout = 2 * heartbeatInterval
-	// minSendInterval is the shortest interval between two messages of a member whose
-	// state keeps changing. Beyond minIntervalMembers, the interval grows with the
-	// square of the number of members, so that the rate of messages that each member
-	// receives does not grow.
-	minSendInterval    = 3 * time.Millisecond
-	minIntervalMembers = 20
+	// minSendInterval is the shortest interval between two messages of a member.
+	minSendInterval = 3 * time.Millisecond
+	// maxReceiveRate limits the messages per second that a member receives from all
+	// others together, on average.
+	maxReceiveRate = 3000
+	// sendBurst is the number of messages that a member may send above its average rate.
+	sendBurst = 8
+	// transitTime is how long a message is typically under way.
+	transitTime = 3 * time.Millisecond
+	// stalenessWeight is the weight of the newest message in Staleness.
+	stalenessWeight = 1.0 / 64
 	// removalTimeout is the time after which a member that sends no messages is removed.
 	// Until then, messages are sent to it.
 	removalTimeout  = time.Minute
@@ -82,6 +92,8 @@
 	// StoreStable reports whether the member's calls to the store have succeeded
 	// continuously for some seconds.
 	StoreStable bool
+	// SendDelay is how long, in milliseconds, a change of the state waited for this message.
+	SendDelay uint16
 	// Leaving reports whether the member is shutting down or is to be retired.
 	Leaving       bool
 	ConfigVersion int64
@@ -156,6 +168,8 @@
 	onMembership func()
 	log          hclog.Logger
 	notify       chan struct{}
+	notifiedAt   atomic.Int64  // Unix nanoseconds of the first change not sent yet, or 0
+	staleness    time.Duration // moving average, see Staleness
 	wg           conc.WaitGroup
 }
 
@@ -214,6 +228,7 @@
 
 // Notify requests that the state be sent soon.
 func (g *Group) Notify() {
+	g.notifiedAt.CompareAndSwap(0, time.Now().UnixNano())
 	select {
 	case g.notify <- struct{}{}:
 	default:
@@ -223,8 +238,7 @@
 func (g *Group) send(ctx context.Context) {
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
-	delay := time.NewTimer(0)
-	defer delay.Stop()
+	limiter := rate.NewLimiter(rate.Inf, sendBurst)
 	for {
 		select {
 		case <-ctx.Done():
@@ -233,27 +247,37 @@
 			g.expire()
 		case <-g.notify:
 		}
-		delay.Reset(sendInterval(g.sendState()))
-		select {
-		case <-ctx.Done():
+		if limiter.Wait(ctx) != nil {
+			return // ctx is done
+		}
+		limiter.SetLimit(sendRate(g.sendState()))
+		if !cicadaretry.Sleep(ctx, minSendInterval) {
 			return
-		case <-delay.C:
 		}
 	}
 }
 
-// sendInterval returns the interval between two messages of a member that sends to n
-// others.
-func sendInterval(n int) time.Duration {
-	if n <= minIntervalMembers {
-		return minSendInterval
-	}
-	return min(minSendInterval*time.Duration(n*n)/(minIntervalMembers*minIntervalMembers), heartbeatInterval)
+// sendRate returns the average rate of messages of a member that sends to n others.
+func sendRate(n int) rate.Limit {
+	perSecond := float64(maxReceiveRate) / float64(max(n, 1))
+	return rate.Limit(max(perSecond, 1/heartbeatInterval.Seconds()))
+}
+
+// Staleness returns how old the states of other members are on average when they differ
+// from the current ones.
+func (g *Group) Staleness() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return transitTime + g.staleness
 }
 
 // sendState sends the state to all known members and returns their number.
 func (g *Group) sendState() int {
+	notifiedAt := g.notifiedAt.Swap(0)
 	state := g.localState()
+	if notifiedAt != 0 {
+		state.SendDelay = uint16(min(max(time.Now().UnixNano()-notifiedAt, 0)/int64(time.Millisecond), math.MaxUint16))
+	}
 	g.mu.Lock()
 	g.sequence++
 	state.Member, state.Incarnation, state.Sequence = g.self, g.incarnation, g.sequence
@@ -311,6 +335,10 @@
 		g.mu.Unlock()
 		return
 	}
+	if direct {
+		delay := time.Duration(state.SendDelay) * time.Millisecond
+		g.staleness += time.Duration(stalenessWeight * float64(delay-g.staleness))
+	}
 	next := &memberState{state: state, lastSeen: now, live: true}
 	switch {
 	case direct:
--- a/cicadagateway/cicadaplace/batch.go
+++ b/cicadagateway/cicadaplace/batch.go
@@ -1,7 +1,6 @@
 package cicadaplace
 
 import (
-	"math/rand/v2"
 	"time"
 )
 
@@ -19,7 +18,8 @@
 	t.mu.Lock()
 	now := time.Now()
 	svc := t.service(service)
-	if !urgent && svc.batchSlots(now) <= 0 {
+	unseen := t.unseenItems(svc, now)
+	if !urgent && svc.batchSlots(now) <= unseen {
 		t.mu.Unlock()
 		return nil
 	}
@@ -27,21 +27,19 @@
 	if !svc.hasCandidate(req) {
 		req.Avoid = nil
 	}
-	var best *endpointState
-	highest := 0.0
+	t.candidates = t.candidates[:0]
 	for _, e := range svc.endpoints {
-		free := e.Slots - e.total()
-		if e.Draining || req.avoids(e.ID) || now.Before(e.backoffUntil) || free <= 0 {
+		if e.Draining || req.avoids(e.ID) || now.Before(e.backoffUntil) || e.total() >= e.Slots {
 			continue
 		}
-		if score := float64(free) + costJitter*rand.Float64(); best == nil || score > highest {
-			best, highest = e, score
-		}
+		t.candidates = append(t.candidates, candidate{e, -float64(e.Slots - e.total())})
 	}
+	best := spread(t.candidates, 1+float64(unseen))
 	if best == nil {
 		t.mu.Unlock()
 		return nil
 	}
+	svc.batchGrants = append(svc.batchGrants, now)
 	g := &Grant{table: t, state: best, endpoint: best.Endpoint, batch: true, grantedAt: now, load: best.total()}
 	best.local.Batch++
 	t.mu.Unlock()
@@ -49,6 +47,23 @@
 	return g
 }
 
+// unseenItems estimates how many batch items other processes have started that their last
+// messages do not include yet. Processes see the same idle slots at about the same time,
+// so each assumes that the others have started as many items as itself.
+func (t *Table) unseenItems(svc *service, now time.Time) int {
+	window := 2 * t.staleness() // for the own message to arrive and that of a peer to return
+	for len(svc.batchGrants) > 0 && now.Sub(svc.batchGrants[0]) > window {
+		svc.batchGrants = svc.batchGrants[1:]
+	}
+	others := 0
+	for _, p := range t.peers {
+		if p.batch > 0 {
+			others++
+		}
+	}
+	return others * len(svc.batchGrants)
+}
+
 // PreemptionCounts returns, by endpoint, how many batch items of this process must be
 // preempted to free their slots for online requests. If several processes run
 // items at an endpoint, those with the most items preempt first. From the same
@@ -135,9 +150,12 @@
 }
 
 func (s *service) batchSlots(now time.Time) int {
-	return s.idleSlots(now) - max(1, int(onlineReserve*float64(s.slots)))
+	return s.idleSlots(now) - reservedSlots(s.slots)
 }
 
+// reservedSlots returns how many of a service's slots batch items leave idle.
+func reservedSlots(slots int) int { return max(1, int(onlineReserve*float64(slots))) }
+
 // idleSlots returns the number of idle slots at endpoints that are neither
 // draining nor in backoff.
 func (s *service) idleSlots(now time.Time) int {
--- a/cicadagateway/cicadaplace/peers.go
+++ b/cicadagateway/cicadaplace/peers.go
@@ -7,6 +7,7 @@
 
 type peer struct {
 	counts    map[string]InFlight // by endpoint
+	batch     int                 // sum over counts
 	updatedAt time.Time
 }
 
@@ -24,6 +25,9 @@
 		t.subtractPeer(old)
 	}
 	p := &peer{counts: counts, updatedAt: now}
+	for _, n := range counts {
+		p.batch += n.Batch
+	}
 	t.peers[name] = p
 	t.addPeer(p)
 	t.grantWaiters()
--- a/cicadagateway/cicadaplace/table.go
+++ b/cicadagateway/cicadaplace/table.go
@@ -20,7 +20,6 @@
 package cicadaplace
 
 import (
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -45,13 +44,16 @@
 	// sameDataCentreBonus, in requests, makes an endpoint of the local data centre
 	// preferred when loads are nearly equal.
 	sameDataCentreBonus = 0.3
-	// costJitter, in requests, keeps processes that see the same loads from all
-	// choosing the same endpoint.
-	costJitter = 0.4
-	// preemptionCost, in requests, ranks slots held by batch items behind free slots.
-	preemptionCost    = 4.0
+	// batchCost, in requests, is the cost of a slot that a batch item holds. It is less than
+	// that of an online request: if more requests arrive than the counts show, items make
+	// room for them.
+	batchCost = 0.75
+	// preemptionCost, in requests, ranks an endpoint where an item must be preempted behind
+	// one with an idle slot.
+	preemptionCost    = 1.0
 	holdSampleWeight  = 0.1 // weight of the newest sample in service.meanHold
 	initialMeanHold   = 500 * time.Millisecond
+	minMeanHold       = 10 * time.Millisecond
 	minRetryAfter     = 20 * time.Millisecond
 	retryJitter       = 0.5 // maximum random addition in RetryAfter, as a fraction of the wait
 	maxWaitersPerSlot = 2   // queued requests of this process per slot of a service
@@ -86,6 +88,8 @@
 	waiters   []*waiter
 	slots     int
 	meanHold  time.Duration // moving average of how long an online request holds a slot
+	// batchGrants holds the times of the latest grants to batch items.
+	batchGrants []time.Time
 }
 
 // A Table tracks the requests in flight at all endpoints and grants slots. It is
@@ -100,6 +104,8 @@
 	peers         map[string]*peer
 	nextExpiry    time.Time // no counts of a peer expire before this
 	onChange      func()
+	staleness     func() time.Duration
+	candidates    []candidate // reused by choose
 }
 
 // An Option configures a Table.
@@ -109,6 +115,12 @@
 // changed. It must not call methods of the Table.
 func WithOnChange(onChange func()) Option { return func(t *Table) { t.onChange = onChange } }
 
+// WithStaleness sets the function that returns how old the counts of peers are on average.
+// The default is 0.
+func WithStaleness(staleness func() time.Duration) Option {
+	return func(t *Table) { t.staleness = staleness }
+}
+
 // WithDataCentre makes Acquire prefer endpoints of the given data centre.
 func WithDataCentre(dc string) Option { return func(t *Table) { t.dataCentre = dc } }
 
@@ -117,7 +129,7 @@
 func NewTable(name string, opts ...Option) *Table {
 	t := &Table{
 		name: name, endpointsByID: make(map[string]*endpointState), services: make(map[string]*service),
-		peers: make(map[string]*peer), onChange: func() {},
+		peers: make(map[string]*peer), onChange: func() {}, staleness: func() time.Duration { return 0 },
 	}
 	for _, opt := range opts {
 		opt(t)
@@ -202,13 +214,13 @@
 // requests hold all slots. Endpoints in backoff are used only if there is no other.
 func (t *Table) selectEndpoint(svc *service, req SlotRequest) *endpointState {
 	now := time.Now()
-	if e := t.lowestCost(svc, req, now, false); e != nil {
+	if e := t.choose(svc, req, now, false); e != nil {
 		return e
 	}
 	if svc.hasReady(req, now) {
 		return nil
 	}
-	return t.lowestCost(svc, req, now, true)
+	return t.choose(svc, req, now, true)
 }
 
 // hasReady reports whether any endpoint that may be used for the request is not in
@@ -222,25 +234,32 @@
 	return false
 }
 
-// lowestCost returns the endpoint with the lowest cost among those that the request may
-// use and where online requests do not hold all slots, or nil.
-func (t *Table) lowestCost(svc *service, req SlotRequest, now time.Time, includeBackoff bool) *endpointState {
-	var best *endpointState
-	lowest := 0.0
+// choose returns an endpoint for the request among those where online requests do not hold
+// all slots, or nil.
+func (t *Table) choose(svc *service, req SlotRequest, now time.Time, includeBackoff bool) *endpointState {
+	t.candidates = t.candidates[:0]
 	for _, e := range svc.endpoints {
 		if e.Draining || req.avoids(e.ID) || e.online() >= e.Slots || (!includeBackoff && now.Before(e.backoffUntil)) {
 			continue
 		}
-		cost := float64(e.total()) + costJitter*rand.Float64()
+		cost := float64(e.online()) + batchCost*float64(e.batch())
 		if e.total() >= e.Slots {
-			cost = float64(e.Slots) + preemptionCost + float64(e.online()) + costJitter*rand.Float64()
+			cost += preemptionCost
 		}
 		if e.DataCentre == t.dataCentre {
 			cost -= sameDataCentreBonus
 		}
-		if best == nil || cost < lowest {
-			best, lowest = e, cost
-		}
+		t.candidates = append(t.candidates, candidate{e, cost})
+	}
+	return spread(t.candidates, 1+t.unseenArrivals(svc))
+}
+
+// unseenArrivals estimates how many online requests other processes have sent to a service
+// that their last messages do not include yet.
+func (t *Table) unseenArrivals(svc *service) float64 {
+	online := 0
+	for _, e := range svc.endpoints {
+		online += e.peers.Online
 	}
-	return best
+	return float64(online) * t.staleness().Seconds() / max(svc.meanHold.Seconds(), minMeanHold.Seconds())
 }
--- a/cicadagateway/cicadaprocess/process.go
+++ b/cicadagateway/cicadaprocess/process.go
@@ -113,7 +113,8 @@
 			n.endpointFollower.Refresh()
 		}
 	})
-	n.table = cicadaplace.NewTable(cfg.Name, cicadaplace.WithDataCentre(cfg.DataCentre), cicadaplace.WithOnChange(n.notifyPeers))
+	n.table = cicadaplace.NewTable(cfg.Name, cicadaplace.WithDataCentre(cfg.DataCentre), cicadaplace.WithOnChange(n.notifyPeers),
+		cicadaplace.WithStaleness(n.peerStaleness))
 	connectionsOpened := p.Scope().Counter("endpoint_connections")
 	n.client = cicadaexchange.NewClient(cicadaexchange.WithOnConnect(func() { connectionsOpened.Inc(1) }))
 	return n, nil
@@ -125,6 +126,13 @@
 	}
 }
 
+func (n *Node) peerStaleness() time.Duration {
+	if g := n.group; g != nil {
+		return g.Staleness()
+	}
+	return 0
+}
+
 // Serve runs the node until ctx is done and then shuts it down gracefully.
 func (n *Node) Serve(ctx context.Context) error {
 	n.log.Info("starting", "name", n.cfg.Name, "role", n.cfg.Role, "vm", n.cfg.VM, "version", cicadakernel.Version)
