Read results rarely while the store fails

Without the limit the new test does not end.

Change: after a refused read no job is read for a backoff of 0.1 to 1 s, then one at a time until one succeeds; readers get 503 at once. 40 jobs and 500 reads in an outage of 5 s now make fewer than 60 calls.

--- a/cicadagateway/cicadabatch/calls.go
+++ b/cicadagateway/cicadabatch/calls.go
@@ -182,18 +182,21 @@
 		}
 	}
 	for {
-		loaded := make(chan struct{})
+		loaded, loading := make(chan struct{}), true
 		o.enqueueAndWait(func() {
 			lookup()
 			if j == nil || current {
 				close(loaded)
 				return
 			}
-			j.waiters = append(j.waiters, func() { close(loaded) })
-			if !j.loading {
-				o.loadResults(j)
+			if loading = o.loadResults(j, time.Now()); loading {
+				j.waiters = append(j.waiters, func() { close(loaded) })
 			}
 		})
+		if !loading {
+			resp := unavailable()
+			return nil, &resp
+		}
 		select {
 		case <-loaded:
 		case <-ctx.Done():
--- /dev/null
+++ b/cicadagateway/cicadabatch/load_test.go
@@ -0,0 +1,57 @@
+package cicadabatch
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cicadalink.example/cicadakernel/cicadaplatform"
+)
+
+// TestReadsOfABusyStoreAreFew covers a store that refuses all calls at once while many jobs
+// have moved to an owner and callers read them. The owner must not repeat the reads as fast
+// as they are refused, and must read the jobs soon after the store is back.
+func TestReadsOfABusyStoreAreFew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const jobs, outage = 40, 5 * time.Second
+		d := newTestDeployment()
+		eligible := []string{"o1"}
+		owners := func() []string { return eligible }
+		o1, o2 := d.startOwner("o1", owners), d.startOwner("o2", owners)
+		defer o1.stop()
+		defer o2.stop()
+		time.Sleep(time.Second)
+		for i := range jobs {
+			assert.Equal(t, o1.call(t, submitCall(fmt.Sprint("j", i), 5)).Status, http.StatusAccepted)
+		}
+		time.Sleep(10 * time.Second)
+		busy := true
+		d.memory.SetFault(func(_ context.Context, call, _ string) (error, error) {
+			if call == "get" && busy {
+				return cicadaplatform.ErrUnavailable, nil
+			}
+			return nil, nil
+		})
+		before := d.memory.Calls()["get"]
+		eligible = []string{"o2"}
+		reads, start := 0, time.Now()
+		for time.Since(start) < outage {
+			reads++
+			resp := o2.call(t, &Call{Kind: CallReadResults, Job: fmt.Sprint("j", reads%jobs)})
+			assert.Equal(t, resp.Status, http.StatusServiceUnavailable)
+			time.Sleep(10 * time.Millisecond)
+		}
+		calls := d.memory.Calls()["get"] - before
+		assert.Assert(t, calls <= jobs+20, "%d calls for %d jobs and %d reads", calls, jobs, reads)
+		busy = false
+		time.Sleep(3 * time.Second)
+		for i := range jobs {
+			assert.Equal(t, len(o2.results(t, fmt.Sprint("j", i), 0).Results), 1)
+		}
+	})
+}
--- a/cicadagateway/cicadabatch/owner.go
+++ b/cicadagateway/cicadabatch/owner.go
@@ -90,6 +90,8 @@
 	recovered      map[string]map[string]*recoveredItem // by job and item
 	jobsReceived   bool                                 // the store's list of jobs has been received
 	recoveryDone   bool                                 // recovered progress has been assigned to jobs or dropped
+
+	loads loadBreaker
 }
 
 // An Option configures an Owner.
@@ -271,8 +273,8 @@
 		switch {
 		case now.Sub(j.acceptedAt) > o.retention && (j.ended || j.allListed() || !j.owned):
 			o.expire(j)
-		case j.owned && !j.loaded && !j.loading:
-			o.loadResults(j)
+		case j.owned && !j.loaded:
+			o.loadResults(j, now)
 		case j.owned && j.loaded:
 			o.abandonItems(j, now)
 			o.flush(j, now)
@@ -327,43 +329,6 @@
 	})
 }
 
-// loadResults reads the chunks from the store that are not in memory yet.
-func (o *Owner) loadResults(j *job) {
-	j.loading = true
-	from := j.chunkCount
-	o.wg.Go(func() {
-		var chunks []chunk
-		var err error
-		for n := from; ; n++ {
-			c, found, readErr := readChunk(o.ctx, o.store, j.id, n)
-			if readErr != nil || !found {
-				err = readErr
-				break
-			}
-			chunks = append(chunks, c)
-		}
-		o.enqueue(func() { o.resultsLoaded(j, from, chunks, err) })
-	})
-}
-
-func (o *Owner) resultsLoaded(j *job, from int, chunks []chunk, err error) {
-	j.loading = false
-	if j.chunkCount == from {
-		for _, c := range chunks {
-			o.appendChunk(j, c)
-		}
-	}
-	if err != nil {
-		o.log.Warn("failed to read results", "job", j.id, "chunks", j.chunkCount, "error", err)
-	} else {
-		j.loaded = true
-		j.refreshedAt = time.Now()
-		o.log.Info("job loaded", "job", j.id, "chunks", j.chunkCount, "listed", len(j.results), "items", j.record.Total)
-	}
-	o.notifyWaiters(j)
-	o.Wake()
-}
-
 func (o *Owner) appendChunk(j *job, c chunk) {
 	for _, it := range j.appendChunk(c) {
 		it.stop()
