Hold the limit on waiting tokens over all owners

A job that does not fit gets 429 with a Retry-After from how fast tokens drain, after the store has confirmed that it was not accepted elsewhere. Jobs with the same id are submitted one at a time.

--- a/cicadagateway/cicadabatch/calls.go
+++ b/cicadagateway/cicadabatch/calls.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"net/http"
 	"time"
 
@@ -22,6 +23,7 @@
 	lateWriteWindow = 10 * time.Second
 	readTimeout     = 2 * time.Second // limit on reading a job and its results
 	retryAfter      = 300 * time.Millisecond
+	statusLimited   = http.StatusTooManyRequests // of a job that does not fit in the limit of its route
 )
 
 // A Call is a request about one job, as an entry sends it to the job's owner.
@@ -41,6 +43,10 @@
 	Relayed bool
 	// Progress is the payload of CallHandOver and CallCheckpoint.
 	Progress []Progress
+	// Waiting is the payload of CallReportWaiting.
+	Waiting []WaitingTokens
+	// Route is the name of the route of CallShrink.
+	Route string
 }
 
 // A CallKind selects the operation of a Call.
@@ -48,12 +54,14 @@
 
 // Kinds of calls.
 const (
-	CallSubmit      CallKind = iota // store a job and run it
-	CallReadResults                 // read results from a position on
-	CallReadItem                    // read the body of an unfinished item
-	CallEndJob                      // end a job; its listed results stay readable
-	CallHandOver                    // receive the progress of a job that has moved here
-	CallCheckpoint                  // keep a replica of the progress of a job owned elsewhere
+	CallSubmit        CallKind = iota // store a job and run it
+	CallReadResults                   // read results from a position on
+	CallReadItem                      // read the body of an unfinished item
+	CallEndJob                        // end a job; its listed results stay readable
+	CallHandOver                      // receive the progress of a job that has moved here
+	CallCheckpoint                    // keep a replica of the progress of a job owned elsewhere
+	CallReportWaiting                 // receive the waiting tokens of jobs that run elsewhere
+	CallShrink                        // return reserved tokens of a route that no job needs
 )
 
 // A Response is the response to a Call, with an HTTP status.
@@ -88,6 +96,14 @@
 		resp = Response{Status: http.StatusOK}
 	case CallCheckpoint:
 		resp = o.applyCheckpoint(c)
+	case CallReportWaiting:
+		o.enqueue(func() { o.applyWaiting(c.Waiting) })
+		resp = Response{Status: http.StatusOK}
+	case CallShrink:
+		if o.limiter != nil {
+			o.limiter.Shrink(ctx, c.Route)
+		}
+		resp = Response{Status: http.StatusOK}
 	default:
 		resp = Response{Status: http.StatusBadRequest}
 	}
@@ -107,7 +123,23 @@
 	}
 }
 
+// submit accepts a job. Concurrent submissions of one job are handled as one.
 func (o *Owner) submit(ctx context.Context, c *Call) Response {
+	outcome := o.submissions.DoChan(c.Job, func() (any, error) {
+		ctx, cancel := context.WithTimeout(o.ctx, acceptTimeout)
+		defer cancel()
+		return o.accept(ctx, c), nil
+	})
+	select {
+	case r := <-outcome:
+		return r.Val.(Response)
+	case <-ctx.Done():
+		return outcomeUnknown()
+	}
+}
+
+// accept stores a job, if its tokens fit in the limit of its route.
+func (o *Owner) accept(ctx context.Context, c *Call) Response {
 	exists := false
 	o.enqueueAndWait(func() { exists = o.jobs[c.Job] != nil })
 	if exists {
@@ -118,6 +150,9 @@
 		o.log.Warn("submission rejected", "job", c.Job, "error", err)
 		return Response{Status: http.StatusBadRequest}
 	}
+	if refusal := o.reserve(ctx, c, sumTokens(items)); refusal != nil {
+		return o.confirmRefusal(ctx, c, *refusal)
+	}
 	now := time.Now()
 	r := jobRecord{
 		Host: c.Host, Path: c.Path, AcceptedMs: now.UnixMilli(), DueMs: c.Due.Milliseconds(), GiveUpMs: c.GiveUp.Milliseconds(),
@@ -125,11 +160,10 @@
 	}
 	value, err := json.Marshal(r)
 	if err != nil {
+		o.releaseTokens(c.Host, c.Path, c.Job)
 		o.log.Error("failed to encode submission", "job", c.Job, "error", err)
 		return Response{Status: http.StatusInternalServerError}
 	}
-	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
-	defer cancel()
 	obj, err := o.store.Create(ctx, cicadaplatform.ClassClaim, JobsPrefix+c.Job, value)
 	if err != nil && !errors.Is(err, cicadaplatform.ErrExists) {
 		return o.submitError(c, err)
@@ -148,14 +182,53 @@
 	return Response{Status: http.StatusAccepted}
 }
 
+func sumTokens(items []adapter.Item) int64 {
+	tokens := int64(0)
+	for _, it := range items {
+		tokens += int64(it.Tokens)
+	}
+	return tokens
+}
+
+// lookupTTL is how long the store's answer that a refused job does not exist is trusted.
+// Callers may return many times within their time, and each look-up is a call to the store.
+const lookupTTL = 5 * time.Second
+
+// confirmRefusal returns the refusal of a job that is not in the store. A job that another
+// owner has accepted, and this one does not know yet, is not refused.
+func (o *Owner) confirmRefusal(ctx context.Context, c *Call, refusal Response) Response {
+	recent := false
+	o.enqueueAndWait(func() { recent = time.Since(o.absentJobs[c.Job]) < lookupTTL })
+	if recent {
+		return refusal
+	}
+	_, err := o.store.Get(ctx, JobsPrefix+c.Job)
+	switch {
+	case err == nil:
+		return Response{Status: http.StatusAccepted}
+	case errors.Is(err, cicadaplatform.ErrNotFound):
+		o.enqueue(func() { o.absentJobs[c.Job] = time.Now() })
+		return refusal
+	}
+	o.log.Warn("failed to look up refused job", "job", c.Job, "error", err)
+	return outcomeUnknown()
+}
+
+// forgetAbsentJobs removes look-ups that are not trusted any more.
+func (o *Owner) forgetAbsentJobs(now time.Time) {
+	maps.DeleteFunc(o.absentJobs, func(_ string, at time.Time) bool { return now.Sub(at) >= lookupTTL })
+}
+
 func (o *Owner) submitError(c *Call, err error) Response {
 	o.log.Warn("failed to store job", "job", c.Job, "error", err)
 	switch {
 	case errors.Is(err, cicadaplatform.ErrTooLarge):
+		o.releaseTokens(c.Host, c.Path, c.Job)
 		return Response{Status: http.StatusRequestEntityTooLarge}
 	case errors.Is(err, cicadaplatform.ErrInDoubt):
 		return outcomeUnknown()
 	case errors.Is(err, cicadaplatform.ErrUnavailable):
+		o.releaseTokens(c.Host, c.Path, c.Job)
 		return unavailable()
 	}
 	return outcomeUnknown()
--- a/cicadagateway/cicadabatch/job.go
+++ b/cicadagateway/cicadabatch/job.go
@@ -72,6 +72,9 @@
 	recoveredItems int                // items with progress from before the restart
 	replicating    bool               // a checkpoint is being sent to the next owner
 	replicateFull  bool               // the next checkpoint must be full
+	// reportedWaiting is the last report of the job's waiting tokens: sent by this process
+	// if it runs the job, otherwise received.
+	reportedWaiting int64
 }
 
 // A jobRecord is a job as stored in its object.
@@ -97,7 +100,7 @@
 }
 
 func newJob(id string, r jobRecord, acceptedAt time.Time) *job {
-	j := &job{id: id, record: r, acceptedAt: acceptedAt, ended: r.Ended, itemsByID: make(map[string]*item, len(r.Items))}
+	j := &job{id: id, record: r, acceptedAt: acceptedAt, ended: r.Ended, reportedWaiting: tokensUnknown, itemsByID: make(map[string]*item, len(r.Items))}
 	for _, spec := range r.Items {
 		it := &item{Item: spec, job: j, targetFraction: float64(xxhash.Sum64String(spec.ID)) / math.MaxUint64}
 		j.items = append(j.items, it)
--- a/cicadagateway/cicadabatch/metrics.go
+++ b/cicadagateway/cicadabatch/metrics.go
@@ -24,13 +24,14 @@
 	preempted          tally.Counter
 	checkpointsWritten tally.Counter
 	checkpointsFailed  tally.Counter
+	jobsRefused        tally.Counter // beyond the limit of their route
 }
 
 func newMetrics(scope tally.Scope) *metrics {
 	m := &metrics{
 		runTime: scope.Histogram("item_run_time", runTimeBuckets), timeLeft: scope.Histogram("result_time_left", timeLeftBuckets),
 		preempted: scope.Counter("items_put_aside"), checkpointsWritten: scope.Counter("checkpoints_written"),
-		checkpointsFailed: scope.Counter("checkpoints_failed"),
+		checkpointsFailed: scope.Counter("checkpoints_failed"), jobsRefused: scope.Counter("jobs_refused"),
 	}
 	for o, name := range outcomeNames {
 		m.runs[o] = scope.Tagged(map[string]string{"outcome": name}).Counter("item_runs")
--- a/cicadagateway/cicadabatch/owner.go
+++ b/cicadagateway/cicadabatch/owner.go
@@ -27,10 +27,12 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/sourcegraph/conc"
 	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/singleflight"
 
 	"cicadalink.example/cicadagateway/cicadaexchange"
 	"cicadalink.example/cicadagateway/cicadafollow"
 	"cicadalink.example/cicadagateway/cicadaplace"
+	"cicadalink.example/cicadagateway/cicadareservation"
 	"cicadalink.example/cicadakernel/cicadaplatform"
 	"cicadalink.example/cicadakernel/cicadaview"
 )
@@ -65,6 +67,9 @@
 	owners         func() []string
 	sendHandOver   func(ctx context.Context, job string, p []Progress) error
 	sendCheckpoint func(ctx context.Context, p Checkpoint) error
+	sendWaiting    func(ctx context.Context, reports []WaitingTokens)
+	limiter        *cicadareservation.Limiter // nil if the limits of routes are not enforced
+	submissions    singleflight.Group         // by job
 	checkpointFile *CheckpointFile
 	retention      time.Duration
 	metrics        *metrics
@@ -91,7 +96,9 @@
 	jobsReceived   bool                                 // the store's list of jobs has been received
 	recoveryDone   bool                                 // recovered progress has been assigned to jobs or dropped
 
-	loads loadBreaker
+	loads             loadBreaker
+	absentJobs        map[string]time.Time // refused jobs, by when the store did not have them
+	lastWaitingReport time.Time
 }
 
 // An Option configures an Owner.
@@ -113,6 +120,12 @@
 	return func(o *Owner) { o.sendCheckpoint = send }
 }
 
+// WithLimiter sets the limiter that keeps waiting tokens within the limits of routes. send
+// reports the waiting tokens of jobs that other owners have accepted to the other owners.
+func WithLimiter(limiter *cicadareservation.Limiter, send func(ctx context.Context, reports []WaitingTokens)) Option {
+	return func(o *Owner) { o.limiter, o.sendWaiting = limiter, send }
+}
+
 // WithCheckpoints sets the file in which the owner stores checkpoints. The owner resumes
 // items from the checkpoints that the file already contains.
 func WithCheckpoints(file *CheckpointFile) Option {
@@ -135,6 +148,7 @@
 		jobs: make(map[string]*job), running: make(map[string][]*item), waitingServices: make(map[string]bool),
 		sendHandOver:   func(context.Context, string, []Progress) error { return nil },
 		sendCheckpoint: func(context.Context, Checkpoint) error { return nil },
+		absentJobs:     make(map[string]time.Time),
 		retention:      defaultRetention, saveFull: true, metrics: newMetrics(tally.NoopScope),
 	}
 	for _, opt := range opts {
@@ -151,6 +165,7 @@
 				f()
 				continue
 			case <-ticker.C:
+				o.updateWaiting(time.Now())
 				o.runMaintenance()
 			case <-o.wakeup:
 			}
@@ -213,6 +228,9 @@
 	}
 	j := o.addJob(id, r, now.Add(-age))
 	j.version, j.ownedSince = obj.Version(), now
+	if r.SubmittedBy != o.name {
+		o.releaseTokens(r.Host, r.Path, id)
+	}
 	if age > 0 {
 		j.clockSkew = maxClockSkew
 	}
@@ -267,6 +285,7 @@
 		return
 	}
 	o.reassignJobs()
+	o.forgetAbsentJobs(now)
 	o.handOverRecovered()
 	o.checkpoint(now)
 	for _, j := range o.jobs {
--- a/cicadagateway/cicadabatch/rpc.go
+++ b/cicadagateway/cicadabatch/rpc.go
@@ -9,6 +9,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
+	"github.com/sourcegraph/conc"
 	"storj.io/drpc"
 
 	"cicadalink.example/cicadakernel/cicadawire"
@@ -148,6 +149,33 @@
 	return err
 }
 
+// broadcastTimeout limits the time of a message that goes to all owners.
+const broadcastTimeout = 400 * time.Millisecond
+
+// ReportWaiting sends the waiting tokens of jobs to all other owners.
+func (c *Client) ReportWaiting(ctx context.Context, reports []WaitingTokens) {
+	c.broadcast(ctx, &Call{Kind: CallReportWaiting, Waiting: reports})
+}
+
+// Shrink asks all other owners to return the tokens of a route that no job needs.
+func (c *Client) Shrink(ctx context.Context, route string) {
+	c.broadcast(ctx, &Call{Kind: CallShrink, Route: route})
+}
+
+// broadcast sends a call to all owners that can be reached directly. An owner that does not
+// get it only keeps older or higher counts of tokens, so errors need no handling.
+func (c *Client) broadcast(ctx context.Context, call *Call) {
+	ctx, cancel := context.WithTimeout(ctx, broadcastTimeout)
+	defer cancel()
+	var wg conc.WaitGroup
+	for _, peer := range c.owners() {
+		if !peer.Relayed {
+			wg.Go(func() { _, _ = c.callPeer(ctx, peer, call) })
+		}
+	}
+	wg.Wait()
+}
+
 // rankPeers sorts owners by the rendezvous hash of a job, its owner first.
 func rankPeers(id string, owners []Peer) []Peer {
 	owners = slices.Clone(owners)
--- a/cicadagateway/cicadaprocess/jobs.go
+++ b/cicadagateway/cicadaprocess/jobs.go
@@ -16,6 +16,7 @@
 	"cicadalink.example/cicadagateway/cicadafollow"
 	"cicadalink.example/cicadagateway/cicadapeer"
 	"cicadalink.example/cicadagateway/cicadarelay"
+	"cicadalink.example/cicadagateway/cicadareservation"
 	"cicadalink.example/cicadakernel/cicadaretry"
 	"cicadalink.example/cicadakernel/cicadaview"
 	"cicadalink.example/cicadakernel/cicadawire"
@@ -110,7 +111,8 @@
 // serveOwner runs jobs until ctx is done.
 func (n *Node) serveOwner(ctx, workCtx context.Context) error {
 	peers := cicadabatch.NewClient(cicadawire.NewPool(), n.ownerPeers)
-	opts := append(n.openCheckpoints(), cicadabatch.WithHandOver(peers.HandOver), cicadabatch.WithReplication(peers.Replicate),
+	limiter := cicadareservation.New(n.cfg.Name, n.store, n.log, cicadareservation.WithShrink(peers.Shrink))
+	opts := append(n.openCheckpoints(), cicadabatch.WithLimiter(limiter, peers.ReportWaiting), cicadabatch.WithHandOver(peers.HandOver), cicadabatch.WithReplication(peers.Replicate),
 		cicadabatch.WithScope(n.process.Scope()),
 		cicadabatch.WithRetention(n.cfg.KeepJobs.Or(defaultKeepJobs)+jobRetentionMargin))
 	owner := cicadabatch.NewOwner(workCtx, n.cfg.Name, n.store, n.table, n.client, n.config.Load, n.eligibleOwners, n.log, opts...)
--- a/cicadakernel/cicadaview/view.go
+++ b/cicadakernel/cicadaview/view.go
@@ -63,6 +63,9 @@
 	// GiveUpAfter is the time from the submission of a job after which its items
 	// may be abandoned.
 	GiveUpAfter time.Duration
+	// MaxWaitingTokens limits the tokens of a batch route's accepted items that have not
+	// finished, of all callers together. 0 means no limit.
+	MaxWaitingTokens int64
 	// MaxAttempts is the maximum number of endpoints that one request runs on.
 	MaxAttempts int
 	// Priority orders routes when capacity is short; 0 is served first.
