Bound bytes without end, and events without progress

A stream that sent bytes but no event stopped the route's timer with its first byte, so it lasted until the caller's deadline; in a batch run, blank lines and comments counted as progress, so it never ended.

Change: 64 KiB for a response header, 16 MiB for an answer that is not a stream, 64 KiB of a body that is discarded, 1 MiB for an event, and for the output of an item, which must fit an object. Lines may be as long as an event. Only whole events stop the timer or count as progress.

--- a/cicadagateway/cicadabatch/run.go
+++ b/cicadagateway/cicadabatch/run.go
@@ -15,6 +15,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"cicadalink.example/cicadagateway/cicadaexchange"
+	"cicadalink.example/cicadakernel/cicadaplatform"
 	"cicadalink.example/cicadakernel/cicadaview"
 	adapter "cicadalink.example/platform"
 )
@@ -22,8 +23,11 @@
 const (
 	// stallTimeout is how long an endpoint may send no event during a run before the
 	// run is cancelled and the item resumes elsewhere.
-	stallTimeout      = 2500 * time.Millisecond
-	maxEventLineBytes = 1 << 20
+	stallTimeout = 2500 * time.Millisecond
+	// maxEventBytes limits the data and each line of one event, and maxOutputBytes the
+	// output of an item, which is stored in one object.
+	maxEventBytes  = 1 << 20
+	maxOutputBytes = cicadaplatform.MaxValueSize
 )
 
 // An outcome is the way in which a run ended.
@@ -68,7 +72,7 @@
 	defer resp.Close()
 	r.status = resp.StatusCode
 	if result, done := r.statusOutcome(resp); done {
-		_, _ = io.Copy(io.Discard, resp)
+		resp.Discard()
 		return result, merry.Errorf("status %d", resp.StatusCode)
 	}
 	r.headerTime = time.Since(start)
@@ -113,12 +117,12 @@
 }
 
 // readEvents appends complete events until the end of the body and calls onEvent after
-// each.
+// each. Bytes that complete no event are no progress.
 func (r *run) readEvents(body io.Reader, onEvent func()) error {
-	lines := bufio.NewReaderSize(body, 4<<10)
+	lines := bufio.NewReaderSize(body, lineBufferSize)
 	var event sseEvent
 	for {
-		line, err := lines.ReadSlice('\n')
+		line, err := readLine(lines)
 		if errors.Is(err, io.EOF) {
 			if len(line) > 0 || event.started {
 				return merry.Errorf("stream ends within an event: %w", cicadaexchange.ErrInvalidResponse)
@@ -130,34 +134,63 @@
 		}
 		line = bytes.TrimSuffix(line[:len(line)-1], []byte("\r"))
 		if len(line) > 0 {
-			event.addLine(line)
+			if event.addLine(line); len(event.data) > maxEventBytes {
+				return merry.Errorf("read event: %w: %w", cicadaexchange.ErrInvalidResponse, cicadaexchange.ErrTooLarge)
+			}
 			continue
 		}
-		if err := r.appendEvent(&event); err != nil {
+		appended, err := r.appendEvent(&event)
+		if err != nil {
 			return err
 		}
-		onEvent()
+		if appended {
+			onEvent()
+		}
+	}
+}
+
+// lineBufferSize is the size of most lines or more; longer ones are copied.
+const lineBufferSize = 4 << 10
+
+// readLine reads a line with its newline, of up to maxEventBytes. The line is valid until the
+// next call.
+func readLine(r *bufio.Reader) ([]byte, error) {
+	line, err := r.ReadSlice('\n')
+	if !errors.Is(err, bufio.ErrBufferFull) {
+		return line, err
+	}
+	long := bytes.Clone(line)
+	for errors.Is(err, bufio.ErrBufferFull) {
+		if len(long) > maxEventBytes {
+			return nil, merry.Errorf("line: %w: %w", cicadaexchange.ErrInvalidResponse, cicadaexchange.ErrTooLarge)
+		}
+		line, err = r.ReadSlice('\n')
+		long = append(long, line...)
 	}
+	return long, err
 }
 
 // appendEvent appends an event, which must be the next in order. Events without data
-// are ignored.
-func (r *run) appendEvent(event *sseEvent) error {
+// are ignored. It reports whether the event was appended.
+func (r *run) appendEvent(event *sseEvent) (bool, error) {
 	defer event.reset()
 	if !event.started || !event.hasData {
-		return nil
+		return false, nil
 	}
 	if event.id != r.lastEvent+1 {
-		return merry.Errorf("event %d follows event %d: %w", event.id, r.lastEvent, cicadaexchange.ErrInvalidResponse)
+		return false, merry.Errorf("event %d follows event %d: %w", event.id, r.lastEvent, cicadaexchange.ErrInvalidResponse)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.lastEvent > 0 {
 		r.output.WriteByte('\n')
 	}
+	if r.output.Len()+len(event.data) > maxOutputBytes {
+		return false, merry.Errorf("output: %w: %w", cicadaexchange.ErrInvalidResponse, cicadaexchange.ErrTooLarge)
+	}
 	r.output.Write(event.data)
 	r.lastEvent = event.id
-	return nil
+	return true, nil
 }
 
 // snapshot returns the run's output so far and the id of its last event.
--- /dev/null
+++ b/cicadagateway/cicadabatch/run_test.go
@@ -0,0 +1,75 @@
+package cicadabatch
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"cicadalink.example/cicadagateway/cicadaexchange"
+)
+
+// repeated reads a text again and again, up to limit bytes.
+type repeated struct {
+	text  string
+	limit int
+	read  int
+	rest  string
+}
+
+// Read implements io.Reader.
+func (r *repeated) Read(p []byte) (int, error) {
+	if r.read >= r.limit {
+		return 0, io.ErrUnexpectedEOF
+	}
+	if r.rest == "" {
+		r.rest = r.text
+	}
+	n := copy(p, r.rest)
+	r.rest = r.rest[n:]
+	r.read += n
+	return n, nil
+}
+
+func TestLongLinesOfEvents(t *testing.T) {
+	data := strings.Repeat("x", 10*lineBufferSize+17)
+	r, events := &run{}, 0
+	err := r.readEvents(strings.NewReader("id: 1\ndata: "+data+"\n\nid: 2\ndata: b\n\n"), func() { events++ })
+	assert.NilError(t, err)
+	assert.Equal(t, events, 2)
+	assert.Equal(t, r.output.String(), data+"\nb")
+}
+
+// TestEventsWithoutEnd covers endpoints whose stream never completes an event, or never
+// ends. The run reads a bounded number of bytes and takes only events as progress.
+func TestEventsWithoutEnd(t *testing.T) {
+	const guard = 64 << 20
+	for _, test := range []struct{ name, text string }{
+		{"line", "x"},
+		{"data lines", "data: " + strings.Repeat("x", 1000) + "\n"},
+	} {
+		r, body := &run{}, &repeated{text: test.text, limit: guard}
+		err := r.readEvents(body, func() { t.Errorf("%s: progress reported", test.name) })
+		assert.Assert(t, errors.Is(err, cicadaexchange.ErrTooLarge), "%s: %v", test.name, err)
+		assert.Assert(t, body.read < 4*maxEventBytes, "%s: %d bytes read", test.name, body.read)
+	}
+	for _, text := range []string{"\n", ": ping\n\n", "id: 1\n\n"} {
+		body := &repeated{text: text, limit: 1 << 20}
+		err := (&run{}).readEvents(body, func() { t.Errorf("%q: progress reported", text) })
+		assert.Assert(t, err != nil)
+	}
+}
+
+func TestOutputWithoutEnd(t *testing.T) {
+	var stream strings.Builder
+	for id := 1; id < 2000; id++ {
+		fmt.Fprintf(&stream, "id: %d\ndata: %s\n\n", id, strings.Repeat("x", 1000))
+	}
+	r := &run{}
+	err := r.readEvents(strings.NewReader(stream.String()), func() {})
+	assert.Assert(t, errors.Is(err, cicadaexchange.ErrTooLarge), "%v", err)
+	assert.Assert(t, r.output.Len() <= maxOutputBytes+1)
+}
--- a/cicadagateway/cicadaexchange/client.go
+++ b/cicadagateway/cicadaexchange/client.go
@@ -41,6 +41,8 @@
 	// ErrInvalidResponse reports that there is no complete and valid response to a request
 	// that was sent. The endpoint may have run the request.
 	ErrInvalidResponse = merry.Sentinel("cicadaexchange: invalid response")
+	// ErrTooLarge reports a response header or body beyond its limit.
+	ErrTooLarge = merry.Sentinel("cicadaexchange: response too large")
 )
 
 const (
@@ -49,8 +51,10 @@
 	defaultIdleTimeout  = 4 * time.Second
 	keepAliveMargin     = 500 * time.Millisecond // between the expiry in the pool and the endpoint's close
 	maxIdlePerAddress   = 16
-	maxSkippedResponses = 4       // informational responses and responses to other requests
-	maxSkippedBodyBytes = 1 << 20 // of a response to another request
+	maxSkippedResponses = 4        // informational responses and responses to other requests
+	maxSkippedBodyBytes = 1 << 20  // of a response to another request
+	maxHeaderBytes      = 64 << 10 // of a response
+	maxDiscardedBytes   = 64 << 10 // of a body that nobody needs
 	readBufferSize      = 4 << 10
 )
 
@@ -120,12 +124,34 @@
 
 type conn struct {
 	net.Conn
+	limit   *headerLimit
 	r       *bufio.Reader
 	address string
 	expires time.Time
 	reused  bool
 }
 
+// A headerLimit limits the bytes that are read from a connection for one response header,
+// so that an endpoint that sends bytes without end cannot exhaust the memory.
+type headerLimit struct {
+	net.Conn
+	limited bool
+	left    int
+}
+
+// Read implements io.Reader.
+func (l *headerLimit) Read(p []byte) (int, error) {
+	if !l.limited {
+		return l.Conn.Read(p)
+	}
+	if l.left <= 0 {
+		return 0, ErrTooLarge
+	}
+	n, err := l.Conn.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
+}
+
 // Response wraps the http.Response of an endpoint. Its body is read with Read, and
 // Close must be called.
 type Response struct {
@@ -198,7 +224,9 @@
 // readResponse reads the response header. It skips responses to other requests,
 // because an endpoint may have sent an earlier response twice.
 func (cn *conn) readResponse(req Request) (*http.Response, error) {
+	defer func() { cn.limit.limited = false }()
 	for range maxSkippedResponses {
+		cn.limit.limited, cn.limit.left = true, maxHeaderBytes
 		res, err := http.ReadResponse(cn.r, &http.Request{Method: req.Method})
 		if err != nil {
 			return nil, merry.Errorf("read header: %w", err)
@@ -210,6 +238,7 @@
 		if req.EchoHeader == "" || echo == "" || echo == req.Header.Get(req.EchoHeader) {
 			return res, nil
 		}
+		cn.limit.limited = false
 		if _, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxSkippedBodyBytes)); err != nil || res.Close {
 			return nil, merry.Errorf("response belongs to request %s: %w", echo, ErrInvalidResponse)
 		}
@@ -230,6 +259,22 @@
 	return n, nil
 }
 
+// ReadAll reads the body to its end. It fails with ErrTooLarge beyond limit bytes.
+func (r *Response) ReadAll(limit int64) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r, limit+1))
+	if err != nil {
+		return nil, err
+	}
+	if int64(len(body)) > limit {
+		return nil, merry.Errorf("body: %w: %w", ErrInvalidResponse, ErrTooLarge)
+	}
+	return body, nil
+}
+
+// Discard reads the rest of a short body, so that the connection can be reused. After a
+// long one, Close closes the connection.
+func (r *Response) Discard() { _, _ = io.CopyN(io.Discard, r, maxDiscardedBytes) }
+
 // Framed reports whether the response has a Content-Length or a transfer encoding.
 // If not, its body ends when the connection is closed.
 func (r *Response) Framed() bool { return r.framed }
@@ -301,7 +346,8 @@
 		return nil, merry.Errorf("connect to %s: %w: %w", address, ErrNotSent, err)
 	}
 	c.onConnect()
-	return &conn{Conn: raw, r: bufio.NewReaderSize(raw, readBufferSize), address: address}, nil
+	limit := &headerLimit{Conn: raw}
+	return &conn{Conn: raw, limit: limit, r: bufio.NewReaderSize(limit, readBufferSize), address: address}, nil
 }
 
 // popIdle takes the most recently used idle connection that has not expired from the
--- a/cicadagateway/cicadarelay/exchange.go
+++ b/cicadagateway/cicadarelay/exchange.go
@@ -41,6 +41,9 @@
 	events     eventParser
 }
 
+// maxResponseBody limits the body of a response that is not a stream, in bytes.
+const maxResponseBody = 16 << 20
+
 var copyBuffers = sync.Pool{New: func() any { b := make([]byte, 16<<10); return &b }}
 
 // run makes attempts until one succeeds or no further attempt is allowed.
@@ -104,7 +107,7 @@
 	}
 	defer res.Close()
 	if res.StatusCode == http.StatusMisdirectedRequest || res.Header.Get(adapter.HeaderNotRun) != "" {
-		_, _ = io.Copy(io.Discard, res)
+		res.Discard()
 		return x.handleNotRun(grant, res.StatusCode)
 	}
 	x.runs++
@@ -288,7 +291,7 @@
 // forwardBuffered reads the complete response before it sends any of it, so that the
 // request can be retried if the response is incomplete.
 func (x *exchange) forwardBuffered(res *cicadaexchange.Response) error {
-	body, err := io.ReadAll(res)
+	body, err := res.ReadAll(maxResponseBody)
 	if err != nil {
 		return merry.Errorf("read response: %w", err)
 	}
@@ -316,9 +319,12 @@
 	for {
 		n, err := res.Read(*buffer)
 		if n > 0 {
-			x.stopTimer()
 			events := x.events.add((*buffer)[:n])
+			if x.events.oversized {
+				return merry.Errorf("event: %w: %w", cicadaexchange.ErrInvalidResponse, cicadaexchange.ErrTooLarge)
+			}
 			if len(events) > 0 {
+				x.stopTimer()
 				if !x.headerSent {
 					x.sendHeader(res, -1)
 				}
--- a/cicadagateway/cicadarelay/relay_test.go
+++ b/cicadagateway/cicadarelay/relay_test.go
@@ -30,7 +30,8 @@
 
 // endpointScript defines how endpoints respond: the first connection gets the first
 // response and so on. "(refused)" refuses the connection. "(silent)" sends no
-// response and is the default when all responses are used.
+// response and is the default when all responses are used; at the end of a response, it
+// keeps the connection open.
 type endpointScript struct {
 	mu           sync.Mutex
 	responses    []string
@@ -69,8 +70,9 @@
 	s.mu.Lock()
 	s.requests = append(s.requests, summary)
 	s.mu.Unlock()
-	if response != "(silent)" {
-		_, _ = io.WriteString(conn, strings.ReplaceAll(response, "ID", req.Header.Get(adapter.HeaderRequestID)))
+	text, silent := strings.CutSuffix(response, "(silent)")
+	_, _ = io.WriteString(conn, strings.ReplaceAll(text, "ID", req.Header.Get(adapter.HeaderRequestID)))
+	if !silent {
 		return
 	}
 	_, _ = io.Copy(io.Discard, r)
--- a/cicadakernel/cicadalog/writer.go
+++ b/cicadakernel/cicadalog/writer.go
@@ -125,8 +125,8 @@
 	return w.err
 }
 
-// Add queues a record. It calls done once, when the record is durable or the writer
-// has stopped. Add blocks while the pending records exceed the size limit, which
+// Add queues a record. It calls done, if it is not nil, once the record is durable or the
+// writer has stopped. Add blocks while the pending records exceed the size limit, which
 // puts back-pressure on producers during an outage of the store.
 func (w *Writer) Add(record *cicadawire.Record, done func(error)) {
 	w.add(record, false, done)
@@ -141,7 +141,9 @@
 	if w.err != nil {
 		err := w.err
 		w.mu.Unlock()
-		done(err)
+		if done != nil {
+			done(err)
+		}
 		return
 	}
 	w.pending = append(w.pending, pendingRecord{record: record, size: size, done: done})
