--- a/cicadagateway/cicadabatch/load_test.go
+++ b/cicadagateway/cicadabatch/load_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,8 +21,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		const jobs, outage = 40, 5 * time.Second
 		d := newTestDeployment()
-		eligible := []string{"o1"}
-		owners := func() []string { return eligible }
+		var eligible atomic.Value
+		eligible.Store("o1")
+		owners := func() []string { return []string{eligible.Load().(string)} }
 		o1, o2 := d.startOwner("o1", owners), d.startOwner("o2", owners)
 		defer o1.stop()
 		defer o2.stop()
@@ -30,15 +32,16 @@
 			assert.Equal(t, o1.call(t, submitCall(fmt.Sprint("j", i), 5)).Status, http.StatusAccepted)
 		}
 		time.Sleep(10 * time.Second)
-		busy := true
+		var busy atomic.Bool
+		busy.Store(true)
 		d.memory.SetFault(func(_ context.Context, call, _ string) (error, error) {
-			if call == "get" && busy {
+			if call == "get" && busy.Load() {
 				return cicadaplatform.ErrUnavailable, nil
 			}
 			return nil, nil
 		})
 		before := d.memory.Calls()["get"]
-		eligible = []string{"o2"}
+		eligible.Store("o2")
 		reads, start := 0, time.Now()
 		for time.Since(start) < outage {
 			reads++
@@ -48,7 +51,7 @@
 		}
 		calls := d.memory.Calls()["get"] - before
 		assert.Assert(t, calls <= jobs+20, "%d calls for %d jobs and %d reads", calls, jobs, reads)
-		busy = false
+		busy.Store(false)
 		time.Sleep(3 * time.Second)
 		for i := range jobs {
 			assert.Equal(t, len(o2.results(t, fmt.Sprint("j", i), 0).Results), 1)
--- a/cicadagateway/cicadabatch/waiting_test.go
+++ b/cicadagateway/cicadabatch/waiting_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -102,14 +103,15 @@
 func TestAcceptorLearnsOfItemsThatAnotherOwnerFinishes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d := newLimitedDeployment(500)
-		eligible := []string{"o1"}
-		owners := func() []string { return eligible }
+		var eligible atomic.Value
+		eligible.Store("o1")
+		owners := func() []string { return []string{eligible.Load().(string)} }
 		o1, o2 := d.startLimited("o1", owners), d.startLimited("o2", owners)
 		defer o1.stop()
 		defer o2.stop()
 		time.Sleep(time.Second)
 		assert.Equal(t, o1.call(t, limitedCall("j1", 60, 60, 60, 60, 60)).Status, http.StatusAccepted)
-		eligible = []string{"o2"}
+		eligible.Store("o2")
 		time.Sleep(300 * time.Millisecond)
 		assert.Equal(t, o2.call(t, limitedCall("j2", 20)).Status, http.StatusTooManyRequests)
 		time.Sleep(8 * time.Second)
