--- a/cicadagateway/cicadapeer/peer.go
+++ b/cicadagateway/cicadapeer/peer.go
@@ -25,6 +25,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/hashicorp/go-hclog"
 	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
 	"golang.org/x/time/rate"
 
 	"cicadalink.example/cicadakernel/cicadaretry"
@@ -167,17 +168,26 @@
 	onState      func(State)
 	onMembership func()
 	log          hclog.Logger
+	metrics      metrics
 	notify       chan struct{}
 	notifiedAt   atomic.Int64  // Unix nanoseconds of the first change not sent yet, or 0
 	staleness    time.Duration // moving average, see Staleness
 	wg           conc.WaitGroup
 }
 
+// An Option configures a Group.
+type Option func(*Group)
+
+// WithScope sets the scope of the metrics.
+func WithScope(scope tally.Scope) Option {
+	return func(g *Group) { g.metrics = newMetrics(scope) }
+}
+
 // New starts listening on the address of self and sends the state of self until ctx is
 // done. localState returns that state. onState is called with each new state of another
 // member, and onMembership when a member joins or leaves, restarts, or changes whether it
 // reaches the store or is leaving.
-func New(ctx context.Context, self Member, log hclog.Logger, localState func() State, onState func(State), onMembership func()) (*Group, error) {
+func New(ctx context.Context, self Member, log hclog.Logger, localState func() State, onState func(State), onMembership func(), opts ...Option) (*Group, error) {
 	address, err := net.ResolveUDPAddr("udp4", self.Address)
 	if err != nil {
 		return nil, merry.Errorf("peer address: %w", err)
@@ -190,6 +200,10 @@
 		conn: conn, self: self, incarnation: time.Now().UnixNano(),
 		addresses: make(map[string]memberAddress), members: make(map[string]*memberState), missedBy: make(map[string]int),
 		localState: localState, onState: onState, onMembership: onMembership, log: log, notify: make(chan struct{}, 1),
+		metrics: newMetrics(tally.NoopScope),
+	}
+	for _, opt := range opts {
+		opt(g)
 	}
 	g.wg.Go(func() { g.receive() })
 	g.wg.Go(func() {
@@ -297,6 +311,7 @@
 			g.log.Debug("failed to send peer state", "address", a.String(), "error", err)
 		}
 	}
+	g.metrics.recordSent(len(message), len(addresses))
 	return len(addresses)
 }
 
@@ -311,6 +326,7 @@
 			g.log.Debug("failed to receive peer message", "error", err)
 			continue
 		}
+		g.metrics.recordReceived(n)
 		var state State
 		if err := cbor.Unmarshal(buf[:n], &state); err != nil {
 			g.log.Warn("invalid peer message ignored", "error", err)
--- a/cicadagateway/cicadaprocess/process.go
+++ b/cicadagateway/cicadaprocess/process.go
@@ -163,7 +163,7 @@
 		role = cicadapeer.RoleOwner
 	}
 	self := cicadapeer.Member{Name: n.cfg.Name, Role: role, Address: net.JoinHostPort(n.cfg.IP, strconv.Itoa(n.cfg.PeerPort))}
-	group, err := cicadapeer.New(ctx, self, n.log, n.localState, n.applyPeerState, n.membershipChanged)
+	group, err := cicadapeer.New(ctx, self, n.log, n.localState, n.applyPeerState, n.membershipChanged, cicadapeer.WithScope(n.process.Scope()))
 	if err != nil {
 		return merry.Errorf("start peers: %w", err)
 	}
--- a/cicadagateway/cicadarelay/exchange.go
+++ b/cicadagateway/cicadarelay/exchange.go
@@ -372,5 +372,15 @@
 	x.relay.scope.Tagged(map[string]string{"outcome": outcome}).Counter("attempts_failed").Inc(1)
 	x.relay.log.Info("attempt failed", "id", x.id, "route", x.route.Name, "outcome", outcome, "endpoint", grant.Endpoint().ID,
 		"address", grant.Endpoint().Address, "load", grant.Load(), "sends", x.sends, "runs", x.runs, "last-event", x.events.lastID,
+		"fingerprint", strconv.FormatUint(x.fingerprint, 16), "prompt", loggedPrompt(x.r.Header),
 		"sent-for", time.Since(sent).String(), "error", err)
 }
+
+// maxLoggedPrompt limits the parts of a prompt in a log line, in bytes.
+const maxLoggedPrompt = 256
+
+// loggedPrompt returns the parts of a request's prompt for a log line.
+func loggedPrompt(h http.Header) string {
+	prompt := h.Get(adapter.HeaderPrefix)
+	return prompt[:min(len(prompt), maxLoggedPrompt)]
+}
