--- a/cicadagateway/cicadapeer/peer.go
+++ b/cicadagateway/cicadapeer/peer.go
@@ -109,16 +109,26 @@
 	// Relayed holds the states of members whose messages some other member does not
 	// receive directly.
 	Relayed []State
-	// CrashReports lists the most recent requests whose endpoint's connection broke during
-	// their run.
+	// CrashReports lists new reports of runs during which the endpoint's connection broke.
 	CrashReports []CrashReport
+	// Quarantines lists the requests that are not sent to endpoints. Every message holds
+	// them, for members that did not receive the reports.
+	Quarantines []Quarantine
 }
 
 // A CrashReport reports a run of a request during which the endpoint's connection broke.
 type CrashReport struct {
 	_       struct{} `cbor:",toarray"`
 	Request uint64   // fingerprint of the request
-	Run     string   // identifies the run by endpoint and request id
+	Run     uint64   // identifies the run
+}
+
+// A Quarantine is a request that is not sent to endpoints, and for how long, in
+// milliseconds.
+type Quarantine struct {
+	_         struct{} `cbor:",toarray"`
+	Request   uint64   // fingerprint of the request
+	Remaining uint32
 }
 
 type memberState struct {
--- a/cicadagateway/cicadapeer/relay.go
+++ b/cicadagateway/cicadapeer/relay.go
@@ -20,7 +20,8 @@
 	for name := range g.missedBy {
 		if s := g.members[name]; s != nil && s.live && s.seenDirectly(now) && g.isRelayFor(name) {
 			state := s.state
-			state.NotReceived, state.Relayed, state.CrashReports = nil, nil, nil
+			state.NotReceived, state.Relayed = nil, nil
+			state.CrashReports, state.Quarantines = nil, nil
 			relayed = append(relayed, state)
 		}
 	}
--- a/cicadagateway/cicadaprocess/process.go
+++ b/cicadagateway/cicadaprocess/process.go
@@ -115,6 +115,7 @@
 	})
 	n.table = cicadaplace.NewTable(cfg.Name, cicadaplace.WithDataCentre(cfg.DataCentre), cicadaplace.WithOnChange(n.notifyPeers),
 		cicadaplace.WithStaleness(n.peerStaleness))
+	n.crashReports.notify = n.notifyPeers
 	connectionsOpened := p.Scope().Counter("endpoint_connections")
 	n.client = cicadaexchange.NewClient(cicadaexchange.WithOnConnect(func() { connectionsOpened.Inc(1) }))
 	return n, nil
@@ -187,7 +188,8 @@
 	if n.followersStarted.Load() && n.storeUp.Load() {
 		s.EndpointsAsOf, s.EndpointsDigest = n.endpointFollower.AsOf(), n.registry.Digest()
 	}
-	s.CrashReports = n.crashReports.recent()
+	now := time.Now()
+	s.CrashReports, s.Quarantines = n.crashReports.nextReports(now), n.crashReports.quarantines(now)
 	for id, count := range n.table.LocalInFlight() {
 		s.InFlight = append(s.InFlight, cicadapeer.InFlight{Endpoint: id, Online: uint16(count.Online), Batch: uint16(count.Batch)})
 	}
@@ -203,7 +205,7 @@
 	if o := n.owner.Load(); o != nil {
 		o.Wake()
 	}
-	n.crashReports.merge(s.CrashReports)
+	n.crashReports.merge(s, time.Now())
 	n.catchUp(s)
 }
 
--- a/cicadagateway/cicadarelay/exchange.go
+++ b/cicadagateway/cicadarelay/exchange.go
@@ -203,7 +203,7 @@
 	run := grant.Endpoint().ID + " " + x.id
 	x.relay.suspects.RecordCrash(x.fingerprint, run, time.Now())
 	x.relay.onCrash(x.fingerprint, run)
-	if x.relay.suspects.Status(x.fingerprint, time.Now(), quarantinePeriod) == cicadasuspect.Quarantined {
+	if x.relay.suspects.Status(x.fingerprint, time.Now(), QuarantinePeriod) == cicadasuspect.Quarantined {
 		x.fail(ctx, err)
 		return false
 	}
--- a/cicadagateway/cicadarelay/relay.go
+++ b/cicadagateway/cicadarelay/relay.go
@@ -41,10 +41,11 @@
 	// slot. The remaining time is enough to receive the first event.
 	slotWaitFraction = 0.7
 	maxSends         = 6 // attempts per request, whether or not the endpoint runs it
-	// quarantinePeriod is how long a request that crashes endpoints is refused.
-	quarantinePeriod = 30 * time.Second
 )
 
+// QuarantinePeriod is how long a request that crashes endpoints is refused.
+const QuarantinePeriod = 30 * time.Second
+
 // JobHandlers holds the handlers of batch jobs. Calls without a handler are refused.
 type JobHandlers struct {
 	// Submit accepts a job.
@@ -208,8 +209,8 @@
 	}
 	x.deadline = x.start.Add(callerTimeout(r))
 	x.fingerprint = fingerprint(r, body)
-	if rl.suspects.Status(x.fingerprint, x.start, quarantinePeriod) == cicadasuspect.Quarantined {
-		rl.refuse(w, r, http.StatusServiceUnavailable, "crashes-endpoints", quarantinePeriod)
+	if rl.suspects.Status(x.fingerprint, x.start, QuarantinePeriod) == cicadasuspect.Quarantined {
+		rl.refuse(w, r, http.StatusServiceUnavailable, "crashes-endpoints", QuarantinePeriod)
 		return
 	}
 	ctx, cancel := context.WithDeadlineCause(r.Context(), x.deadline, errTimeout)
--- a/cicadakernel/cicadasuspect/suspect.go
+++ b/cicadakernel/cicadasuspect/suspect.go
@@ -14,10 +14,13 @@
 //	}
 //
 // Tables of several processes converge: each report is sent to all of them, and
-// reports may arrive in any order and more than once.
+// reports may arrive in any order and more than once. A process that was away while the
+// reports were sent learns the quarantines from the others: Quarantines returns them,
+// and Adopt records them.
 package cicadasuspect
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -27,6 +30,8 @@
 	// is quarantined.
 	quarantineEndpoints = 2
 	maxRecords          = 10000
+	// maxQuarantines limits the result of Quarantines.
+	maxQuarantines = 32
 )
 
 // A Status specifies how a request is to be treated.
@@ -41,16 +46,26 @@
 	Quarantined
 )
 
+// A Quarantine is a quarantined request and the time until the quarantine ends.
+type Quarantine struct {
+	Fingerprint uint64
+	Remaining   time.Duration
+}
+
 type record struct {
 	endpoints   map[string]struct{} // endpoints that crashed
+	adopted     bool                // quarantined by another process
 	lastCrashAt time.Time
 }
 
+func (r *record) quarantined() bool { return r.adopted || len(r.endpoints) >= quarantineEndpoints }
+
 // A Table holds crash records by request fingerprint. The zero value is ready to
 // use, and a Table is safe for concurrent use.
 type Table struct {
 	mu      sync.Mutex
 	records map[uint64]*record
+	latest  []uint64 // quarantined requests, the latest last
 }
 
 // RecordCrash records that an endpoint crashed with the request in flight.
@@ -60,6 +75,52 @@
 	r := t.getOrCreate(fingerprint, now)
 	r.endpoints[endpoint] = struct{}{}
 	r.lastCrashAt = now
+	t.noteQuarantine(fingerprint, r)
+}
+
+// noteQuarantine keeps the latest quarantines for Quarantines.
+func (t *Table) noteQuarantine(fingerprint uint64, r *record) {
+	if !r.quarantined() || slices.Contains(t.latest, fingerprint) {
+		return
+	}
+	if len(t.latest) >= maxQuarantines {
+		t.latest = t.latest[1:]
+	}
+	t.latest = append(t.latest, fingerprint)
+}
+
+// Adopt records a quarantine that another process reports, unless the request is
+// quarantined here already. If it renewed a quarantine, two processes could keep it alive
+// by telling each other. period is the other process's quarantine period.
+func (t *Table) Adopt(q Quarantine, now time.Time, period time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	crashAt := now.Add(min(q.Remaining, period) - period)
+	r := t.getOrCreate(q.Fingerprint, crashAt)
+	if r.quarantined() && now.Sub(r.lastCrashAt) <= period {
+		return
+	}
+	r.adopted = true
+	if crashAt.After(r.lastCrashAt) {
+		r.lastCrashAt = crashAt
+	}
+	t.noteQuarantine(q.Fingerprint, r)
+}
+
+// Quarantines returns the latest quarantines.
+func (t *Table) Quarantines(now time.Time, period time.Duration) []Quarantine {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []Quarantine
+	t.latest = slices.DeleteFunc(t.latest, func(fingerprint uint64) bool {
+		r, ok := t.records[fingerprint]
+		if !ok || now.Sub(r.lastCrashAt) > period {
+			return true
+		}
+		out = append(out, Quarantine{Fingerprint: fingerprint, Remaining: period - now.Sub(r.lastCrashAt)})
+		return false
+	})
+	return out
 }
 
 func (t *Table) getOrCreate(fingerprint uint64, now time.Time) *record {
@@ -95,7 +156,7 @@
 func (t *Table) RecordSuccess(fingerprint uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if r, ok := t.records[fingerprint]; ok && len(r.endpoints) < quarantineEndpoints {
+	if r, ok := t.records[fingerprint]; ok && !r.quarantined() {
 		delete(t.records, fingerprint)
 	}
 }
@@ -123,7 +184,7 @@
 		delete(t.records, fingerprint)
 		return Normal
 	}
-	if len(r.endpoints) >= quarantineEndpoints {
+	if r.quarantined() {
 		return Quarantined
 	}
 	return Suspect
