--- a/cicadagateway/cicadabatch/run.go
+++ b/cicadagateway/cicadabatch/run.go
@@ -55,6 +55,7 @@
 	lastEvent  int
 	headerTime time.Duration // from the start to the response header
 	status     int
+	rateLimit  string // as the endpoint states it in the response
 }
 
 // execute runs an item and returns the outcome. Whatever the outcome, the run holds
@@ -70,7 +71,7 @@
 		return r.classifyError(ctx, err)
 	}
 	defer resp.Close()
-	r.status = resp.StatusCode
+	r.status, r.rateLimit = resp.StatusCode, resp.Header.Get(adapter.HeaderRateLimit)
 	if result, done := r.statusOutcome(resp); done {
 		resp.Discard()
 		return result, merry.Errorf("status %d", resp.StatusCode)
--- a/cicadagateway/cicadarelay/exchange.go
+++ b/cicadagateway/cicadarelay/exchange.go
@@ -132,7 +132,7 @@
 	if res.StatusCode == http.StatusOK && (x.gotEvent || x.route.Kind != cicadaview.Stream) {
 		x.relay.monitor.RecordSuccess(x.fingerprint, x.parts, sent, time.Now())
 	}
-	x.recordCompleted(grant, res.StatusCode, sent)
+	x.recordCompleted(grant, res, sent)
 	return false
 }
 
@@ -374,12 +374,12 @@
 }
 
 // recordCompleted counts and logs a request whose response was sent completely.
-func (x *exchange) recordCompleted(grant *cicadaplace.Grant, status int, sent time.Time) {
+func (x *exchange) recordCompleted(grant *cicadaplace.Grant, res *cicadaexchange.Response, sent time.Time) {
 	now := time.Now()
 	x.relay.scope.Tagged(map[string]string{"kind": x.route.Kind.String()}).Counter("answered").Inc(1)
 	x.relay.metrics.recordCompleted(x.route.Kind, grant.WaitTime(), x.events.timeToFirst(x.start), now.Sub(x.start))
-	x.relay.log.Info("request completed", "id", x.id, "route", x.route.Name, "kind", x.route.Kind.String(), "status", status,
-		"endpoint", grant.Endpoint().ID, "load", grant.Load(), "waited", grant.WaitTime().String(), "sends", x.sends, "runs", x.runs,
+	x.relay.log.Info("request completed", "id", x.id, "route", x.route.Name, "kind", x.route.Kind.String(), "status", res.StatusCode,
+		"endpoint", grant.Endpoint().ID, "rate-limit", res.Header.Get(adapter.HeaderRateLimit), "load", grant.Load(), "waited", grant.WaitTime().String(), "sends", x.sends, "runs", x.runs,
 		"sent-after", sent.Sub(x.start).String(), "first-event", x.events.timeToFirst(x.start).String(), "took", now.Sub(x.start).String())
 }
 
