--- a/cicadadev/cicadahistory/crash_test.go
+++ b/cicadadev/cicadahistory/crash_test.go
@@ -131,3 +131,34 @@
 		t.Logf("measure: owner-death-to-owner value=%.2f unit=s baseline=0 target=<=10", time.Since(killedAt).Seconds())
 	})
 }
+
+// This guards against items of a job that are given up, or never placed again, because
+// endpoints crashed while they ran them.
+func TestHistoryItemsSurviveCrashes(t *testing.T) {
+	const (
+		burst     = 6 * time.Second
+		calm      = 60 * time.Second
+		crashGap  = 120 * time.Millisecond
+		engineCut = 2 // of each crash: one engine in so many
+	)
+	t.Parallel()
+	forEachSeed(t, func(t *testing.T, seed uint64) {
+		sim := newSimulation(t, seed, disabledSafeguards{})
+		defer sim.close()
+		requests := sim.uploadJobs()
+		sim.sleep(time.Second)
+		response, known := sim.callJob(1, "submit", "cards-0", requests["cards-0"], "")
+		assert.Assert(t, known)
+		for start := time.Now(); time.Since(start) < burst; sim.sleep(crashGap) {
+			for _, e := range sim.endpoints {
+				if sim.intn(engineCut) == 0 {
+					sim.crashEngine(e)
+				}
+			}
+		}
+		sim.sleep(calm)
+		response, known = sim.callJob(1, "get", "cards-0", "", response.ID)
+		assert.Assert(t, known)
+		assert.Equal(t, response.Counts.Completed, int64(itemsPerInferenceJob), "seed %d: %+v", seed, response)
+	})
+}
--- a/cicadaentry/cicadadispatch/run.go
+++ b/cicadaentry/cicadadispatch/run.go
@@ -122,12 +122,16 @@
 }
 
 // checkQuarantine reports whether the request is a suspect, and returns an error
-// if it is quarantined.
+// if it is quarantined. A batch item is never refused, since it is owed to the end of its
+// job; its owner delays it.
 func (r *run) checkQuarantine() (bool, error) {
 	fingerprint := r.req.Call.GetFingerprint()
 	now := r.d.now()
 	switch r.d.suspects.Status(fingerprint, now, r.d.QuarantinePeriod()) {
 	case cicadasuspect.Quarantined:
+		if r.isBatch() {
+			return true, nil
+		}
 		r.d.scope.Counter("requests_quarantined").Inc(1)
 		wait := r.d.suspects.Remaining(fingerprint, now, r.d.QuarantinePeriod())
 		return false, cicadaerror.New(cicadaerror.Quarantined, "the request has crashed several endpoints and is quarantined").NotRun().RetryAfter(wait)
--- a/cicadaentry/cicadadispatch/settle.go
+++ b/cicadaentry/cicadadispatch/settle.go
@@ -75,7 +75,11 @@
 		return outcome{err: r.uncertainError(cicadaerror.Unavailable, last.GetMessage()), retryable: true, budgetExempt: true}
 	case codeCrashed:
 		r.reportCrash(a)
-		return outcome{err: r.uncertainError(cicadaerror.EngineFailed, last.GetMessage()), retryable: true, budgetExempt: true}
+		code := cicadaerror.EngineFailed
+		if r.isBatch() {
+			code = cicadaerror.Unavailable // no failure of the item
+		}
+		return outcome{err: r.uncertainError(code, last.GetMessage()), retryable: true, budgetExempt: true}
 	case codeRefused:
 		return outcome{err: refusedError(last)}
 	case codeDuplicate:
--- a/cicadaentry/cicadashard/item.go
+++ b/cicadaentry/cicadashard/item.go
@@ -19,14 +19,18 @@
 )
 
 const (
-	itemTimeout            = 15 * time.Minute
-	maxFailedAttempts      = 4
-	maxUnavailableAttempts = 16
-	maxItemResponseBytes   = 700 << 10
-	outcomeQueryTimeout    = 5 * time.Second
-	outcomeQueryInterval   = time.Second
-	maxOutcomeQueries      = 30
-	codeInvalidItem        = "invalid-item"
+	itemTimeout          = 15 * time.Minute
+	maxFailedAttempts    = 4
+	maxItemResponseBytes = 700 << 10
+	outcomeQueryTimeout  = 5 * time.Second
+	outcomeQueryInterval = time.Second
+	maxOutcomeQueries    = 30
+	codeInvalidItem      = "invalid-item"
+	// minLostDelay is the delay before an item runs again whose endpoint was lost. It
+	// doubles with each further loss, up to maxLostDelay.
+	minLostDelay = 20 * time.Millisecond
+	maxLostDelay = 5 * time.Second
+	maxLostShift = 8
 )
 
 // An itemLine is a line of a batch's input file, decoded from JSON.
@@ -166,28 +170,36 @@
 	if ctx.Err() != nil {
 		return itemOutcome{}
 	}
+	if apiErr.Code() == cicadaerror.Unavailable {
+		return itemOutcome{delay: r.lostDelay(it)}
+	}
 	if !retryable(apiErr.Code()) || r.attemptsExhausted(it, apiErr.Code()) {
 		return itemOutcome{record: failedItem(in, apiErr, "")}
 	}
 	return itemOutcome{backOff: true}
 }
 
-// attemptsExhausted counts a failed attempt and reports whether the item has used
-// up its attempts. The limit for unavailable endpoints is higher than that for
-// failed engines, because an unavailable endpoint is less likely to be caused by the
-// item. An overload is not counted.
-func (r *jobRunner) attemptsExhausted(it *item, code cicadaerror.Code) bool {
+// lostDelay returns the delay before an item runs again whose endpoint crashed or became
+// unreachable. Such an item does not fail, however often this happens: the items of a job
+// are owed until the job ends.
+func (r *jobRunner) lostDelay(it *item) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	switch code {
-	case cicadaerror.Overloaded:
+	delay := jittered(min(minLostDelay<<it.lostEndpoints, maxLostDelay))
+	it.lostEndpoints = min(it.lostEndpoints+1, maxLostShift)
+	return delay
+}
+
+// attemptsExhausted counts a failed attempt and reports whether the item has used up its
+// attempts. An overload is not counted.
+func (r *jobRunner) attemptsExhausted(it *item, code cicadaerror.Code) bool {
+	if code == cicadaerror.Overloaded {
 		return false
-	case cicadaerror.Unavailable:
-		it.unavailableAttempts++
-	default:
-		it.failedAttempts++
 	}
-	return it.failedAttempts >= maxFailedAttempts || it.unavailableAttempts >= maxUnavailableAttempts
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	it.failedAttempts++
+	return it.failedAttempts >= maxFailedAttempts
 }
 
 func retryable(code cicadaerror.Code) bool {
--- a/cicadaentry/cicadashard/runner.go
+++ b/cicadaentry/cicadashard/runner.go
@@ -62,16 +62,16 @@
 
 // An item is one line of a job's input and the state of its execution.
 type item struct {
-	job                 *activeJob
-	index               int64
-	line                []byte
-	claimAttempt        string
-	started             time.Time
-	failedAttempts      int32
-	unavailableAttempts int
-	executions          int
-	outcomeUnknown      bool
-	needsNewClaim       bool
+	job            *activeJob
+	index          int64
+	line           []byte
+	claimAttempt   string
+	started        time.Time
+	failedAttempts int32
+	lostEndpoints  int // that crashed or became unreachable during a run, up to maxLostShift
+	executions     int
+	outcomeUnknown bool
+	needsNewClaim  bool
 	// idempotent is set once the item's request is known to be idempotent. Only
 	// then may it be executed twice at the same time.
 	idempotent      bool
@@ -344,12 +344,13 @@
 }
 
 // An itemOutcome is the outcome of one execution of an item. If record is nil, the
-// item is requeued if backOff or requeue is set. With backOff, the start of other
-// items is also paused for a short time.
+// item is requeued if backOff or requeue is set, or after delay if that is set. With
+// backOff, the start of other items is also paused for a short time.
 type itemOutcome struct {
 	record  *cicadawire.ItemDone
 	backOff bool
 	requeue bool
+	delay   time.Duration
 }
 
 // finishItem records an item's result or requeues the item. Recording blocks
@@ -368,6 +369,9 @@
 		if outcome.record == nil && (outcome.backOff || outcome.requeue) && j.ctx.Err() == nil {
 			j.requeued = append(j.requeued, it)
 		}
+		if outcome.delay > 0 {
+			r.requeueAfter(it, outcome.delay)
+		}
 	}
 	if outcome.record != nil && !outcome.record.GetFailed() {
 		j.durationsMs = append(j.durationsMs, float64(time.Since(it.started).Milliseconds()))
@@ -385,6 +389,19 @@
 	r.wakeUp()
 }
 
+// requeueAfter requeues an item after a delay, unless its job has ended by then.
+func (r *jobRunner) requeueAfter(it *item, delay time.Duration) {
+	r.tasks.Go(func() {
+		if !cicadaretry.Sleep(it.job.ctx, delay) {
+			return
+		}
+		r.mu.Lock()
+		it.job.requeued = append(it.job.requeued, it)
+		r.mu.Unlock()
+		r.wakeUp()
+	})
+}
+
 func (r *jobRunner) recordResult(it *item, done *cicadawire.ItemDone) {
 	done.Job = it.job.accepted.GetId()
 	done.Index = it.index
