--- a/cicadagateway/cicadabatch/engine_test.go
+++ b/cicadagateway/cicadabatch/engine_test.go
@@ -38,6 +38,7 @@
 	active       int
 	dropAfter    int  // the first run of each item is interrupted after this event, if above 0
 	stalled      bool // new runs send nothing
+	crashRuns    int  // the first runs of each item that end before the first event
 }
 
 func newFakeEngines() *fakeEngines {
@@ -98,6 +99,7 @@
 	run := e.runs[id]
 	drop := e.dropAfter > 0 && e.runs[id] == 1
 	stalled := e.stalled
+	crash := e.runs[id] <= e.crashRuns
 	e.active++
 	e.mu.Unlock()
 	defer func() {
@@ -105,6 +107,9 @@
 		e.active--
 		e.mu.Unlock()
 	}()
+	if crash {
+		return
+	}
 	if stalled {
 		<-disconnected
 		return
--- a/cicadagateway/cicadabatch/job.go
+++ b/cicadagateway/cicadabatch/job.go
@@ -35,8 +35,9 @@
 	savedMark         progressMark // progress in the checkpoint file
 	replicatedMark    progressMark // progress at the next owner
 	handedOver        *Progress    // received while the item was running
-	excludedEndpoints []string     // of the last failed runs
-	notBefore         time.Time    // of the next run
+	excludedEndpoints []string     // of the last failed runs, see excluded
+	excludedUntil     time.Time
+	notBefore         time.Time // of the next run
 	grant             *cicadaplace.Grant
 	stop              func()    // cancels the current run
 	startedAt         time.Time // of the latest run
--- a/cicadagateway/cicadabatch/owner_test.go
+++ b/cicadagateway/cicadabatch/owner_test.go
@@ -195,6 +195,41 @@
 	})
 }
 
+// This guards against an item that is never placed again because endpoints crashed while
+// they ran it: they have room, and the only other one has none.
+func TestItemReturnsToEndpointsThatCrashed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newTestDeployment()
+		d.crashRuns = maxExcludedEndpoints
+		o := d.startOwner("o1", fixedOwners("o1"))
+		defer o.stop()
+		all := []cicadaview.Endpoint{{ID: "full", Service: "s", Address: "full", Slots: 4}}
+		for i := range maxExcludedEndpoints {
+			name := fmt.Sprint("e", i)
+			all = append(all, cicadaview.Endpoint{ID: name, Service: "s", Address: name, Slots: 4})
+		}
+		o.table.SetEndpoints(all)
+		stop := make(chan struct{})
+		defer close(stop)
+		go func() {
+			for {
+				o.table.SetPeer("entry", map[string]cicadaplace.InFlight{"full": {Online: 4}})
+				select {
+				case <-stop:
+					return
+				case <-time.After(250 * time.Millisecond):
+				}
+			}
+		}()
+		time.Sleep(time.Second)
+		o.call(t, submitCall("j", 20))
+		time.Sleep(10 * time.Second)
+		_, runs := d.eventsAndRuns("j-0")
+		assert.Equal(t, runs, maxExcludedEndpoints+1)
+		d.checkComplete(t, o.results(t, "j", 0), "j", 20)
+	})
+}
+
 func TestStalledRunIsRetried(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d := newTestDeployment()
--- a/cicadagateway/cicadabatch/schedule.go
+++ b/cicadagateway/cicadabatch/schedule.go
@@ -27,6 +27,9 @@
 	// the job's items fail.
 	missingRouteGrace    = 3 * time.Second
 	maxExcludedEndpoints = 3 // endpoints excluded for an item
+	// exclusionTime is how long after its last failed run an item avoids endpoints. They may
+	// be the only ones with room.
+	exclusionTime = 2 * time.Second
 )
 
 // schedule preempts items where online requests need their slots, and starts items
@@ -78,10 +81,11 @@
 		return 1
 	})
 	for _, it := range waiting {
-		grant := o.table.AcquireBatch(service, o.estimate.slack(it, now) < urgentSlack, it.excludedEndpoints)
+		excluded := it.excluded(now)
+		grant := o.table.AcquireBatch(service, o.estimate.slack(it, now) < urgentSlack, excluded)
 		if grant != nil {
 			o.startRun(it, grant)
-		} else if len(it.excludedEndpoints) == 0 {
+		} else if len(excluded) == 0 {
 			return
 		}
 	}
@@ -277,6 +281,15 @@
 	if len(it.excludedEndpoints) > maxExcludedEndpoints {
 		it.excludedEndpoints = it.excludedEndpoints[1:]
 	}
+	it.excludedUntil = now.Add(exclusionTime)
+}
+
+// excluded returns the endpoints that an item avoids.
+func (it *item) excluded(now time.Time) []string {
+	if now.After(it.excludedUntil) {
+		it.excludedEndpoints = nil
+	}
+	return it.excludedEndpoints
 }
 
 // routeMissing reports whether the configuration has had no route for a job for more
