--- a/cicadadev/cicadahistory/crash_test.go
+++ b/cicadadev/cicadahistory/crash_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -54,6 +55,51 @@
 	})
 }
 
+// crashingPrefix is a beginning of prompts that crashes every engine, whatever follows it.
+var crashingPrefix = strings.Repeat("poison ", 50)
+
+// This guards against different requests with the same beginning of their prompts that
+// crash engine after engine, as no two have the same fingerprint.
+func TestHistoryCrashingPromptPrefix(t *testing.T) {
+	// Once so many engines have crashed, the entries have contactTime to learn the prefix,
+	// and then few requests with it may reach engines.
+	const (
+		knownCrashes = 5
+		contactTime  = 3 * time.Second
+		maxLater     = 3
+	)
+	t.Parallel()
+	forEachSeed(t, func(t *testing.T, seed uint64) {
+		sim := newSimulation(t, seed, disabledSafeguards{})
+		defer sim.close()
+		sim.sleep(time.Second)
+		soundPrefix := strings.Repeat("sound ", 50)
+		var knownAt time.Time
+		later := 0
+		for i := range 60 {
+			sim.sleep(time.Duration(sim.intn(300)) * time.Millisecond)
+			before := sim.crashCount()
+			sim.doRequest(sim.intn(numEntries), http.MethodPost, "/v1/completions", fmt.Sprintf(`{"model":"assistant","prompt":"%s%d"}`, crashingPrefix, i))
+			crashes := sim.crashCount()
+			switch {
+			case knownAt.IsZero() && crashes >= knownCrashes:
+				knownAt = time.Now()
+			case !knownAt.IsZero() && time.Since(knownAt) > contactTime:
+				later += crashes - before
+			}
+			rec, _ := sim.doRequest(sim.intn(numEntries), http.MethodPost, "/v1/completions", fmt.Sprintf(`{"model":"assistant","prompt":"%s%d"}`, soundPrefix, i))
+			assert.Equal(t, rec.Code, http.StatusOK, "seed %d: %s", seed, rec.Body)
+		}
+		assert.Assert(t, later <= maxLater, "seed %d: %d engine crashes, %d of them late", seed, sim.crashCount(), later)
+	})
+}
+
+func (sim *simulation) crashCount() int {
+	sim.mu.Lock()
+	defer sim.mu.Unlock()
+	return sim.crashes
+}
+
 // A lease is held by at most one process at a time, even with paused processes
 // and store failures.
 func TestHistoryLeases(t *testing.T) {
--- a/cicadadev/cicadahistory/world_test.go
+++ b/cicadadev/cicadahistory/world_test.go
@@ -402,13 +402,20 @@
 	store := cicadaplatform.NewClient(sim.backend(&e.process), opts...)
 	e.dispatcher = cicadadispatch.New(sim, sim.openFunc(e), cicadadispatch.WithAttemptPrefix(fmt.Sprintf("%s-%x", e.name, sim.nonce())),
 		cicadadispatch.WithRandom(sim.intn), cicadadispatch.WithoutShedding(),
-		cicadadispatch.WithSuspects(&cicadasuspect.Table{},
-			func(fingerprint uint64, endpoint string) {
-				sim.updatePeerSuspects(e, func(t *cicadasuspect.Table) { t.RecordCrash(fingerprint, endpoint, time.Now()) })
+		cicadadispatch.WithSuspects(&cicadasuspect.Table{}, cicadasuspect.NewPartTable(e.name), cicadadispatch.Notices{
+			Crash: func(c cicadadispatch.Crash) {
+				sim.updatePeerSuspects(e, func(d *cicadadispatch.Dispatcher) { d.RecordCrash(c) })
 			},
-			func(fingerprint uint64) {
-				sim.updatePeerSuspects(e, func(t *cicadasuspect.Table) { t.RecordSuccess(fingerprint) })
-			}))
+			Success: func(fingerprint uint64) {
+				sim.updatePeerSuspects(e, func(d *cicadadispatch.Dispatcher) { d.Suspects().RecordSuccess(fingerprint) })
+			},
+			SoundPrefix: func(prefix uint64) {
+				sim.updatePeerSuspects(e, func(d *cicadadispatch.Dispatcher) { d.Prefixes().RecordSound([]uint64{prefix}, time.Now()) })
+			},
+			Quarantine: func(q cicadasuspect.PartQuarantine) {
+				sim.updatePeerSuspects(e, func(d *cicadadispatch.Dispatcher) { d.Prefixes().Adopt(q, time.Now()) })
+			},
+		}))
 	fleet := cicadafleet.New(cicadamember.Member{Name: e.name, DataCentre: "dc"}, store, cicadaconfig.NewStore(store, sim.nonce), cicadawire.NewPool())
 	fleet.Config().ReplaceIfNewer(sim.config)
 	files := cicadafile.New(store, sim.nonce)
@@ -432,11 +439,11 @@
 }
 
 // updatePeerSuspects applies a suspect report to the tables of the other entries.
-func (sim *simulation) updatePeerSuspects(from *entry, update func(*cicadasuspect.Table)) {
+func (sim *simulation) updatePeerSuspects(from *entry, update func(*cicadadispatch.Dispatcher)) {
 	for i := range numEntries {
 		if e := sim.entry(i); e != from {
 			sleep(sim.ctx, time.Millisecond)
-			update(e.dispatcher.Suspects())
+			update(e.dispatcher)
 		}
 	}
 }
@@ -552,7 +559,7 @@
 // runEngine simulates an engine: it runs a call for up to 300 ms and counts the
 // runs of each body.
 func (sim *simulation) runEngine(ctx context.Context, e *endpoint, call *cicadawire.Call, emit func(cicadaengine.Chunk) error) (cicadaengine.Result, error) {
-	if strings.Contains(string(call.GetBody()), `"crash"`) {
+	if body := string(call.GetBody()); strings.Contains(body, `"crash"`) || strings.Contains(body, crashingPrefix) {
 		sim.crashEngine(e)
 		return cicadaengine.Result{}, cicadaengine.ErrCrashed
 	}
--- a/cicadaentry/cicadadispatch/dispatcher.go
+++ b/cicadaentry/cicadadispatch/dispatcher.go
@@ -27,6 +27,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/uber-go/tally/v4"
 	"google.golang.org/protobuf/proto"
 
@@ -149,8 +150,8 @@
 	hedgeDelay       *cicadaretry.HedgeDelay
 	suspects         *cicadasuspect.Table
 	quarantinePeriod atomic.Int64
-	onCrash          func(fingerprint uint64, endpoint string)
-	onSuccess        func(fingerprint uint64)
+	prefixes         *cicadasuspect.PartTable
+	notices          Notices
 	shedding         bool
 	attemptCount     atomic.Int64
 	requestCount     atomic.Int64
@@ -178,13 +179,31 @@
 	}
 }
 
-// WithSuspects sets the table of suspect requests and two functions that notify the
-// other entries: onCrash of a request that crashed an endpoint's engine, onSuccess
-// of a suspect request that completed.
-func WithSuspects(table *cicadasuspect.Table, onCrash func(uint64, string), onSuccess func(uint64)) Option {
-	return func(d *Dispatcher) {
-		d.suspects, d.onCrash, d.onSuccess = table, onCrash, onSuccess
-	}
+// A Crash is a call during which an endpoint's engine crashed.
+type Crash struct {
+	Fingerprint uint64
+	Endpoint    string
+	// Prefix is the hash of the beginning of the prompt if the engine crashed before the
+	// first chunk, and 0 otherwise.
+	Prefix uint64
+}
+
+// Notices are the functions that notify the other entries.
+type Notices struct {
+	Crash   func(Crash)              // an engine crashed
+	Success func(fingerprint uint64) // a suspect request completed
+	// SoundPrefix is called when a request completes whose prompt begins with a prefix
+	// that was under suspicion.
+	SoundPrefix func(prefix uint64)
+	// Quarantine is called when this entry quarantines a prefix. Another entry that has run
+	// fewer requests may not come to the same conclusion.
+	Quarantine func(cicadasuspect.PartQuarantine)
+}
+
+// WithSuspects sets the table of suspect requests, the table of prompt prefixes that crash
+// engines, and the functions that notify the other entries.
+func WithSuspects(table *cicadasuspect.Table, prefixes *cicadasuspect.PartTable, notices Notices) Option {
+	return func(d *Dispatcher) { d.suspects, d.prefixes, d.notices = table, prefixes, notices }
 }
 
 // WithRandom sets the source of random numbers, which returns a number in [0, n).
@@ -212,8 +231,8 @@
 		attemptPrefix: "entry",
 		hedgeDelay:    cicadaretry.NewHedgeDelay(initialHedgeDelay, minHedgeDelay),
 		suspects:      &cicadasuspect.Table{},
-		onCrash:       func(uint64, string) {},
-		onSuccess:     func(uint64) {},
+		prefixes:      cicadasuspect.NewPartTable(""),
+		notices:       Notices{Crash: func(Crash) {}, Success: func(uint64) {}, SoundPrefix: func(uint64) {}, Quarantine: func(cicadasuspect.PartQuarantine) {}},
 		shedding:      true,
 		selectOnline:  cicadaroute.SelectOnline,
 	}
@@ -248,6 +267,27 @@
 	return d.requestCount.Load(), d.attemptCount.Load(), d.hedgeCount.Load()
 }
 
+// RecordCrash records a crash that this entry or another one has seen.
+func (d *Dispatcher) RecordCrash(c Crash) {
+	now := d.now()
+	d.suspects.RecordCrash(c.Fingerprint, c.Endpoint, now)
+	if c.Prefix == 0 {
+		return
+	}
+	crash := cicadasuspect.Crash{Request: c.Fingerprint, Endpoint: xxhash.Sum64String(c.Endpoint), Parts: []uint64{c.Prefix}}
+	if len(d.prefixes.RecordCrash(crash, now)) == 0 {
+		return
+	}
+	for _, q := range d.prefixes.Quarantines(now) {
+		if q.Part == c.Prefix {
+			d.notices.Quarantine(q)
+		}
+	}
+}
+
+// Prefixes returns the table of prompt prefixes that crash engines.
+func (d *Dispatcher) Prefixes() *cicadasuspect.PartTable { return d.prefixes }
+
 // Suspects returns the table of suspect requests.
 func (d *Dispatcher) Suspects() *cicadasuspect.Table { return d.suspects }
 
--- a/cicadaentry/cicadadispatch/run.go
+++ b/cicadaentry/cicadadispatch/run.go
@@ -39,6 +39,7 @@
 // An attempt is one attempt of a run at one endpoint.
 type attempt struct {
 	endpoint  *cicadafleet.Endpoint
+	startedAt time.Time
 	tracked   *cicadafleet.Attempt
 	call      *cicadawire.Call
 	frames    chan *cicadawire.Frame
@@ -136,9 +137,19 @@
 		wait := r.d.suspects.Remaining(fingerprint, now, r.d.QuarantinePeriod())
 		return false, cicadaerror.New(cicadaerror.Quarantined, "the request has crashed several endpoints and is quarantined").NotRun().RetryAfter(wait)
 	case cicadasuspect.Suspect:
-		return true, nil
+		return true, r.checkPrefix(now)
 	}
-	return false, nil
+	return false, r.checkPrefix(now)
+}
+
+// checkPrefix returns an error if the beginning of the prompt is quarantined.
+func (r *run) checkPrefix(now time.Time) error {
+	_, wait, quarantined := r.d.prefixes.Quarantined(r.prefixes(), now)
+	if !quarantined {
+		return nil
+	}
+	r.d.scope.Counter("prefixes_quarantined").Inc(1)
+	return cicadaerror.New(cicadaerror.Quarantined, "requests with the same beginning of the prompt have crashed several endpoints and are quarantined").NotRun().RetryAfter(wait)
 }
 
 // correctNotRun returns err without its "not run" mark if an earlier attempt may
@@ -251,11 +262,12 @@
 	r.tried = append(r.tried, selected.endpoint.Name())
 	ctx, cancel := context.WithCancel(ctx)
 	a := &attempt{
-		endpoint: selected.endpoint,
-		tracked:  selected.endpoint.BeginAttempt(r.isBatch()),
-		call:     r.d.attemptCall(ctx, r, selected.endpoint.Boot(), suspect),
-		frames:   make(chan *cicadawire.Frame, frameBufferSize),
-		cancel:   cancel,
+		endpoint:  selected.endpoint,
+		startedAt: r.d.now(),
+		tracked:   selected.endpoint.BeginAttempt(r.isBatch()),
+		call:      r.d.attemptCall(ctx, r, selected.endpoint.Boot(), suspect),
+		frames:    make(chan *cicadawire.Frame, frameBufferSize),
+		cancel:    cancel,
 	}
 	r.tasks.Go(func() { a.read(ctx, r.d.openStream) })
 	return a
--- a/cicadaentry/cicadadispatch/settle.go
+++ b/cicadaentry/cicadadispatch/settle.go
@@ -18,10 +18,7 @@
 	}
 	a.endpoint.UpdateLoad(last.GetLoad())
 	if last.GetKind() == cicadawire.FrameKind_LAST {
-		r.d.suspects.RecordSuccess(r.req.Call.GetFingerprint())
-		if a.call.GetSuspect() {
-			r.d.onSuccess(r.req.Call.GetFingerprint())
-		}
+		r.recordSuccess(a)
 		return outcome{result: &Result{
 			finishReason: last.GetFinishReason(),
 			promptTokens: last.GetPromptTokens(),
@@ -120,14 +117,39 @@
 	return cicadaerror.New(code, "%s", last.GetMessage())
 }
 
+// recordSuccess ends the suspicion against a request that completed, and against the
+// beginning of its prompt.
+func (r *run) recordSuccess(a *attempt) {
+	r.d.suspects.RecordSuccess(r.req.Call.GetFingerprint())
+	if a.call.GetSuspect() {
+		r.d.notices.Success(r.req.Call.GetFingerprint())
+	}
+	for _, prefix := range r.d.prefixes.RecordSuccess(r.prefixes(), a.startedAt, r.d.now()) {
+		r.d.notices.SoundPrefix(prefix)
+	}
+}
+
+// prefixes returns the beginning of the prompt, if it is known. Batch items are no
+// evidence: they are never refused.
+func (r *run) prefixes() []uint64 {
+	if prefix := r.req.Call.GetPrefix(); prefix != 0 && !r.isBatch() {
+		return []uint64{prefix}
+	}
+	return nil
+}
+
 // reportCrash records the request as a suspect here and at the other entries.
 // This must happen before the request is retried, so that a resend to another
-// entry is recognised.
+// entry is recognised. A call that had got a chunk is no evidence against its prompt:
+// the engine was running it beside others.
 func (r *run) reportCrash(a *attempt) {
-	fingerprint := r.req.Call.GetFingerprint()
-	if fingerprint == 0 {
+	crash := Crash{Fingerprint: r.req.Call.GetFingerprint(), Endpoint: a.endpoint.Name()}
+	if crash.Fingerprint == 0 {
 		return
 	}
-	r.d.suspects.RecordCrash(fingerprint, a.endpoint.Name(), r.d.now())
-	r.d.onCrash(fingerprint, a.endpoint.Name())
+	if prefixes := r.prefixes(); len(prefixes) > 0 && r.chunks == 0 {
+		crash.Prefix = prefixes[0]
+	}
+	r.d.RecordCrash(crash)
+	r.d.notices.Crash(crash)
 }
--- a/cicadaentry/cicadanode/node.go
+++ b/cicadaentry/cicadanode/node.go
@@ -50,6 +50,7 @@
 	cfg            *Settings
 	log            hclog.Logger
 	scope          tally.Scope
+	reports        conc.WaitGroup // broadcasts that nobody waits for
 	setReady       func(bool)
 	store          *cicadaplatform.Client
 	pool           *cicadawire.Pool
@@ -127,7 +128,10 @@
 	n.dispatcher = cicadadispatch.New(n.fleet.Table(), n.openAttempt,
 		cicadadispatch.WithAttemptPrefix(fmt.Sprintf("%s-%x", n.cfg.Name, rand.Uint32())),
 		cicadadispatch.WithScope(n.scope),
-		cicadadispatch.WithSuspects(&cicadasuspect.Table{}, n.broadcastCrash, n.broadcastCleared))
+		cicadadispatch.WithSuspects(&cicadasuspect.Table{}, cicadasuspect.NewPartTable(n.cfg.Name),
+			cicadadispatch.Notices{
+				Crash: n.broadcastCrash, Success: n.broadcastCleared, SoundPrefix: n.broadcastSoundPrefix, Quarantine: n.broadcastQuarantine,
+			}))
 	n.limiter = cicadaquota.New(n.cfg.Name, n.fleet.Table(), n.requestGrant)
 }
 
@@ -148,6 +152,7 @@
 	defer stop()
 	var tasks conc.WaitGroup
 	defer tasks.Wait()
+	defer n.reports.Wait()
 	peerServer := cicadawire.NewServer()
 	if err := cicadawire.DRPCRegisterEntry(peerServer.Mux(), &peerService{n}); err != nil {
 		return merry.Errorf("register entry service: %w", err)
@@ -310,8 +315,8 @@
 // broadcastCrash reports a request during which an engine crashed to all other
 // entries, so that they recognise the request if it is sent to them. It waits for
 // their replies for up to suspectTimeout.
-func (n *Node) broadcastCrash(fingerprint uint64, endpoint string) {
-	n.broadcastReport(&cicadawire.SuspectReport{Fingerprint: fingerprint, Endpoint: endpoint, Crashed: true})
+func (n *Node) broadcastCrash(c cicadadispatch.Crash) {
+	n.broadcastReport(&cicadawire.SuspectReport{Fingerprint: c.Fingerprint, Endpoint: c.Endpoint, Prefix: c.Prefix, Crashed: true})
 }
 
 // broadcastCleared reports a suspect request that has completed to all other entries,
@@ -321,6 +326,20 @@
 	n.broadcastReport(&cicadawire.SuspectReport{Fingerprint: fingerprint, Cleared: true})
 }
 
+// broadcastSoundPrefix reports that a prompt with a prefix under suspicion was run. It
+// waits like broadcastCrash.
+func (n *Node) broadcastSoundPrefix(prefix uint64) {
+	n.broadcastReport(&cicadawire.SuspectReport{Prefix: prefix, Cleared: true})
+}
+
+// broadcastQuarantine reports a prefix that this entry has quarantined. It does not wait,
+// as the crash of another entry's request may have led to it.
+func (n *Node) broadcastQuarantine(q cicadasuspect.PartQuarantine) {
+	n.log.Warn("prompt prefix quarantined", "prefix", q.Part, "for", q.Remaining.String())
+	report := &cicadawire.SuspectReport{Prefix: q.Part, QuarantinedMs: q.Remaining.Milliseconds(), QuarantineLevel: int32(q.Level)}
+	n.reports.Go(func() { n.broadcastReport(report) })
+}
+
 func (n *Node) broadcastReport(report *cicadawire.SuspectReport) {
 	ctx, cancel := context.WithTimeout(context.Background(), suspectTimeout)
 	defer cancel()
--- a/cicadaentry/cicadanode/peer.go
+++ b/cicadaentry/cicadanode/peer.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"cicadalink.example/cicadaentry/cicadadispatch"
+	"cicadalink.example/cicadakernel/cicadasuspect"
 	"cicadalink.example/cicadakernel/cicadawire"
 )
 
@@ -53,12 +55,20 @@
 
 // Suspect records a report of a crash, or of a response that clears the suspicion.
 func (s *peerService) Suspect(_ context.Context, report *cicadawire.SuspectReport) (*cicadawire.SuspectVerdict, error) {
-	suspects := s.node.dispatcher.Suspects()
+	dispatcher := s.node.dispatcher
 	if report.GetCrashed() {
-		suspects.RecordCrash(report.GetFingerprint(), report.GetEndpoint(), time.Now())
+		dispatcher.RecordCrash(cicadadispatch.Crash{Fingerprint: report.GetFingerprint(), Endpoint: report.GetEndpoint(), Prefix: report.GetPrefix()})
 	}
 	if report.GetCleared() {
-		suspects.RecordSuccess(report.GetFingerprint())
+		dispatcher.Suspects().RecordSuccess(report.GetFingerprint())
+		if prefix := report.GetPrefix(); prefix != 0 {
+			dispatcher.Prefixes().RecordSound([]uint64{prefix}, time.Now())
+		}
+	}
+	if ms := report.GetQuarantinedMs(); ms > 0 {
+		dispatcher.Prefixes().Adopt(cicadasuspect.PartQuarantine{
+			Part: report.GetPrefix(), Remaining: time.Duration(ms) * time.Millisecond, Level: int(report.GetQuarantineLevel()),
+		}, time.Now())
 	}
 	return &cicadawire.SuspectVerdict{}, nil
 }
