--- a/cicadagateway/cicadabatch/run.go
+++ b/cicadagateway/cicadabatch/run.go
@@ -75,7 +75,10 @@
 	}
 	defer resp.Close()
 	r.status = resp.StatusCode
-	r.recordRateLimit(resp)
+	if limit, ok := adapter.StatedRateLimit(resp.StatusCode, resp.Header); ok && r.onRateLimit != nil {
+		r.rateLimit = limit
+		r.onRateLimit(limit)
+	}
 	if result, done := r.statusOutcome(resp); done {
 		resp.Discard()
 		return result, merry.Errorf("status %d", resp.StatusCode)
@@ -91,18 +94,6 @@
 	return r.classifyError(ctx, err)
 }
 
-// recordRateLimit records the limit that an endpoint states. Only a signed response shows
-// that it states none.
-func (r *run) recordRateLimit(resp *cicadaexchange.Response) {
-	if r.onRateLimit == nil || resp.StatusCode == http.StatusMisdirectedRequest {
-		return
-	}
-	r.rateLimit = adapter.ParseRateLimit(resp.Header.Get(adapter.HeaderRateLimit))
-	if r.rateLimit > 0 || resp.Header.Get(adapter.HeaderSignature) != "" {
-		r.onRateLimit(r.rateLimit)
-	}
-}
-
 var errStalled = merry.Sentinel("cicadabatch: no event from the endpoint")
 
 // classifyError returns the outcome of a run that ended with an error.
--- a/cicadagateway/cicadarelay/exchange.go
+++ b/cicadagateway/cicadarelay/exchange.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -42,11 +40,6 @@
 	events     eventParser
 }
 
-// maxResponseBody limits the body of a response that is not a stream, in bytes.
-const maxResponseBody = 16 << 20
-
-var copyBuffers = sync.Pool{New: func() any { b := make([]byte, 16<<10); return &b }}
-
 // run makes attempts until one succeeds or no further attempt is allowed.
 func (x *exchange) run(ctx context.Context) {
 	for {
@@ -112,7 +105,9 @@
 		return x.handleError(ctx, grant, sent, err)
 	}
 	defer res.Close()
-	recordRateLimit(grant, res)
+	if limit, ok := adapter.StatedRateLimit(res.StatusCode, res.Header); ok {
+		grant.RecordRateLimit(limit)
+	}
 	if res.StatusCode == http.StatusMisdirectedRequest || res.Header.Get(adapter.HeaderNotRun) != "" {
 		res.Discard()
 		return x.handleNotRun(grant, res.StatusCode)
@@ -137,18 +132,6 @@
 	return false
 }
 
-// recordRateLimit records the limit that an endpoint states. Only a signed response shows
-// that it states none.
-func recordRateLimit(grant *cicadaplace.Grant, res *cicadaexchange.Response) {
-	if res.StatusCode == http.StatusMisdirectedRequest {
-		return // from another endpoint
-	}
-	limit := adapter.ParseRateLimit(res.Header.Get(adapter.HeaderRateLimit))
-	if limit > 0 || res.Header.Get(adapter.HeaderSignature) != "" {
-		grant.RecordRateLimit(limit)
-	}
-}
-
 // endpointRequest returns the request to send to an endpoint. A stream is resumed
 // after the last event that was sent to the caller.
 func (x *exchange) endpointRequest(endpoint cicadaview.Endpoint) cicadaexchange.Request {
@@ -292,100 +275,6 @@
 	return http.StatusBadGateway
 }
 
-// forwardResponse sends the response of an endpoint to the caller.
-func (x *exchange) forwardResponse(res *cicadaexchange.Response) error {
-	if x.route.Kind == cicadaview.Stream && res.StatusCode == http.StatusOK {
-		return x.forwardStream(res)
-	}
-	return x.forwardBuffered(res)
-}
-
-// sendHeader sends the response header, without a Content-Length if length is
-// negative.
-func (x *exchange) sendHeader(res *cicadaexchange.Response, length int) {
-	x.headerSent = true
-	h := x.w.Header()
-	for name, values := range forwardedHeaders(res.Header) {
-		h[name] = values
-	}
-	if length >= 0 {
-		h.Set("Content-Length", strconv.Itoa(length))
-	}
-	x.w.WriteHeader(res.StatusCode)
-}
-
-// forwardBuffered reads the complete response before it sends any of it, so that the
-// request can be retried if the response is incomplete.
-func (x *exchange) forwardBuffered(res *cicadaexchange.Response) error {
-	body, err := res.ReadAll(maxResponseBody)
-	if err != nil {
-		return merry.Errorf("read response: %w", err)
-	}
-	x.stopTimer()
-	x.sendHeader(res, len(body))
-	if _, err := x.w.Write(body); err != nil {
-		return merry.Errorf("write response: %w", err)
-	}
-	return nil
-}
-
-func (x *exchange) stopTimer() {
-	if x.timer != nil {
-		x.timer.Stop()
-	}
-}
-
-// forwardStream sends events as they arrive. It sends only complete events, so that
-// a broken stream can be resumed after the last one.
-func (x *exchange) forwardStream(res *cicadaexchange.Response) error {
-	control := http.NewResponseController(x.w)
-	buffer := copyBuffers.Get().(*[]byte)
-	defer copyBuffers.Put(buffer)
-	x.events.reset()
-	for {
-		n, err := res.Read(*buffer)
-		if n > 0 {
-			events := x.events.add((*buffer)[:n])
-			if x.events.oversized {
-				return merry.Errorf("event: %w: %w", cicadaexchange.ErrInvalidResponse, cicadaexchange.ErrTooLarge)
-			}
-			if len(events) > 0 {
-				x.gotEvent = true
-				x.stopTimer()
-				if !x.headerSent {
-					x.sendHeader(res, -1)
-				}
-				if _, err := x.w.Write(events); err != nil {
-					return merry.Errorf("write events: %w", err)
-				}
-				if err := control.Flush(); err != nil {
-					return merry.Errorf("flush events: %w", err)
-				}
-			}
-		}
-		if errors.Is(err, io.EOF) {
-			return x.endStream(res)
-		}
-		if err != nil {
-			return merry.Errorf("read events: %w", err)
-		}
-	}
-}
-
-// endStream completes a stream whose response was read to its end.
-func (x *exchange) endStream(res *cicadaexchange.Response) error {
-	if len(x.events.partial) > 0 {
-		return merry.Errorf("stream ends within an event: %w", cicadaexchange.ErrInvalidResponse)
-	}
-	if x.events.lastID == "" && !x.gotEvent && !res.Framed() {
-		return merry.Errorf("connection closed before the first event: %w", cicadaexchange.ErrInvalidResponse)
-	}
-	if !x.headerSent {
-		x.sendHeader(res, 0)
-	}
-	return nil
-}
-
 // recordCompleted counts and logs a request whose response was sent completely.
 func (x *exchange) recordCompleted(grant *cicadaplace.Grant, res *cicadaexchange.Response, sent time.Time) {
 	now := time.Now()
