--- a/cicadagateway/cicadaplace/limit.go
+++ b/cicadagateway/cicadaplace/limit.go
@@ -1,9 +1,12 @@
 package cicadaplace
 
 import (
+	"math"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"cicadalink.example/cicadakernel/cicadamember"
 )
 
@@ -14,7 +17,8 @@
 	minShare = 0.5
 	// ownersShare is the part of a limit for the items of batch jobs.
 	ownersShare = 0.25
-	// limitTimeout is how long a limit holds after it was last heard of.
+	// limitTimeout is how long a limit holds after it was last heard of. Processes forget it
+	// at different times, up to as long again later, so that the first one finds out.
 	limitTimeout = 10 * time.Second
 	// withdrawnTimeout is how long it holds after a peer has heard that it was withdrawn.
 	withdrawnTimeout = time.Second
@@ -41,6 +45,7 @@
 type rateLimit struct {
 	perSecond float64 // 0 if there is no limit
 	until     time.Time
+	delay     time.Duration // by which this process forgets the limit later than others
 	share     float64 // of this process, in requests a second
 	tokens    float64
 	filledAt  time.Time
@@ -84,7 +89,7 @@
 		l.tokens, l.filledAt = 0, now
 	}
 	changed = began || l.perSecond != perSecond
-	l.perSecond, l.until = perSecond, now.Add(limitTimeout)
+	l.perSecond, l.until = perSecond, now.Add(limitTimeout+l.delay)
 	return changed
 }
 
@@ -113,6 +118,10 @@
 // same senders compute the same division.
 func (t *Table) divide(e *endpointState, now time.Time) {
 	e.limit.refill(now)
+	if e.limit.delay == 0 {
+		e.limit.delay = forgetDelay(t.name, e.ID)
+		e.limit.until = e.limit.until.Add(e.limit.delay)
+	}
 	online, batch := t.senders.Online, t.senders.Batch
 	batchLimit := ownersShare * e.limit.perSecond
 	switch {
@@ -126,6 +135,11 @@
 	e.limit.share = shareOf(t.name, e.ID, online, e.limit.perSecond-batchLimit) + shareOf(t.name, e.ID, batch, batchLimit)
 }
 
+// forgetDelay spreads the times at which processes forget the limit of an endpoint.
+func forgetDelay(name, endpoint string) time.Duration {
+	return time.Duration(float64(xxhash.Sum64String(name+"\x00"+endpoint)) / math.MaxUint64 * float64(limitTimeout))
+}
+
 // shareOf returns the part of a limit that a process gets if it is divided among names.
 func shareOf(name, endpoint string, names []string, limit float64) float64 {
 	if limit <= 0 || !slices.Contains(names, name) {
--- a/cicadagateway/cicadaplace/table.go
+++ b/cicadagateway/cicadaplace/table.go
@@ -204,14 +204,16 @@
 	return svc
 }
 
-// LocalInFlight returns the nonzero counts of this process, by endpoint.
+// LocalInFlight returns the nonzero counts of this process, by endpoint, and what endpoints
+// have lately stated to it.
 func (t *Table) LocalInFlight() map[string]InFlight {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	counts, now := make(map[string]InFlight), time.Now()
 	for id, e := range t.endpointsByID {
-		if e.local != (InFlight{}) {
-			counts[id] = InFlight{Online: e.local.Online, Batch: e.local.Batch, RateLimit: e.limit.advertised(now)}
+		n := InFlight{Online: e.local.Online, Batch: e.local.Batch, RateLimit: e.limit.advertised(now)}
+		if n != (InFlight{}) {
+			counts[id] = n
 		}
 	}
 	return counts
