--- a/cicadagateway/cicadaplace/limit.go
+++ b/cicadagateway/cicadaplace/limit.go
@@ -46,7 +46,7 @@
 	perSecond float64 // 0 if there is no limit
 	until     time.Time
 	delay     time.Duration // by which this process forgets the limit later than others
-	share     float64 // of this process, in requests a second
+	share     float64       // of this process, in requests a second
 	tokens    float64
 	filledAt  time.Time
 
