Log the software versions of endpoints and which stream a request resumes

The logs could not tell whether a stream went on at another version, nor whether a request was the rest of a stream.

--- a/cicadagateway/cicadabatch/run.go
+++ b/cicadagateway/cicadabatch/run.go
@@ -52,6 +52,7 @@
 type run struct {
 	mu         sync.Mutex // guards output and lastEvent during the run
 	output     strings.Builder
+	firstEvent int // the id after which the run resumes the item, or 0
 	lastEvent  int
 	headerTime time.Duration // from the start to the response header
 	status     int
--- a/cicadagateway/cicadabatch/schedule.go
+++ b/cicadagateway/cicadabatch/schedule.go
@@ -186,7 +186,7 @@
 	ctx, cancel := context.WithCancel(o.ctx)
 	it.state, it.grant, it.stop, it.startedAt, it.pinned = itemRunning, grant, cancel, time.Now(), false
 	o.running[endpoint.ID] = append(o.running[endpoint.ID], it)
-	r := &run{lastEvent: it.lastEvent, onRateLimit: grant.RecordRateLimit}
+	r := &run{firstEvent: it.lastEvent, lastEvent: it.lastEvent, onRateLimit: grant.RecordRateLimit}
 	it.run = r
 	req := o.runRequest(it, endpoint.ID)
 	o.wg.Go(func() {
@@ -235,7 +235,7 @@
 		}
 	}
 	o.log.Info("run ended", "item", it.ID, "job", it.job.id, "outcome", result.String(), "endpoint", grant.Endpoint().ID,
-		"status", r.status, "rate-limit", r.rateLimit, "event", it.lastEvent, "failures", it.failures, "took", now.Sub(it.startedAt).String(),
+		"software-version", grant.Endpoint().SoftwareVersion, "from-event", r.firstEvent, "status", r.status, "rate-limit", r.rateLimit, "event", it.lastEvent, "failures", it.failures, "took", now.Sub(it.startedAt).String(),
 		"slack", o.estimate.slack(it, now).String(), "error", err)
 	o.metrics.runs[result].Inc(1)
 	switch result {
--- a/cicadakernel/cicadaview/view.go
+++ b/cicadakernel/cicadaview/view.go
@@ -180,6 +180,9 @@
 	Address    string
 	DataCentre string
 	Slots      int
+	// SoftwareVersion is the version of the endpoint's software, or "" if unknown. An output
+	// that one version began can be continued only by the same version.
+	SoftwareVersion string
 	// Draining endpoints accept no new requests.
 	Draining bool
 	// StartedMs is the start time of this incarnation of the endpoint, in Unix
