Let streams go on only at the software version that began them

Cause: nothing knew versions. Any endpoint of the service went on with a stream, in the same answer and when its caller resumed it at another entry, where the first entry could no longer be asked: it had been killed 30 to 130 ms before.

Change: a slot may be asked for at one version only. In one answer the entry keeps to the version of the first event. For callers that return, cicadaorigin sends a record of 50 bytes, before the caller gets the first event, to three members that the id of the stream selects, and asks five when a caller returns. Records are needed and sent only while several versions may have streams in progress; members compare digests of the versions they know to be sure that only one does. A stream of unknown origin is refused at once, with status 503.

--- a/cicadagateway/cicadabatch/schedule.go
+++ b/cicadagateway/cicadabatch/schedule.go
@@ -82,7 +82,7 @@
 	})
 	for _, it := range waiting {
 		excluded := it.excluded(now)
-		grant := o.table.AcquireBatch(service, o.estimate.slack(it, now) < urgentSlack, excluded)
+		grant := o.table.AcquireBatch(cicadaplace.SlotRequest{Service: service, Avoid: excluded}, o.estimate.slack(it, now) < urgentSlack)
 		if grant != nil {
 			o.startRun(it, grant)
 		} else if len(excluded) == 0 {
--- /dev/null
+++ b/cicadagateway/cicadaorigin/tracker.go
@@ -0,0 +1,344 @@
+// Package cicadaorigin remembers where streams began: at which service, and at which
+// version of its software. What two versions write does not fit together, so a stream
+// that breaks off may be continued only by an endpoint of the version that began it, also
+// if its caller resumes it at another entry, and also if the first entry has just failed.
+//
+// While more than one version of a service may have streams in progress, the entry that
+// begins a stream sends a record of its origin to a few members that the id of the stream
+// selects by rendezvous hashing, before the caller gets the first event. An entry to which
+// the caller returns asks the members that the id selects from its own list. While only
+// one version serves, and all members agree on that, no records are sent or needed.
+//
+// # Usage
+//
+//	versions := cicadaorigin.NewVersions()
+//	tracker := cicadaorigin.NewTracker("entry-1", versions, cicadaorigin.WithSend(send))
+//	tracker.SetMembers(members)
+//	tracker.Begin(id, cicadaorigin.Origin{Service: "assistants", Version: "v2"})
+//	defer tracker.End(id)
+//
+// and where the caller resumes the stream
+//
+//	origin, err := tracker.Find(ctx, id, []string{"assistants"})
+//	if errors.Is(err, cicadaorigin.ErrUnknown) { ... the stream cannot be continued ... }
+//
+// Times are those of the monotonic clock.
+package cicadaorigin
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/uber-go/tally/v4"
+)
+
+// ErrUnknown reports that nothing that was reached knows where a stream began.
+var ErrUnknown = merry.Sentinel("cicadaorigin: unknown origin")
+
+const (
+	// Lifetime is the longest time from the beginning of a stream to a request that resumes
+	// it.
+	Lifetime = 30 * time.Second
+	// holders is the number of other members that get the record of a stream.
+	holders = 3
+	// askedMembers is the number of members that are asked for a record. It exceeds holders
+	// because the lists of members of two entries may differ.
+	askedMembers = 5
+	// lookupTries is how often members are asked that have not replied, and lookupInterval
+	// the time between the tries.
+	lookupTries    = 3
+	lookupInterval = 30 * time.Millisecond
+	// maxRecords limits the records that a member keeps.
+	maxRecords = 1 << 16
+	// maxMessageRecords limits the records in one message.
+	maxMessageRecords = 64
+)
+
+// An Origin is the service and the version of its software that began a stream.
+type Origin struct {
+	_       struct{} `cbor:",toarray"`
+	Service string
+	Version string
+}
+
+// A Record is the origin of one stream.
+type Record struct {
+	_      struct{} `cbor:",toarray"`
+	Stream string   // id of the request that got the stream's first event
+	Origin Origin
+}
+
+// A Message is sent from one member to another.
+type Message struct {
+	From string `cbor:"1,keyasint"`
+	// Records are to be kept by the receiver.
+	Records []Record `cbor:"2,keyasint,omitempty"`
+	// Query asks for the record of a stream.
+	Query string `cbor:"3,keyasint,omitempty"`
+	// Reply answers a query.
+	Reply *Reply `cbor:"4,keyasint,omitempty"`
+}
+
+// A Reply answers a query for the record of a stream.
+type Reply struct {
+	Stream string `cbor:"1,keyasint"`
+	// Origin is nil if the member has no record of the stream.
+	Origin *Origin `cbor:"2,keyasint,omitempty"`
+}
+
+// A Tracker keeps the origins of the streams that this process serves, and of those that
+// other members have recorded here. It is safe for concurrent use.
+type Tracker struct {
+	self     string
+	versions *Versions
+	send     func(member string, m Message)
+	metrics  metrics
+
+	mu      sync.Mutex
+	members []memberHash
+	records recordSet
+	running map[string]*runningStream
+	queries map[string][]*query // by stream
+}
+
+// A runningStream is a stream that this process serves.
+type runningStream struct {
+	origin   Origin
+	recorded bool // at other members
+}
+
+// An Option configures a Tracker.
+type Option func(*Tracker)
+
+// WithSend sets the function that sends a message to another member. Messages may be lost.
+func WithSend(send func(member string, m Message)) Option {
+	return func(t *Tracker) { t.send = send }
+}
+
+// WithScope sets the scope of the metrics.
+func WithScope(scope tally.Scope) Option {
+	return func(t *Tracker) { t.metrics = newMetrics(scope) }
+}
+
+// NewTracker returns a Tracker without records for the named member.
+func NewTracker(self string, versions *Versions, opts ...Option) *Tracker {
+	t := &Tracker{
+		self: self, versions: versions, send: func(string, Message) {}, metrics: newMetrics(tally.NoopScope),
+		running: make(map[string]*runningStream), queries: make(map[string][]*query),
+	}
+	t.records.byStream = make(map[string]storedRecord)
+	for _, opt := range opts {
+		opt(t)
+	}
+	return t
+}
+
+// SetMembers sets the names of the other members that are live.
+func (t *Tracker) SetMembers(members []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.members = hashMembers(members)
+}
+
+// Begin records that a stream has begun or goes on in this process. It must be called
+// before the caller gets the first event. Sending does not block.
+func (t *Tracker) Begin(stream string, origin Origin) {
+	recorded := t.versions.Recorded(origin.Service)
+	t.mu.Lock()
+	t.records.add(Record{Stream: stream, Origin: origin}, time.Now())
+	t.running[stream] = &runningStream{origin: origin, recorded: recorded}
+	var to []string
+	if recorded {
+		to = rank(stream, t.members, holders)
+	}
+	t.mu.Unlock()
+	t.metrics.recordsSent.Inc(int64(len(to)))
+	for _, member := range to {
+		t.send(member, Message{From: t.self, Records: []Record{{Stream: stream, Origin: origin}}})
+	}
+}
+
+// End records that this process no longer serves a stream. Its origin is still known.
+func (t *Tracker) End(stream string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.running, stream)
+}
+
+// Update records the origins of the running streams of services for which this has become
+// necessary. It must be called after versions has changed.
+func (t *Tracker) Update() {
+	t.mu.Lock()
+	batches := make(map[string][]Record)
+	for stream, s := range t.running {
+		if s.recorded || !t.versions.Recorded(s.origin.Service) {
+			continue
+		}
+		s.recorded = true
+		for _, member := range rank(stream, t.members, holders) {
+			batches[member] = append(batches[member], Record{Stream: stream, Origin: s.origin})
+		}
+	}
+	t.mu.Unlock()
+	for member, records := range batches {
+		t.metrics.recordsSent.Inc(int64(len(records)))
+		for len(records) > 0 {
+			n := min(len(records), maxMessageRecords)
+			t.send(member, Message{From: t.self, Records: records[:n]})
+			records = records[n:]
+		}
+	}
+}
+
+// Find returns the origin of a stream that a caller resumes on a route with the given
+// services. It asks other members if necessary, and fails with ErrUnknown if none that
+// replies in time knows the stream.
+func (t *Tracker) Find(ctx context.Context, stream string, services []string) (Origin, error) {
+	if len(services) == 1 {
+		if version, ok := t.versions.Single(services[0]); ok {
+			return t.found(Origin{Service: services[0], Version: version}, "single-version")
+		}
+	}
+	if origin, ok := t.known(stream); ok {
+		return t.found(origin, "own-record")
+	}
+	if origin, ok := t.ask(ctx, stream); ok {
+		return t.found(origin, "record-of-member")
+	}
+	t.metrics.countLookup("unknown")
+	return Origin{}, ErrUnknown
+}
+
+func (t *Tracker) found(origin Origin, how string) (Origin, error) {
+	t.metrics.countLookup(how)
+	return origin, nil
+}
+
+func (t *Tracker) known(stream string) (Origin, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.records.get(stream, time.Now())
+}
+
+// A query is a question to other members that waits for replies.
+type query struct {
+	waiting map[string]bool // members that have not replied
+	origin  *Origin
+	done    chan struct{} // closed when one knows the stream or all have replied
+	closed  bool
+}
+
+func (q *query) finish() {
+	if !q.closed {
+		q.closed = true
+		close(q.done)
+	}
+}
+
+// ask asks the members that the stream selects, until one knows it, all have replied, or
+// the tries are used up.
+func (t *Tracker) ask(ctx context.Context, stream string) (Origin, bool) {
+	q := &query{waiting: make(map[string]bool), done: make(chan struct{})}
+	t.mu.Lock()
+	for _, member := range rank(stream, t.members, askedMembers) {
+		q.waiting[member] = true
+	}
+	if stream == "" || len(q.waiting) == 0 {
+		t.mu.Unlock()
+		return Origin{}, false
+	}
+	t.queries[stream] = append(t.queries[stream], q)
+	t.mu.Unlock()
+	defer t.removeQuery(stream, q)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for tries := 0; ; {
+		select {
+		case <-q.done:
+			return t.answer(q)
+		case <-ctx.Done():
+			return Origin{}, false
+		case <-timer.C:
+		}
+		if tries++; tries > lookupTries {
+			return t.answer(q)
+		}
+		for _, member := range t.unanswered(q) {
+			t.send(member, Message{From: t.self, Query: stream})
+		}
+		timer.Reset(lookupInterval)
+	}
+}
+
+func (t *Tracker) unanswered(q *query) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	members := make([]string, 0, len(q.waiting))
+	for member := range q.waiting {
+		members = append(members, member)
+	}
+	return members
+}
+
+func (t *Tracker) answer(q *query) (Origin, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if q.origin == nil {
+		return Origin{}, false
+	}
+	return *q.origin, true
+}
+
+func (t *Tracker) removeQuery(stream string, q *query) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var rest []*query
+	for _, other := range t.queries[stream] {
+		if other != q {
+			rest = append(rest, other)
+		}
+	}
+	if len(rest) == 0 {
+		delete(t.queries, stream)
+		return
+	}
+	t.queries[stream] = rest
+}
+
+// Receive handles a message of another member.
+func (t *Tracker) Receive(m Message) {
+	now := time.Now()
+	t.mu.Lock()
+	for _, r := range m.Records {
+		t.records.add(r, now)
+	}
+	if m.Reply != nil {
+		t.applyReply(m.From, *m.Reply)
+	}
+	var reply *Reply
+	if m.Query != "" {
+		reply = &Reply{Stream: m.Query}
+		if origin, ok := t.records.get(m.Query, now); ok {
+			reply.Origin = &origin
+		}
+	}
+	t.mu.Unlock()
+	t.metrics.recordsReceived.Inc(int64(len(m.Records)))
+	if reply != nil {
+		t.send(m.From, Message{From: t.self, Reply: reply})
+	}
+}
+
+func (t *Tracker) applyReply(from string, r Reply) {
+	for _, q := range t.queries[r.Stream] {
+		delete(q.waiting, from)
+		if r.Origin != nil {
+			q.origin = r.Origin
+		}
+		if q.origin != nil || len(q.waiting) == 0 {
+			q.finish()
+		}
+	}
+}
--- /dev/null
+++ b/cicadagateway/cicadaorigin/versions.go
@@ -0,0 +1,190 @@
+package cicadaorigin
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cicadalink.example/cicadakernel/cicadaview"
+)
+
+const (
+	// recordMargin is how much longer origins are recorded than they are needed. It covers
+	// the time by which other members learn later that only one version is left.
+	recordMargin = 5 * time.Second
+	// startTime is the time after the start in which other members may not have been heard
+	// yet.
+	startTime = 1200 * time.Millisecond
+)
+
+// Versions knows which versions of each service have lately been registered, and whether
+// all members know the same. It is safe for concurrent use.
+type Versions struct {
+	mu        sync.Mutex
+	startedAt time.Time
+	services  map[string]map[string]time.Time // service, version, and when it was last registered
+	current   map[Origin]bool                 // registered now
+	digest    uint64
+	digestAt  time.Time
+	peers     map[string]uint64 // digests of live members
+	disagree  int               // members whose digest differs
+	isolated  bool
+}
+
+// NewVersions returns Versions without a version.
+func NewVersions() *Versions {
+	return &Versions{
+		startedAt: time.Now(), services: make(map[string]map[string]time.Time), current: make(map[Origin]bool), peers: make(map[string]uint64),
+	}
+}
+
+// SetEndpoints sets the registered endpoints. It reports whether a version was added.
+func (v *Versions) SetEndpoints(all []cicadaview.Endpoint) (added bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now := time.Now()
+	for o := range v.current {
+		v.services[o.Service][o.Version] = now
+	}
+	clear(v.current)
+	for _, e := range all {
+		o := Origin{Service: e.Service, Version: e.SoftwareVersion}
+		v.current[o] = true
+		if v.services[o.Service] == nil {
+			v.services[o.Service] = make(map[string]time.Time)
+		}
+		if _, ok := v.services[o.Service][o.Version]; !ok {
+			added = true
+		}
+		v.services[o.Service][o.Version] = now
+	}
+	v.updateDigest(now)
+	return added
+}
+
+// lastRegistered returns when a version was last registered.
+func (v *Versions) lastRegistered(o Origin, at, now time.Time) time.Time {
+	if v.current[o] {
+		return now
+	}
+	return at
+}
+
+// updateDigest removes old versions and computes the digest of those that may have streams.
+func (v *Versions) updateDigest(now time.Time) {
+	digest := uint64(0)
+	for service, versions := range v.services {
+		for version, at := range versions {
+			o := Origin{Service: service, Version: version}
+			age := now.Sub(v.lastRegistered(o, at, now))
+			if age > Lifetime+recordMargin {
+				delete(versions, version)
+			}
+			if age <= Lifetime {
+				digest ^= xxhash.Sum64String(service + "\x00" + version)
+			}
+		}
+		if len(versions) == 0 {
+			delete(v.services, service)
+		}
+	}
+	v.digestAt = now
+	if digest != v.digest {
+		v.digest = digest
+		v.countDisagreeing()
+	}
+}
+
+func (v *Versions) countDisagreeing() {
+	v.disagree = 0
+	for _, digest := range v.peers {
+		if digest != v.digest {
+			v.disagree++
+		}
+	}
+}
+
+// digestInterval is how often versions are removed from the digest.
+const digestInterval = 200 * time.Millisecond
+
+// Digest returns a hash of the versions of all services that may have streams in progress.
+// It is 0 before there are any.
+func (v *Versions) Digest() uint64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if now := time.Now(); now.Sub(v.digestAt) >= digestInterval {
+		v.updateDigest(now)
+	}
+	return v.digest
+}
+
+// SetPeer sets the digest of another member. A digest of 0 is that of a member without
+// endpoints, which has no streams. It reports whether the digest has become a different
+// one than that of this process.
+func (v *Versions) SetPeer(member string, digest uint64) (disagrees bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.peers[member] == digest {
+		return false
+	}
+	if digest == 0 {
+		delete(v.peers, member)
+	} else {
+		v.peers[member] = digest
+	}
+	v.countDisagreeing()
+	return digest != 0 && digest != v.digest
+}
+
+// KeepPeers removes the digests of all but the given members.
+func (v *Versions) KeepPeers(live []string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	kept := make(map[string]uint64, len(live))
+	for _, member := range live {
+		if digest, ok := v.peers[member]; ok {
+			kept[member] = digest
+		}
+	}
+	v.peers = kept
+	v.countDisagreeing()
+}
+
+// SetIsolated sets whether this process may miss the versions that other members know,
+// because it reaches too few of them or none that reaches the registrations.
+func (v *Versions) SetIsolated(isolated bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.isolated = isolated
+}
+
+// Recorded reports whether the origins of a service's streams are recorded at other
+// members, because more than one version may have streams in progress.
+func (v *Versions) Recorded(service string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.uncertain() || len(v.services[service]) != 1
+}
+
+// Single returns the only version of a service that can have begun a stream which is still
+// resumed. ok is false if there are several, or if other members may know of another one.
+func (v *Versions) Single(service string) (version string, ok bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.uncertain() {
+		return "", false
+	}
+	now, found := time.Now(), 0
+	for candidate, at := range v.services[service] {
+		if now.Sub(v.lastRegistered(Origin{Service: service, Version: candidate}, at, now)) <= Lifetime {
+			version = candidate
+			found++
+		}
+	}
+	return version, found == 1
+}
+
+func (v *Versions) uncertain() bool {
+	return v.isolated || v.disagree > 0 || time.Since(v.startedAt) < startTime
+}
--- a/cicadagateway/cicadapeer/members.go
+++ b/cicadagateway/cicadapeer/members.go
@@ -51,6 +51,32 @@
 	return g.members[name] != nil
 }
 
+// Names returns the names of the live members of all roles, and the number of all members
+// that were lately seen.
+func (g *Group) Names() (live []string, known int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for name, s := range g.members {
+		if s.live {
+			live = append(live, name)
+		}
+	}
+	sort.Strings(live)
+	return live, len(g.members)
+}
+
+// PeerReachesStore reports whether some live member reaches the platform's store.
+func (g *Group) PeerReachesStore() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, s := range g.members {
+		if s.live && s.state.StoreUp {
+			return true
+		}
+	}
+	return false
+}
+
 // Live returns the states of the live members with the given role, sorted by name.
 func (g *Group) Live(role Role) []State {
 	g.mu.Lock()
--- a/cicadagateway/cicadapeer/metrics.go
+++ b/cicadagateway/cicadapeer/metrics.go
@@ -26,6 +26,12 @@
 	m.messageSize.Update(float64(size))
 }
 
+// recordMessageSent records a message to one member, which is not a state.
+func (m *metrics) recordMessageSent(size int) {
+	m.sent.Inc(1)
+	m.sentBytes.Inc(int64(size))
+}
+
 func (m *metrics) recordReceived(size int) {
 	m.received.Inc(1)
 	m.receivedBytes.Inc(int64(size))
--- a/cicadagateway/cicadapeer/peer.go
+++ b/cicadagateway/cicadapeer/peer.go
@@ -102,6 +102,7 @@
 	localState   func() State
 	onState      func(State)
 	onMembership func()
+	onMessage    func([]byte)
 	log          hclog.Logger
 	metrics      metrics
 	notify       chan struct{}
@@ -118,6 +119,12 @@
 	return func(g *Group) { g.metrics = newMetrics(scope) }
 }
 
+// WithOnMessage sets the function that is called with each message that another member has
+// sent by SendTo. It must not keep the slice.
+func WithOnMessage(onMessage func([]byte)) Option {
+	return func(g *Group) { g.onMessage = onMessage }
+}
+
 // New starts listening on the address of self and sends the state of self until ctx is
 // done. localState returns that state. onState is called with each new state of another
 // member, and onMembership when a member joins or leaves, restarts, or changes whether it
@@ -135,7 +142,7 @@
 		conn: conn, self: self, incarnation: time.Now().UnixNano(),
 		addresses: make(map[string]memberAddress), members: make(map[string]*memberState), missedBy: make(map[string]int),
 		localState: localState, onState: onState, onMembership: onMembership, log: log, notify: make(chan struct{}, 1),
-		metrics: newMetrics(tally.NoopScope),
+		metrics: newMetrics(tally.NoopScope), onMessage: func([]byte) {},
 	}
 	for _, opt := range opts {
 		opt(g)
@@ -262,6 +269,10 @@
 			continue
 		}
 		g.metrics.recordReceived(n)
+		if isMap(buf[:n]) {
+			g.onMessage(buf[:n])
+			continue
+		}
 		var state State
 		if err := cbor.Unmarshal(buf[:n], &state); err != nil {
 			g.log.Warn("invalid peer message ignored", "error", err)
--- a/cicadagateway/cicadapeer/state.go
+++ b/cicadagateway/cicadapeer/state.go
@@ -49,7 +49,10 @@
 	// reflects, and EndpointsDigest a hash of that view.
 	EndpointsAsOf   int64
 	EndpointsDigest uint64
-	InFlight        []InFlight
+	// VersionsDigest is a hash of the versions of all services that may have streams in
+	// progress, as the member knows them.
+	VersionsDigest uint64
+	InFlight       []InFlight
 	// NotReceived lists the known members whose messages this member does not receive
 	// directly.
 	NotReceived []string
--- a/cicadagateway/cicadaplace/batch.go
+++ b/cicadagateway/cicadaplace/batch.go
@@ -12,12 +12,12 @@
 const onlineReserve = 1.0 / 16
 
 // AcquireBatch returns a slot for a batch item, or nil. It never waits. Only an
-// urgent item may take a slot of the online reserve. Endpoints in avoid are used
+// urgent item may take a slot of the online reserve. Endpoints in req.Avoid are used
 // only if there is no other.
-func (t *Table) AcquireBatch(service string, urgent bool, avoid []string) *Grant {
+func (t *Table) AcquireBatch(req SlotRequest, urgent bool) *Grant {
 	t.mu.Lock()
 	now := time.Now()
-	svc := t.service(service)
+	svc := t.service(req.Service)
 	unseen := t.unseenItems(svc, now)
 	unlimited, limited := svc.batchSlots(now)
 	useUnlimited := urgent || unlimited > unseen
@@ -25,13 +25,12 @@
 		t.mu.Unlock()
 		return nil
 	}
-	req := SlotRequest{Avoid: avoid}
 	if !svc.hasCandidate(req) {
 		req.Avoid = nil
 	}
 	t.candidates = t.candidates[:0]
 	for _, e := range svc.endpoints {
-		if e.Draining || req.avoids(e.ID) || now.Before(e.backoffUntil) || e.total() >= e.Slots {
+		if !req.allows(e) || now.Before(e.backoffUntil) || e.total() >= e.Slots {
 			continue
 		}
 		if !e.limit.allows(now) || (!useUnlimited && !e.limit.active(now)) {
--- a/cicadagateway/cicadaplace/limit_test.go
+++ b/cicadagateway/cicadaplace/limit_test.go
@@ -80,7 +80,7 @@
 	table := f.tables[name]
 	var g *Grant
 	if name[0] == 'o' {
-		g = table.AcquireBatch("s", true, nil)
+		g = table.AcquireBatch(SlotRequest{Service: "s"}, true)
 	} else {
 		g, _ = table.Acquire(ctx, SlotRequest{Service: "s"})
 	}
@@ -249,15 +249,15 @@
 		table := NewTable("owner")
 		table.SetSenders(Senders{Batch: []string{"owner"}})
 		table.SetEndpoints(numberedEndpoints(2, 8))
-		probe := table.AcquireBatch("s", true, []string{"e001"})
+		probe := table.AcquireBatch(SlotRequest{Service: "s", Avoid: []string{"e001"}}, true)
 		probe.RecordRateLimit(2)
 		table.SetPeer("entry", map[string]InFlight{"e001": {Online: 8}})
-		assert.Assert(t, table.AcquireBatch("s", false, nil) == nil)
+		assert.Assert(t, table.AcquireBatch(SlotRequest{Service: "s"}, false) == nil)
 		time.Sleep(time.Second)
-		g := table.AcquireBatch("s", false, nil)
+		g := table.AcquireBatch(SlotRequest{Service: "s"}, false)
 		assert.Assert(t, g != nil)
 		assert.Equal(t, g.Endpoint().ID, "e000")
-		assert.Assert(t, table.AcquireBatch("s", false, nil) == nil)
+		assert.Assert(t, table.AcquireBatch(SlotRequest{Service: "s"}, false) == nil)
 		g.Release()
 		probe.Release()
 	})
--- a/cicadagateway/cicadaplace/load_test.go
+++ b/cicadagateway/cicadaplace/load_test.go
@@ -110,7 +110,7 @@
 			}
 		}
 		for {
-			g := table.AcquireBatch("s", false, nil)
+			g := table.AcquireBatch(SlotRequest{Service: "s"}, false)
 			if g == nil {
 				break
 			}
--- a/cicadagateway/cicadaplace/queue.go
+++ b/cicadagateway/cicadaplace/queue.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -15,25 +16,32 @@
 	MaxWait time.Duration
 	// Avoid lists the IDs of endpoints that must not be used.
 	Avoid []string
+	// Continues is set if the request continues an output, which only an endpoint of the
+	// software version that began it can do. Such a request comes before others.
+	Continues bool
+	// Version is the version that began the output, if Continues is set.
+	Version string
 }
 
-func (req SlotRequest) avoids(id string) bool {
-	for _, a := range req.Avoid {
-		if a == id {
-			return true
-		}
+// allows reports whether an endpoint may be used for the request at all.
+func (req SlotRequest) allows(e *endpointState) bool {
+	if e.Draining || req.Continues && e.SoftwareVersion != req.Version {
+		return false
 	}
-	return false
+	return !slices.Contains(req.Avoid, e.ID)
 }
 
+// unrestricted reports whether the request may use all endpoints of its service.
+func (req SlotRequest) unrestricted() bool { return len(req.Avoid) == 0 && !req.Continues }
+
 // Acquire returns a slot for an online request. If none is free, the request waits
-// for at most MaxWait. Requests are granted slots in order of arrival. Acquire
-// fails with ErrBusy at once if the expected wait exceeds MaxWait or the queue is
+// for at most MaxWait. Requests are granted slots in order of arrival, those that continue
+// an output before the others. Acquire fails with ErrBusy at once if the expected wait exceeds MaxWait or the queue is
 // full, and with ErrNoEndpoint if no endpoint can be used.
 func (t *Table) Acquire(ctx context.Context, req SlotRequest) (*Grant, error) {
 	t.mu.Lock()
 	svc := t.service(req.Service)
-	if len(svc.waiters) == 0 {
+	if len(svc.waiters) == 0 || req.Continues {
 		if e := t.selectEndpoint(svc, req); e != nil {
 			g := t.grantOnline(e, time.Now())
 			t.mu.Unlock()
@@ -45,12 +53,13 @@
 		t.mu.Unlock()
 		return nil, ErrNoEndpoint
 	}
-	if req.MaxWait <= 0 || svc.expectedWait(time.Now()) > req.MaxWait || len(svc.waiters) >= maxWaitersPerSlot*svc.slots {
+	ahead := svc.waitersAhead(req)
+	if req.MaxWait <= 0 || svc.expectedWait(ahead, req, time.Now()) > req.MaxWait || len(svc.waiters) >= maxWaitersPerSlot*svc.slots {
 		t.mu.Unlock()
 		return nil, ErrBusy
 	}
 	queued := &waiter{request: req, enqueuedAt: time.Now(), granted: make(chan *Grant, 1)}
-	svc.waiters = append(svc.waiters, queued)
+	svc.waiters = slices.Insert(svc.waiters, ahead, queued)
 	t.wakeForToken(svc)
 	t.mu.Unlock()
 	return t.wait(ctx, svc, queued)
@@ -100,25 +109,42 @@
 // all its slots are taken or it is in backoff.
 func (s *service) hasCandidate(req SlotRequest) bool {
 	for _, e := range s.endpoints {
-		if !e.Draining && !req.avoids(e.ID) {
+		if req.allows(e) {
 			return true
 		}
 	}
 	return false
 }
 
-// expectedWait estimates how long a request that joins the queue now will wait for a
-// slot. It assumes that the waiters of this process get only slots that its own
+// waitersAhead returns the number of waiters that come before a request that arrives now.
+func (s *service) waitersAhead(req SlotRequest) int {
+	if !req.Continues {
+		return len(s.waiters)
+	}
+	ahead := 0
+	for ahead < len(s.waiters) && s.waiters[ahead].request.Continues {
+		ahead++
+	}
+	return ahead
+}
+
+// expectedWait estimates how long a request that joins the queue behind others will wait
+// for a slot. It assumes that the waiters of this process get only slots that its own
 // online requests release, or the tokens of the endpoints if all of them have limits.
-func (s *service) expectedWait(now time.Time) time.Duration {
+func (s *service) expectedWait(ahead int, req SlotRequest, now time.Time) time.Duration {
 	if rate, limited := s.tokenRate(now); limited {
-		return time.Duration(float64(len(s.waiters)+1) / max(rate, 1/maxTokenWait.Seconds()) * float64(time.Second))
+		return time.Duration(float64(ahead+1) / max(rate, 1/maxTokenWait.Seconds()) * float64(time.Second))
 	}
-	local := 0
+	releasing := 0
 	for _, e := range s.endpoints {
-		local += e.local.Online
+		switch {
+		case !req.Continues:
+			releasing += e.local.Online
+		case e.SoftwareVersion == req.Version:
+			releasing += e.online()
+		}
 	}
-	return s.meanHold * time.Duration(len(s.waiters)+1) / time.Duration(max(local, 1))
+	return s.meanHold * time.Duration(ahead+1) / time.Duration(max(releasing, 1))
 }
 
 // RetryAfter returns the time after which a refused caller should retry. It is
@@ -126,12 +152,13 @@
 func (t *Table) RetryAfter(name string) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	wait := max(t.service(name).expectedWait(time.Now()), minRetryAfter)
+	svc := t.service(name)
+	wait := max(svc.expectedWait(len(svc.waiters), SlotRequest{}, time.Now()), minRetryAfter)
 	return wait + time.Duration(rand.Float64()*retryJitter*float64(wait))
 }
 
-// grantWaiters grants free slots to queued requests in order of arrival. A request
-// whose Avoid list excludes all free endpoints does not block those behind it.
+// grantWaiters grants free slots to queued requests in order. A request that may not use
+// any of the free endpoints does not block those behind it.
 func (t *Table) grantWaiters() {
 	for _, svc := range t.services {
 		for i := 0; i < len(svc.waiters); {
@@ -139,7 +166,7 @@
 			e := t.selectEndpoint(svc, w.request)
 			if e == nil {
 				i++
-				if len(w.request.Avoid) == 0 {
+				if w.request.unrestricted() {
 					break
 				}
 				continue
--- a/cicadagateway/cicadaplace/table.go
+++ b/cicadagateway/cicadaplace/table.go
@@ -236,7 +236,7 @@
 // backoff.
 func (s *service) hasReady(req SlotRequest, now time.Time) bool {
 	for _, e := range s.endpoints {
-		if !e.Draining && !req.avoids(e.ID) && now.After(e.backoffUntil) {
+		if req.allows(e) && now.After(e.backoffUntil) {
 			return true
 		}
 	}
@@ -248,7 +248,7 @@
 func (t *Table) choose(svc *service, req SlotRequest, now time.Time, includeBackoff bool) *endpointState {
 	t.candidates = t.candidates[:0]
 	for _, e := range svc.endpoints {
-		if e.Draining || req.avoids(e.ID) || e.online() >= e.Slots || (!includeBackoff && now.Before(e.backoffUntil)) || !e.limit.allows(now) {
+		if !req.allows(e) || e.online() >= e.Slots || (!includeBackoff && now.Before(e.backoffUntil)) || !e.limit.allows(now) {
 			continue
 		}
 		cost := float64(e.online()) + batchCost*float64(e.batch())
--- a/cicadagateway/cicadaplace/table_test.go
+++ b/cicadagateway/cicadaplace/table_test.go
@@ -154,9 +154,9 @@
 	table := NewTable("owner")
 	table.SetEndpoints(endpoints(1, 4))
 	for range 3 {
-		assert.Assert(t, table.AcquireBatch("s", false, nil) != nil)
+		assert.Assert(t, table.AcquireBatch(SlotRequest{Service: "s"}, false) != nil)
 	}
-	assert.Assert(t, table.AcquireBatch("s", false, nil) == nil)
+	assert.Assert(t, table.AcquireBatch(SlotRequest{Service: "s"}, false) == nil)
 	assert.Equal(t, len(table.PreemptionCounts()), 0)
 	table.SetPeer("entry", map[string]InFlight{"a": {Online: 3}})
 	assert.DeepEqual(t, table.PreemptionCounts(), map[string]int{"a": 2})
@@ -169,7 +169,7 @@
 		table := NewTable("owner")
 		table.SetEndpoints(endpoints(c.endpoints, c.slots))
 		granted := 0
-		for table.AcquireBatch("s", false, nil) != nil {
+		for table.AcquireBatch(SlotRequest{Service: "s"}, false) != nil {
 			granted++
 		}
 		free, slots := table.FreeSlots("s")
@@ -177,9 +177,9 @@
 		assert.Equal(t, slots, c.endpoints*c.slots)
 		assert.Equal(t, free, c.idle)
 		for range c.idle {
-			assert.Assert(t, table.AcquireBatch("s", true, nil) != nil, "an urgent item may take any idle slot")
+			assert.Assert(t, table.AcquireBatch(SlotRequest{Service: "s"}, true) != nil, "an urgent item may take any idle slot")
 		}
-		assert.Assert(t, table.AcquireBatch("s", true, nil) == nil)
+		assert.Assert(t, table.AcquireBatch(SlotRequest{Service: "s"}, true) == nil)
 	}
 }
 
@@ -190,7 +190,7 @@
 		table := NewTable(name)
 		table.SetEndpoints(endpoints(1, 8))
 		for range count.Batch {
-			assert.Assert(t, table.AcquireBatch("s", true, nil) != nil)
+			assert.Assert(t, table.AcquireBatch(SlotRequest{Service: "s"}, true) != nil)
 		}
 		for other, n := range counts {
 			if other != name {
@@ -206,7 +206,7 @@
 func TestPinnedItemCountsAsOnlineRequest(t *testing.T) {
 	table := NewTable("owner")
 	table.SetEndpoints(endpoints(1, 2))
-	g := table.AcquireBatch("s", true, nil)
+	g := table.AcquireBatch(SlotRequest{Service: "s"}, true)
 	g.Pin()
 	table.SetPeer("entry", map[string]InFlight{"a": {Online: 2}})
 	assert.Equal(t, len(table.PreemptionCounts()), 0)
--- a/cicadagateway/cicadaprocess/process.go
+++ b/cicadagateway/cicadaprocess/process.go
@@ -24,6 +24,7 @@
 	"cicadalink.example/cicadagateway/cicadabatch"
 	"cicadalink.example/cicadagateway/cicadaexchange"
 	"cicadalink.example/cicadagateway/cicadafollow"
+	"cicadalink.example/cicadagateway/cicadaorigin"
 	"cicadalink.example/cicadagateway/cicadapeer"
 	"cicadalink.example/cicadagateway/cicadaplace"
 	"cicadalink.example/cicadagateway/cicadarelay"
@@ -86,6 +87,8 @@
 	owner            atomic.Pointer[cicadabatch.Owner]
 
 	crashes    *crashEvidence
+	versions   *cicadaorigin.Versions
+	origins    *cicadaorigin.Tracker
 	drainLimit atomic.Int64 // longest time of a graceful shutdown, in nanoseconds
 	leaving    atomic.Bool  // this process is shutting down
 	retiring   atomic.Bool  // this process's VM is being retired
@@ -108,6 +111,9 @@
 		n.storeUp.Store(up)
 		n.notifyPeers()
 		n.electPoller()
+		if n.followersStarted.Load() {
+			n.updateOriginMembers()
+		}
 		if up && n.followersStarted.Load() {
 			n.configFollower.Refresh()
 			n.endpointFollower.Refresh()
@@ -116,6 +122,8 @@
 	n.table = cicadaplace.NewTable(cfg.Name, cicadaplace.WithDataCentre(cfg.DataCentre), cicadaplace.WithOnChange(n.notifyPeers),
 		cicadaplace.WithStaleness(n.peerStaleness))
 	n.crashes = newCrashEvidence(cfg.Name, n.log, p.Scope(), n.notifyPeers)
+	n.versions = cicadaorigin.NewVersions()
+	n.origins = cicadaorigin.NewTracker(cfg.Name, n.versions, cicadaorigin.WithSend(n.sendOriginMessage), cicadaorigin.WithScope(p.Scope()))
 	connectionsOpened := p.Scope().Counter("endpoint_connections")
 	n.client = cicadaexchange.NewClient(cicadaexchange.WithOnConnect(func() { connectionsOpened.Inc(1) }))
 	return n, nil
@@ -164,7 +172,8 @@
 		role = cicadapeer.RoleOwner
 	}
 	self := cicadapeer.Member{Name: n.cfg.Name, Role: role, Address: net.JoinHostPort(n.cfg.IP, strconv.Itoa(n.cfg.PeerPort))}
-	group, err := cicadapeer.New(ctx, self, n.log, n.localState, n.applyPeerState, n.membershipChanged, cicadapeer.WithScope(n.process.Scope()))
+	group, err := cicadapeer.New(ctx, self, n.log, n.localState, n.applyPeerState, n.membershipChanged,
+		cicadapeer.WithScope(n.process.Scope()), cicadapeer.WithOnMessage(n.receiveOriginMessage))
 	if err != nil {
 		return merry.Errorf("start peers: %w", err)
 	}
@@ -180,7 +189,7 @@
 func (n *Node) localState() cicadapeer.State {
 	s := cicadapeer.State{
 		StoreUp: n.storeUp.Load(), StoreStable: n.link.Stable(), StoreAge: uint32(min(n.link.Age().Milliseconds(), math.MaxUint32)),
-		Leaving: n.leaving.Load() || n.retiring.Load(),
+		Leaving: n.leaving.Load() || n.retiring.Load(), VersionsDigest: n.versions.Digest(),
 	}
 	if c := n.config.Load(); c != nil {
 		s.ConfigVersion = c.Version()
@@ -205,6 +214,9 @@
 		o.Wake()
 	}
 	n.crashes.merge(s, time.Now())
+	if n.versions.SetPeer(s.Member.Name, s.VersionsDigest) {
+		n.origins.Update()
+	}
 	n.catchUp(s)
 }
 
@@ -216,6 +228,7 @@
 	}
 	n.updateStoreRates()
 	n.updateSenders()
+	n.updateOriginMembers()
 	n.electPoller()
 }
 
@@ -263,7 +276,7 @@
 
 func (n *Node) startFollowers(ctx context.Context) {
 	whenElected := cicadafollow.WithPoll(func() bool { return n.group.IsCoordinator(n.storeUp.Load()) })
-	n.registry = cicadafollow.NewRegistry(ctx, n.link, n.log, adapter.DecodeEndpoint, n.table.SetEndpoints,
+	n.registry = cicadafollow.NewRegistry(ctx, n.link, n.log, adapter.DecodeEndpoint, n.setEndpoints,
 		cicadafollow.WithPeerStable(n.group.StoreStable))
 	n.configFollower = cicadafollow.New(ctx, n.store, adapter.ConfigPrefix, n.link, n.log, n.applyConfig, whenElected)
 	n.endpointFollower = cicadafollow.New(ctx, n.store, adapter.EndpointsPrefix, n.link, n.log, n.registry.Apply, whenElected,
@@ -271,6 +284,7 @@
 	n.followersStarted.Store(true)
 	n.updateStoreRates()
 	n.updateSenders()
+	n.updateOriginMembers()
 	cicadafollow.New(ctx, n.store, peersPrefix, n.link, n.log, n.directory.apply, cicadafollow.WithCoalesceDelay(coalesceDelay))
 }
 
@@ -301,7 +315,7 @@
 	}
 	relay := cicadarelay.New(n.config.Load, n.table, n.client, n.log,
 		cicadarelay.WithScope(n.process.Scope()), cicadarelay.WithShuttingDown(n.leaving.Load), cicadarelay.WithJobHandlers(n.jobHandlers(client)),
-		cicadarelay.WithMonitor(n.crashes.monitor),
+		cicadarelay.WithMonitor(n.crashes.monitor), cicadarelay.WithOrigins(n.origins),
 		cicadarelay.WithBodyMemory(int64(bodyMemoryFraction*float64(n.cfg.Memory))))
 	var tracker connTracker
 	srv := &http.Server{
--- a/cicadagateway/cicadarelay/exchange.go
+++ b/cicadagateway/cicadarelay/exchange.go
@@ -10,6 +10,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"cicadalink.example/cicadagateway/cicadaexchange"
+	"cicadalink.example/cicadagateway/cicadaorigin"
 	"cicadalink.example/cicadagateway/cicadaplace"
 	"cicadalink.example/cicadakernel/cicadaview"
 	adapter "cicadalink.example/platform"
@@ -39,10 +40,23 @@
 	sentAt     time.Time // of the current run
 	answered   bool      // whether the current run has got an event, or a complete answer
 	events     eventParser
+
+	stream    string              // id of the request that got the stream's first event
+	origin    cicadaorigin.Origin // of the stream, if continues is set
+	continues bool                // whether the next attempt continues an output
+	tracked   bool                // whether origins knows the stream as running
+	returned  bool                // whether avoid was cleared because no other endpoint was left
 }
 
 // run makes attempts until one succeeds or no further attempt is allowed.
 func (x *exchange) run(ctx context.Context) {
+	defer x.forgetStream()
+	if x.resumedByCaller() {
+		if err := x.findOrigin(ctx); err != nil {
+			x.fail(ctx, err)
+			return
+		}
+	}
 	for {
 		grant, err := x.acquireSlot(ctx)
 		if err != nil {
@@ -80,16 +94,6 @@
 	return ok
 }
 
-// acquireSlot waits for a slot for the next attempt. Once the request may have run,
-// it may wait until its deadline.
-func (x *exchange) acquireSlot(ctx context.Context) (*cicadaplace.Grant, error) {
-	wait := time.Duration(slotWaitFraction*float64(x.route.Goal)) - time.Since(x.start)
-	if x.runs > 0 {
-		wait = time.Until(x.deadline)
-	}
-	return x.relay.table.Acquire(ctx, cicadaplace.SlotRequest{Service: selectService(x.route), MaxWait: max(wait, 0), Avoid: x.avoid})
-}
-
 // attempt sends the request to one endpoint. It reports whether the request may be
 // sent to another one.
 func (x *exchange) attempt(ctx context.Context, grant *cicadaplace.Grant) bool {
@@ -124,7 +128,7 @@
 		x.avoid = append(x.avoid, endpoint.ID)
 		return true
 	}
-	if err := x.forwardResponse(res); err != nil {
+	if err := x.forwardResponse(res, endpoint); err != nil {
 		return x.handleInvalidResponse(ctx, grant, sent, err)
 	}
 	if res.StatusCode == http.StatusOK {
@@ -244,6 +248,10 @@
 		reason = reasonTimeout
 	case errors.Is(err, cicadaplace.ErrBusy):
 		reason = reasonBusy
+	case errors.Is(err, cicadaorigin.ErrUnknown):
+		reason = reasonUnknownOrigin
+	case errors.Is(err, cicadaplace.ErrNoEndpoint) && x.continues:
+		reason = reasonVersionGone
 	case errors.Is(err, cicadaplace.ErrNoEndpoint):
 		reason = reasonNoEndpoint
 	case errors.Is(err, errCrashesEndpoints):
@@ -253,15 +261,19 @@
 	x.relay.scope.Tagged(map[string]string{"reason": reason}).Counter("failed").Inc(1)
 	x.relay.metrics.recordFailed(reason, time.Since(x.start))
 	x.relay.log.Info("request failed", "id", x.id, "route", x.route.Name, "kind", x.route.Kind.String(), "reason", reason,
-		"status", status, "runs", x.runs, "sends", x.sends, "started", x.headerSent, "after", time.Since(x.start).String(), "error", err)
+		"status", status, "runs", x.runs, "sends", x.sends, "started", x.headerSent, "software-version", x.origin.Version, "resumes", x.r.Header.Get(adapter.HeaderResumes),
+		"resumed-after", x.r.Header.Get(adapter.HeaderLastEventID), "after", time.Since(x.start).String(), "error", err)
 	if x.headerSent || reason == reasonCallerDisconnected {
 		panic(http.ErrAbortHandler)
 	}
 	if status == http.StatusServiceUnavailable {
 		retry := x.relay.table.RetryAfter(x.route.Targets[0].Service)
-		if reason == reasonCrashesEndpoints {
+		switch reason {
+		case reasonCrashesEndpoints:
 			verdict, _ := x.relay.monitor.Check(x.fingerprint, x.parts, time.Now())
 			retry = verdict.Remaining
+		case reasonUnknownOrigin:
+			retry = unknownOriginRetryAfter
 		}
 		x.w.Header().Set("Retry-After", strconv.FormatFloat(retry.Seconds(), 'f', 3, 64))
 	}
--- a/cicadagateway/cicadarelay/forward.go
+++ b/cicadagateway/cicadarelay/forward.go
@@ -19,9 +19,9 @@
 var copyBuffers = sync.Pool{New: func() any { b := make([]byte, 16<<10); return &b }}
 
 // forwardResponse sends the response of an endpoint to the caller.
-func (x *exchange) forwardResponse(res *cicadaexchange.Response) error {
+func (x *exchange) forwardResponse(res *cicadaexchange.Response, endpoint cicadaview.Endpoint) error {
 	if x.route.Kind == cicadaview.Stream && res.StatusCode == http.StatusOK {
-		return x.forwardStream(res)
+		return x.forwardStream(res, endpoint)
 	}
 	return x.forwardBuffered(res)
 }
@@ -63,7 +63,7 @@
 
 // forwardStream sends events as they arrive. It sends only complete events, so that
 // a broken stream can be resumed after the last one.
-func (x *exchange) forwardStream(res *cicadaexchange.Response) error {
+func (x *exchange) forwardStream(res *cicadaexchange.Response, endpoint cicadaview.Endpoint) error {
 	control := http.NewResponseController(x.w)
 	buffer := copyBuffers.Get().(*[]byte)
 	defer copyBuffers.Put(buffer)
@@ -76,6 +76,9 @@
 				return merry.Errorf("event: %w: %w", cicadaexchange.ErrInvalidResponse, cicadaexchange.ErrTooLarge)
 			}
 			if len(events) > 0 {
+				if !x.answered {
+					x.recordOrigin(endpoint)
+				}
 				x.recordAnswer()
 				x.stopTimer()
 				if !x.headerSent {
--- a/cicadagateway/cicadarelay/metrics.go
+++ b/cicadagateway/cicadarelay/metrics.go
@@ -18,6 +18,7 @@
 	responseTime   map[cicadaview.Kind]tally.Histogram // from arrival to the end of the response
 	failureTime    map[string]tally.Histogram          // from arrival to the failure, by reason
 	slotWaitTime   tally.Histogram
+	resumed        map[string]tally.Counter // streams that went on, by whether the caller or the endpoint broke off
 }
 
 func newMetrics(scope tally.Scope) *metrics {
@@ -26,11 +27,15 @@
 		responseTime:   make(map[cicadaview.Kind]tally.Histogram),
 		failureTime:    make(map[string]tally.Histogram),
 		slotWaitTime:   scope.Histogram("slot_wait_time", latencyBuckets),
+		resumed:        make(map[string]tally.Counter),
+	}
+	for _, by := range []string{"endpoint", "caller"} {
+		m.resumed[by] = scope.Tagged(map[string]string{"by": by}).Counter("streams_resumed")
 	}
 	for _, kind := range []cicadaview.Kind{cicadaview.Safe, cicadaview.Unsafe, cicadaview.Stream} {
 		m.responseTime[kind] = scope.Tagged(map[string]string{"kind": kind.String()}).Histogram("answer_time", latencyBuckets)
 	}
-	for _, reason := range []string{reasonFailed, reasonCallerDisconnected, reasonTimeout, reasonBusy, reasonNoEndpoint} {
+	for _, reason := range []string{reasonFailed, reasonCallerDisconnected, reasonTimeout, reasonBusy, reasonNoEndpoint, reasonUnknownOrigin, reasonVersionGone} {
 		m.failureTime[reason] = scope.Tagged(map[string]string{"reason": reason}).Histogram("failure_time", latencyBuckets)
 	}
 	return m
@@ -47,6 +52,10 @@
 	m.slotWaitTime.RecordDuration(slotWait)
 }
 
+// countResumed counts a stream that went on at another endpoint, because the endpoint or
+// the caller had broken it off.
+func (m *metrics) countResumed(by string) { m.resumed[by].Inc(1) }
+
 // recordFailed records a request that failed after the given time.
 func (m *metrics) recordFailed(reason string, after time.Duration) {
 	if h := m.failureTime[reason]; h != nil {
--- a/cicadagateway/cicadarelay/relay.go
+++ b/cicadagateway/cicadarelay/relay.go
@@ -10,7 +10,8 @@
 //
 // A request that certainly did not run is sent to another endpoint, whatever its
 // kind. A request that may have run is retried only if it is idempotent. A broken
-// stream of a resumable route is resumed at another endpoint after its last event.
+// stream of a resumable route is resumed after its last event at another endpoint of the
+// software version that began it, also if the caller resumes it (see cicadaorigin).
 package cicadarelay
 
 import (
@@ -30,6 +31,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"cicadalink.example/cicadagateway/cicadaexchange"
+	"cicadalink.example/cicadagateway/cicadaorigin"
 	"cicadalink.example/cicadagateway/cicadaplace"
 	"cicadalink.example/cicadakernel/cicadasuspect"
 	"cicadalink.example/cicadakernel/cicadaview"
@@ -79,6 +81,8 @@
 	shuttingDown func() bool
 	// monitor knows requests that crash endpoints.
 	monitor *cicadasuspect.Monitor
+	// origins knows which versions of endpoints began streams.
+	origins *cicadaorigin.Tracker
 	tasks   conc.WaitGroup
 }
 
@@ -107,12 +111,18 @@
 	return func(r *Relay) { r.monitor = monitor }
 }
 
+// WithOrigins sets the tracker of the origins of streams. The default knows only those of
+// this Relay and of no version that is registered.
+func WithOrigins(origins *cicadaorigin.Tracker) Option {
+	return func(r *Relay) { r.origins = origins }
+}
+
 // New returns a Relay. The config function returns the current configuration, or
 // nil if there is none yet.
 func New(config func() *cicadaview.Config, table *cicadaplace.Table, client *cicadaexchange.Client, log hclog.Logger, opts ...Option) *Relay {
 	r := &Relay{
 		config: config, table: table, client: client, log: log, scope: tally.NoopScope, shuttingDown: func() bool { return false },
-		monitor: cicadasuspect.NewMonitor("", QuarantinePeriod),
+		monitor: cicadasuspect.NewMonitor("", QuarantinePeriod), origins: cicadaorigin.NewTracker("", cicadaorigin.NewVersions()),
 	}
 	for _, opt := range opts {
 		opt(r)
--- /dev/null
+++ b/cicadagateway/cicadarelay/resume.go
@@ -0,0 +1,119 @@
+package cicadarelay
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"cicadalink.example/cicadagateway/cicadaorigin"
+	"cicadalink.example/cicadagateway/cicadaplace"
+	"cicadalink.example/cicadakernel/cicadaview"
+	adapter "cicadalink.example/platform"
+)
+
+// Reasons why a stream was not continued.
+const (
+	reasonUnknownOrigin = "unknown-origin"
+	reasonVersionGone   = "version-gone"
+)
+
+// unknownOriginRetryAfter is the time after which a caller should try to resume a stream of
+// unknown origin at another entry. Its record may only have been late.
+const unknownOriginRetryAfter = 100 * time.Millisecond
+
+// resumedByCaller reports whether the request is the rest of a stream that the caller has
+// received in part.
+func (x *exchange) resumedByCaller() bool {
+	return x.route.Kind == cicadaview.Stream && x.route.Resumable && x.r.Header.Get(adapter.HeaderLastEventID) != ""
+}
+
+// findOrigin finds out which version of which service began the stream that the caller
+// resumes.
+func (x *exchange) findOrigin(ctx context.Context) error {
+	services := make([]string, len(x.route.Targets))
+	for i, target := range x.route.Targets {
+		services[i] = target.Service
+	}
+	x.stream = x.r.Header.Get(adapter.HeaderResumes)
+	origin, err := x.relay.origins.Find(ctx, x.stream, services)
+	if err != nil {
+		return err
+	}
+	x.origin, x.continues = origin, true
+	return nil
+}
+
+// slotRequest returns the request for a slot of the next attempt.
+func (x *exchange) slotRequest() cicadaplace.SlotRequest {
+	if !x.continues {
+		return cicadaplace.SlotRequest{Service: selectService(x.route), MaxWait: max(x.slotWait(), 0), Avoid: x.avoid}
+	}
+	return cicadaplace.SlotRequest{
+		Service: x.origin.Service, MaxWait: max(x.slotWait(), 0), Avoid: x.avoid, Continues: true, Version: x.origin.Version,
+	}
+}
+
+// slotWait returns how long the next attempt may wait for a slot. Once the request may have
+// run, it may wait until its deadline. A caller that resumes a stream has been waiting since
+// the last event.
+func (x *exchange) slotWait() time.Duration {
+	if x.runs > 0 {
+		return time.Until(x.deadline)
+	}
+	wait := time.Duration(slotWaitFraction * float64(x.route.Goal))
+	if x.continues {
+		wait = max(wait, x.route.PauseGoal)
+	}
+	return wait - time.Since(x.start)
+}
+
+// continuable reports whether the route still has the service that began the stream.
+func (x *exchange) continuable() bool {
+	return !x.continues || slices.ContainsFunc(x.route.Targets, func(t cicadaview.Target) bool { return t.Service == x.origin.Service })
+}
+
+// acquireSlot waits for a slot for the next attempt. A stream that was begun may return to
+// an endpoint that failed before, if no other of its version is left.
+func (x *exchange) acquireSlot(ctx context.Context) (*cicadaplace.Grant, error) {
+	if !x.continuable() {
+		return nil, cicadaplace.ErrNoEndpoint
+	}
+	grant, err := x.relay.table.Acquire(ctx, x.slotRequest())
+	if errors.Is(err, cicadaplace.ErrNoEndpoint) && x.continues && len(x.avoid) > 0 && !x.returned {
+		x.avoid, x.returned = nil, true
+		return x.relay.table.Acquire(ctx, x.slotRequest())
+	}
+	return grant, err
+}
+
+// recordOrigin records where a stream that can be resumed has begun, or goes on, before its
+// next events are sent to the caller.
+func (x *exchange) recordOrigin(endpoint cicadaview.Endpoint) {
+	if x.route.Kind != cicadaview.Stream || !x.route.Resumable {
+		return
+	}
+	by := "endpoint"
+	switch {
+	case !x.continues:
+		x.stream = x.id
+		x.origin, x.continues = cicadaorigin.Origin{Service: endpoint.Service, Version: endpoint.SoftwareVersion}, true
+		by = ""
+	case x.resumedByCaller():
+		by = "caller"
+	}
+	if by != "" {
+		x.relay.metrics.countResumed(by)
+	}
+	if x.stream != "" {
+		x.relay.origins.Begin(x.stream, x.origin)
+		x.tracked = true
+	}
+}
+
+// forgetStream ends the record of a running stream.
+func (x *exchange) forgetStream() {
+	if x.tracked {
+		x.relay.origins.End(x.stream)
+	}
+}
