Tell peers of endpoints that refuse connections, and pass by them

Cause: an endpoint that has crashed has lost its requests, so it looks idle and is chosen first. Each of 88 entries found out alone which 32 endpoints were gone, one connection at a time, and attempts that reached no endpoint used up the six that a request may make: of 182 failed requests in the logs of three entries 153 had made six attempts and no run.

Change: an entry tells its peers of an endpoint that refuses its connection, in its next two messages, and they back off as after a failure of their own. Attempts that reach no endpoint do not count within the time that a request may wait for a slot. A request that has failed once, or that continues a stream, is not sent to endpoints that have not responded since their backoff while there are others.

TestRequestPassesByEndpointsThatRefuse fails 17 times in 20 on the code before (the endpoint that serves is among the first six else). TestCrashedEndpointsThatLookIdle plays the load without a network: 90 entries, 160 endpoints, a fifth gone: 167 refused connections and no request with more than five after a quarter of a second; without the messages 2,499 refused connections, and 194 such attempts.

--- a/cicadagateway/cicadabatch/schedule.go
+++ b/cicadagateway/cicadabatch/schedule.go
@@ -256,7 +256,11 @@
 		}
 		o.backOff(it, grant, now)
 	case runBroken, runNotStarted:
-		grant.RecordFailure()
+		if cicadaexchange.RefusedConnection(err) {
+			grant.RecordRefusal()
+		} else {
+			grant.RecordFailure()
+		}
 		o.backOff(it, grant, now)
 	case runFull:
 		grant.RecordOverload()
--- a/cicadagateway/cicadaexchange/client.go
+++ b/cicadagateway/cicadaexchange/client.go
@@ -390,6 +390,10 @@
 	return err == nil && reusable
 }
 
+// RefusedConnection reports whether an error of Do means that the endpoint refused the
+// connection, so that no process listens at its address.
+func RefusedConnection(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
 // Refused reports whether the endpoint at an address refuses connections, as one does that
 // has just crashed. An endpoint that is not reached in time is not known to refuse.
 func (c *Client) Refused(ctx context.Context, address string) bool {
@@ -397,7 +401,7 @@
 	defer cancel()
 	raw, err := c.dial(ctx, address)
 	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+		return RefusedConnection(err)
 	}
 	c.onConnect()
 	_ = raw.Close()
--- a/cicadagateway/cicadapeer/state.go
+++ b/cicadagateway/cicadapeer/state.go
@@ -53,6 +53,8 @@
 	// progress, as the member knows them.
 	VersionsDigest uint64
 	InFlight       []InFlight
+	// Refusals lists endpoints that have just refused connections of the member.
+	Refusals []string
 	// NotReceived lists the known members whose messages this member does not receive
 	// directly.
 	NotReceived []string
--- a/cicadagateway/cicadaplace/grant.go
+++ b/cicadagateway/cicadaplace/grant.go
@@ -71,12 +71,38 @@
 func (g *Grant) RecordFailure() {
 	g.table.mu.Lock()
 	defer g.table.mu.Unlock()
-	now := time.Now()
-	if now.Before(g.state.backoffUntil) {
-		return
+	g.state.backOff(time.Now())
+}
+
+// backOff starts or doubles the backoff of an endpoint. It reports false during a backoff.
+func (e *endpointState) backOff(now time.Time) bool {
+	if now.Before(e.backoffUntil) {
+		return false
+	}
+	e.backoff = min(max(2*e.backoff, minBackoff), maxBackoff)
+	e.backoffUntil = now.Add(e.backoff)
+	return true
+}
+
+// RecordRefusal records that the endpoint refused the connection, as one does that has
+// crashed. It looks idle to all processes, so peers are to be told (see WithOnRefusal).
+func (g *Grant) RecordRefusal() {
+	t := g.table
+	t.mu.Lock()
+	news := g.state.backOff(time.Now())
+	t.mu.Unlock()
+	if news {
+		t.onRefusal(g.endpoint.ID)
+	}
+}
+
+// RecordPeerRefusal records that an endpoint refused a connection of a peer.
+func (t *Table) RecordPeerRefusal(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.endpointsByID[id]; e != nil {
+		e.backOff(time.Now())
 	}
-	g.state.backoff = min(max(2*g.state.backoff, minBackoff), maxBackoff)
-	g.state.backoffUntil = now.Add(g.state.backoff)
 }
 
 // RecordOverload records that the endpoint rejected the request because it had no capacity.
--- a/cicadagateway/cicadaplace/table.go
+++ b/cicadagateway/cicadaplace/table.go
@@ -110,6 +110,7 @@
 	senders       Senders
 	nextExpiry    time.Time // no counts of a peer expire before this
 	onChange      func()
+	onRefusal     func(id string)
 	staleness     func() time.Duration
 	candidates    []candidate // reused by choose
 }
@@ -121,6 +122,13 @@
 // changed. It must not call methods of the Table.
 func WithOnChange(onChange func()) Option { return func(t *Table) { t.onChange = onChange } }
 
+// WithOnRefusal sets a function that is called with the ID of an endpoint that has refused a
+// connection and was not in backoff. It is to pass this on to peers, whose tables take it
+// in by RecordPeerRefusal.
+func WithOnRefusal(onRefusal func(id string)) Option {
+	return func(t *Table) { t.onRefusal = onRefusal }
+}
+
 // WithStaleness sets the function that returns how old the counts of peers are on average.
 // The default is 0.
 func WithStaleness(staleness func() time.Duration) Option {
@@ -135,7 +143,7 @@
 func NewTable(name string, opts ...Option) *Table {
 	t := &Table{
 		name: name, endpointsByID: make(map[string]*endpointState), services: make(map[string]*service),
-		peers: make(map[string]*peer), onChange: func() {}, staleness: func() time.Duration { return 0 },
+		peers: make(map[string]*peer), onChange: func() {}, onRefusal: func(string) {}, staleness: func() time.Duration { return 0 },
 	}
 	for _, opt := range opts {
 		opt(t)
@@ -220,16 +228,23 @@
 }
 
 // selectEndpoint returns the endpoint for an online request, or nil if online
-// requests hold all slots. Endpoints in backoff are used only if there is no other.
+// requests hold all slots. Endpoints in backoff are used only if there is no other. A request
+// that has failed before, or that continues an output, is sent to an endpoint that has not
+// responded since its backoff only if there is no other: several of these may have crashed.
 func (t *Table) selectEndpoint(svc *service, req SlotRequest) *endpointState {
 	now := time.Now()
-	if e := t.choose(svc, req, now, false); e != nil {
+	if !req.unrestricted() {
+		if e := t.choose(svc, req, func(e *endpointState) bool { return e.backoff == 0 && !now.Before(e.backoffUntil) }); e != nil {
+			return e
+		}
+	}
+	if e := t.choose(svc, req, func(e *endpointState) bool { return !now.Before(e.backoffUntil) }); e != nil {
 		return e
 	}
 	if svc.hasReady(req, now) {
 		return nil
 	}
-	return t.choose(svc, req, now, true)
+	return t.choose(svc, req, func(*endpointState) bool { return true })
 }
 
 // hasReady reports whether any endpoint that may be used for the request is not in
@@ -243,12 +258,13 @@
 	return false
 }
 
-// choose returns an endpoint for the request among those where online requests do not hold
-// all slots, or nil.
-func (t *Table) choose(svc *service, req SlotRequest, now time.Time, includeBackoff bool) *endpointState {
+// choose returns an endpoint for the request among those that are healthy and where online
+// requests do not hold all slots, or nil.
+func (t *Table) choose(svc *service, req SlotRequest, healthy func(*endpointState) bool) *endpointState {
+	now := time.Now()
 	t.candidates = t.candidates[:0]
 	for _, e := range svc.endpoints {
-		if !req.allows(e) || e.online() >= e.Slots || (!includeBackoff && now.Before(e.backoffUntil)) || !e.limit.allows(now) {
+		if !req.allows(e) || e.online() >= e.Slots || !healthy(e) || !e.limit.allows(now) {
 			continue
 		}
 		cost := float64(e.online()) + batchCost*float64(e.batch())
--- a/cicadagateway/cicadaprocess/outbox.go
+++ b/cicadagateway/cicadaprocess/outbox.go
@@ -1,14 +1,18 @@
 package cicadaprocess
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 const (
 	// maxSentReports limits the entries of an outbox in one message, and
 	// maxPendingReports those that wait.
 	maxSentReports    = 16
 	maxPendingReports = 256
-	// reportSends is the number of messages that hold an entry. The first two follow its
-	// addition directly, the others are reportInterval apart.
+	// reportSends is the number of messages that hold an entry, unless maxSends says
+	// otherwise. The first two follow its addition directly, the others are reportInterval
+	// apart.
 	reportSends    = 6
 	promptSends    = 2
 	reportInterval = 200 * time.Millisecond
@@ -18,6 +22,8 @@
 // does no harm. The zero value is ready to use.
 type outbox[T any] struct {
 	entries []outboxEntry[T]
+	// maxSends is the number of messages that hold an entry, or 0 for reportSends.
+	maxSends int
 }
 
 type outboxEntry[T any] struct {
@@ -44,7 +50,7 @@
 			out = append(out, e.value)
 			e.sends, e.sentAt = e.sends+1, now
 		}
-		if e.sends < reportSends {
+		if e.sends < cmp.Or(o.maxSends, reportSends) {
 			kept = append(kept, e)
 		}
 	}
--- a/cicadagateway/cicadaprocess/process.go
+++ b/cicadagateway/cicadaprocess/process.go
@@ -20,6 +20,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/hashicorp/go-hclog"
 	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
 
 	"cicadalink.example/cicadagateway/cicadabatch"
 	"cicadalink.example/cicadagateway/cicadaexchange"
@@ -86,14 +87,16 @@
 	catchingUp       atomic.Bool // a catchUp is in progress
 	owner            atomic.Pointer[cicadabatch.Owner]
 
-	crashes    *crashEvidence
-	versions   *cicadaorigin.Versions
-	origins    *cicadaorigin.Tracker
-	drainLimit atomic.Int64 // longest time of a graceful shutdown, in nanoseconds
-	leaving    atomic.Bool  // this process is shutting down
-	retiring   atomic.Bool  // this process's VM is being retired
-	storeUp    atomic.Bool  // the state of link
-	wg         conc.WaitGroup
+	crashes          *crashEvidence
+	refusals         *refusals
+	versions         *cicadaorigin.Versions
+	origins          *cicadaorigin.Tracker
+	refusalsReported tally.Counter
+	drainLimit       atomic.Int64 // longest time of a graceful shutdown, in nanoseconds
+	leaving          atomic.Bool  // this process is shutting down
+	retiring         atomic.Bool  // this process's VM is being retired
+	storeUp          atomic.Bool  // the state of link
+	wg               conc.WaitGroup
 }
 
 // New returns a Node. Call Serve to run it.
@@ -120,7 +123,9 @@
 		}
 	})
 	n.table = cicadaplace.NewTable(cfg.Name, cicadaplace.WithDataCentre(cfg.DataCentre), cicadaplace.WithOnChange(n.notifyPeers),
-		cicadaplace.WithStaleness(n.peerStaleness))
+		cicadaplace.WithStaleness(n.peerStaleness), cicadaplace.WithOnRefusal(n.reportRefusal))
+	n.refusalsReported = p.Scope().Counter("endpoint_refusals_reported")
+	n.refusals = newRefusals()
 	n.crashes = newCrashEvidence(cfg.Name, n.log, p.Scope(), n.notifyPeers)
 	n.versions = cicadaorigin.NewVersions()
 	n.origins = cicadaorigin.NewTracker(cfg.Name, n.versions, cicadaorigin.WithSend(n.sendOriginMessage), cicadaorigin.WithScope(p.Scope()))
@@ -198,6 +203,7 @@
 		s.EndpointsAsOf, s.EndpointsDigest = n.endpointFollower.AsOf(), n.registry.Digest()
 	}
 	n.crashes.addTo(&s, time.Now())
+	s.Refusals = n.refusals.next(time.Now())
 	for id, count := range n.table.LocalInFlight() {
 		s.InFlight = append(s.InFlight, encodeInFlight(id, count))
 	}
@@ -210,6 +216,9 @@
 		counts[l.Endpoint] = decodeInFlight(l)
 	}
 	n.table.SetPeer(s.Member.Name, counts)
+	for _, endpoint := range s.Refusals {
+		n.table.RecordPeerRefusal(endpoint)
+	}
 	if o := n.owner.Load(); o != nil {
 		o.Wake()
 	}
--- /dev/null
+++ b/cicadagateway/cicadaprocess/refusals.go
@@ -0,0 +1,40 @@
+package cicadaprocess
+
+import (
+	"sync"
+	"time"
+)
+
+// refusals holds the endpoints that have refused connections of this process, until peers
+// have been told. An endpoint that has crashed looks idle to all of them.
+type refusals struct {
+	mu     sync.Mutex
+	outbox outbox[string]
+}
+
+// newRefusals returns refusals of which peers are told at once or not at all, as the endpoint
+// may soon be back.
+func newRefusals() *refusals {
+	return &refusals{outbox: outbox[string]{maxSends: promptSends}}
+}
+
+func (r *refusals) add(endpoint string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.outbox.add(endpoint)
+}
+
+// next returns the endpoints for the next message to peers.
+func (r *refusals) next(now time.Time) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.outbox.next(now)
+}
+
+// reportRefusal reports to peers that an endpoint has refused a connection.
+func (n *Node) reportRefusal(endpoint string) {
+	n.refusals.add(endpoint)
+	n.refusalsReported.Inc(1)
+	n.log.Info("endpoint refuses connections", "endpoint", endpoint)
+	n.notifyPeers()
+}
--- a/cicadagateway/cicadarelay/exchange.go
+++ b/cicadagateway/cicadarelay/exchange.go
@@ -34,12 +34,15 @@
 	cancel      context.CancelCauseFunc
 
 	sends      int       // attempts, including those that did not reach an endpoint
+	unsent     int       // attempts that did not reach an endpoint and do not count, see searchTime
 	runs       int       // attempts in which the endpoint may have run the request
 	avoid      []string  // IDs of endpoints that are not tried again
 	headerSent bool      // whether the response header was sent to the caller
 	sentAt     time.Time // of the current run
-	answered   bool      // whether the current run has got an event, or a complete answer
-	events     eventParser
+	// searchStart is when the search for an endpoint began: at first, or after the last run.
+	searchStart time.Time
+	answered    bool // whether the current run has got an event, or a complete answer
+	events      eventParser
 
 	stream    string              // id of the request that got the stream's first event
 	origin    cicadaorigin.Origin // of the stream, if continues is set
@@ -161,7 +164,7 @@
 // mayRunAgain reports whether a request that may have run may be sent to another
 // endpoint.
 func (x *exchange) mayRunAgain() bool {
-	return x.route.Idempotent() && x.runs < x.route.MaxAttempts && x.sends < maxSends
+	return x.route.Idempotent() && x.runs < x.route.MaxAttempts && x.sends-x.unsent < maxSends
 }
 
 // handleError handles a request that could not be sent or got no response. It
@@ -175,16 +178,29 @@
 		x.fail(ctx, err)
 		return false
 	}
-	grant.RecordFailure()
+	if cicadaexchange.RefusedConnection(err) {
+		grant.RecordRefusal()
+	} else {
+		grant.RecordFailure()
+	}
 	x.logFailedAttempt(grant, sent, "not-sent", err)
 	x.avoid = append(x.avoid, grant.Endpoint().ID)
-	if x.sends >= maxSends {
+	if time.Since(x.searchStart) < x.searchTime() {
+		x.unsent++
+	}
+	if x.sends-x.unsent >= maxSends {
 		x.fail(ctx, err)
 		return false
 	}
 	return true
 }
 
+// searchTime is how long attempts that reach no endpoint do not count. Many endpoints may
+// have crashed at once, and each attempt at one of them takes little time.
+func (x *exchange) searchTime() time.Duration {
+	return time.Duration(slotWaitFraction * float64(x.route.Goal))
+}
+
 // handleNotRun handles a response which states that the endpoint did not run the
 // request. It reports whether the request may be sent to another endpoint.
 func (x *exchange) handleNotRun(grant *cicadaplace.Grant, status int) bool {
@@ -195,7 +211,7 @@
 		grant.RecordOverload()
 	}
 	x.logFailedAttempt(grant, time.Now(), "not-run", nil)
-	if x.sends >= maxSends {
+	if x.sends-x.unsent >= maxSends {
 		x.fail(context.Background(), cicadaplace.ErrBusy)
 		return false
 	}
@@ -211,6 +227,7 @@
 		return false
 	}
 	grant.RecordFailure()
+	x.searchStart = time.Now()
 	x.logFailedAttempt(grant, sent, "broken", err)
 	x.recordCrash(grant.Endpoint(), err)
 	if x.refused() {
--- a/cicadagateway/cicadarelay/relay.go
+++ b/cicadagateway/cicadarelay/relay.go
@@ -216,6 +216,7 @@
 		relay: rl, w: w, r: r, route: route, body: body, start: time.Now(),
 		id: r.Header.Get(adapter.HeaderRequestID),
 	}
+	x.searchStart = x.start
 	x.deadline = x.start.Add(callerTimeout(r))
 	x.fingerprint, x.parts = fingerprint(r, body), sharedParts(r.Header)
 	if verdict, refused := rl.monitor.Check(x.fingerprint, x.parts, x.start); refused {
