Send nothing to endpoints that say in a response that they are leaving

An entry whose list is old went on to use it (DRAIN).

Change: the header is taken from responses of every status to callers' requests and to runs of items, but not from 421, which another endpoint sends. The endpoint then counts as draining at this process until it has started anew, whatever an older list says, and also if it is registered again.

--- a/cicadagateway/cicadabatch/engine_test.go
+++ b/cicadagateway/cicadabatch/engine_test.go
@@ -36,13 +36,15 @@
 	runs         map[string]int   // started, by item
 	resumedAfter map[string][]int // by item: the event after which each run was to resume
 	active       int
-	dropAfter    int  // the first run of each item is interrupted after this event, if above 0
-	stalled      bool // new runs send nothing
-	crashRuns    int  // the first runs of each item that end before the first event
+	dropAfter    int            // the first run of each item is interrupted after this event, if above 0
+	stalled      bool           // new runs send nothing
+	crashRuns    int            // the first runs of each item that end before the first event
+	leaving      string         // address of an engine that states that it is leaving
+	runsAt       map[string]int // by address
 }
 
 func newFakeEngines() *fakeEngines {
-	return &fakeEngines{eventsSent: make(map[string]int), runs: make(map[string]int), resumedAfter: make(map[string][]int)}
+	return &fakeEngines{eventsSent: make(map[string]int), runs: make(map[string]int), resumedAfter: make(map[string][]int), runsAt: make(map[string]int)}
 }
 
 // activeRuns returns the number of items that are running.
@@ -96,6 +98,10 @@
 	lastEvent, _ := strconv.Atoi(req.Header.Get(adapter.HeaderLastEventID))
 	e.resumedAfter[id] = append(e.resumedAfter[id], lastEvent)
 	e.runs[id]++
+	e.runsAt[address]++
+	if e.leaving == address {
+		head += "Server-Leaving: 1\r\n"
+	}
 	run := e.runs[id]
 	drop := e.dropAfter > 0 && e.runs[id] == 1
 	stalled := e.stalled
--- a/cicadagateway/cicadabatch/owner_test.go
+++ b/cicadagateway/cicadabatch/owner_test.go
@@ -195,6 +195,26 @@
 	})
 }
 
+// Guards against items that are sent to an endpoint after it has said that it is leaving.
+func TestItemsAvoidLeavingEndpoints(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newTestDeployment()
+		d.leaving = "e1"
+		o := d.startOwner("o1", fixedOwners("o1"))
+		defer o.stop()
+		time.Sleep(time.Second)
+		o.call(t, submitCall("j", 20, 20, 20, 20, 20))
+		time.Sleep(3 * time.Second)
+		d.checkComplete(t, o.results(t, "j", 0), "j", 20, 20, 20, 20, 20)
+		before := d.runsAt["e1"]
+		assert.Assert(t, before > 0)
+		o.call(t, submitCall("k", 20, 20, 20, 20, 20))
+		time.Sleep(3 * time.Second)
+		d.checkComplete(t, o.results(t, "k", 0), "k", 20, 20, 20, 20, 20)
+		assert.Equal(t, d.runsAt["e1"], before)
+	})
+}
+
 // This guards against an item that is never placed again because endpoints crashed while
 // they ran it: they have room, and the only other one has none.
 func TestItemReturnsToEndpointsThatCrashed(t *testing.T) {
--- a/cicadagateway/cicadabatch/run.go
+++ b/cicadagateway/cicadabatch/run.go
@@ -60,6 +60,7 @@
 	// onRateLimit is called with the limit that the endpoint states in its response, in
 	// requests a second, or 0.
 	onRateLimit func(perSecond float64)
+	onLeaving   func() // called if the endpoint states that it is leaving
 }
 
 // execute runs an item and returns the outcome. Whatever the outcome, the run holds
@@ -80,6 +81,9 @@
 		r.rateLimit = limit
 		r.onRateLimit(limit)
 	}
+	if adapter.StatesLeaving(resp.StatusCode, resp.Header) && r.onLeaving != nil {
+		r.onLeaving()
+	}
 	if result, done := r.statusOutcome(resp); done {
 		resp.Discard()
 		return result, merry.Errorf("status %d", resp.StatusCode)
--- a/cicadagateway/cicadabatch/schedule.go
+++ b/cicadagateway/cicadabatch/schedule.go
@@ -186,7 +186,7 @@
 	ctx, cancel := context.WithCancel(o.ctx)
 	it.state, it.grant, it.stop, it.startedAt, it.pinned = itemRunning, grant, cancel, time.Now(), false
 	o.running[endpoint.ID] = append(o.running[endpoint.ID], it)
-	r := &run{firstEvent: it.lastEvent, lastEvent: it.lastEvent, onRateLimit: grant.RecordRateLimit}
+	r := &run{firstEvent: it.lastEvent, lastEvent: it.lastEvent, onRateLimit: grant.RecordRateLimit, onLeaving: grant.RecordLeaving}
 	it.run = r
 	req := o.runRequest(it, endpoint.ID)
 	o.wg.Go(func() {
--- a/cicadagateway/cicadaplace/table.go
+++ b/cicadagateway/cicadaplace/table.go
@@ -111,6 +111,8 @@
 	nextExpiry    time.Time // no counts of a peer expire before this
 	onChange      func()
 	onRefusal     func(id string)
+	onLeaving     func(id string)
+	leaving       map[string]leavingMark // by endpoint
 	staleness     func() time.Duration
 	candidates    []candidate // reused by choose
 }
@@ -129,6 +131,12 @@
 	return func(t *Table) { t.onRefusal = onRefusal }
 }
 
+// WithOnLeaving sets a function that is called with the ID of an endpoint that has said that
+// it is leaving and is not registered as draining. It must not call methods of the Table.
+func WithOnLeaving(onLeaving func(id string)) Option {
+	return func(t *Table) { t.onLeaving = onLeaving }
+}
+
 // WithStaleness sets the function that returns how old the counts of peers are on average.
 // The default is 0.
 func WithStaleness(staleness func() time.Duration) Option {
@@ -143,7 +151,8 @@
 func NewTable(name string, opts ...Option) *Table {
 	t := &Table{
 		name: name, endpointsByID: make(map[string]*endpointState), services: make(map[string]*service),
-		peers: make(map[string]*peer), onChange: func() {}, onRefusal: func(string) {}, staleness: func() time.Duration { return 0 },
+		peers: make(map[string]*peer), onChange: func() {}, onRefusal: func(string) {}, onLeaving: func(string) {},
+		leaving: make(map[string]leavingMark), staleness: func() time.Duration { return 0 },
 	}
 	for _, opt := range opts {
 		opt(t)
@@ -173,6 +182,7 @@
 			state.backoff, state.backoffUntil = 0, time.Time{}
 			state.limit = rateLimit{}
 		}
+		e.Draining = e.Draining || t.saidLeaving(e)
 		state.Endpoint = e
 		byID[e.ID] = state
 		svc := t.service(e.Service)
@@ -183,6 +193,7 @@
 	}
 	t.removed = removedInUse(byID, t.endpointsByID, t.removed)
 	t.endpointsByID = byID
+	t.forgetLeaving(time.Now())
 	t.expirePeers(time.Now())
 	t.sumPeers()
 	t.grantWaiters()
--- a/cicadagateway/cicadaprocess/process.go
+++ b/cicadagateway/cicadaprocess/process.go
@@ -123,7 +123,8 @@
 		}
 	})
 	n.table = cicadaplace.NewTable(cfg.Name, cicadaplace.WithDataCentre(cfg.DataCentre), cicadaplace.WithOnChange(n.notifyPeers),
-		cicadaplace.WithStaleness(n.peerStaleness), cicadaplace.WithOnRefusal(n.reportRefusal))
+		cicadaplace.WithStaleness(n.peerStaleness), cicadaplace.WithOnRefusal(n.reportRefusal),
+		cicadaplace.WithOnLeaving(func(id string) { n.log.Info("endpoint states that it is leaving", "endpoint", id) }))
 	n.refusalsReported = p.Scope().Counter("endpoint_refusals_reported")
 	n.refusals = newRefusals()
 	n.crashes = newCrashEvidence(cfg.Name, n.log, p.Scope(), n.notifyPeers)
--- a/cicadagateway/cicadarelay/exchange.go
+++ b/cicadagateway/cicadarelay/exchange.go
@@ -117,6 +117,9 @@
 	if limit, ok := adapter.StatedRateLimit(res.StatusCode, res.Header); ok {
 		grant.RecordRateLimit(limit)
 	}
+	if adapter.StatesLeaving(res.StatusCode, res.Header) {
+		grant.RecordLeaving()
+	}
 	if res.StatusCode == http.StatusMisdirectedRequest || res.Header.Get(adapter.HeaderNotRun) != "" {
 		res.Discard()
 		return x.handleNotRun(grant, res.StatusCode)
