Continue batch items only at the software version that began their output

Change: the progress of an item names the service and version that began its output, in the checkpoints on disk and at the next owner too. Progress of another origin is not appended. An item whose version is gone starts anew; one whose version is only busy while others are idle waits as long as its output took to make, so that it costs at most twice the work.

--- a/cicadagateway/cicadabatch/checkpoint.go
+++ b/cicadagateway/cicadabatch/checkpoint.go
@@ -119,7 +119,7 @@
 		if it == nil || r.lastEvent == 0 && r.resultState == "" {
 			continue
 		}
-		j.resume(it, Progress{Item: id, Last: r.lastEvent, Text: r.output.String(), Failures: r.failures, State: r.resultState})
+		j.resume(it, Progress{Item: id, Origin: r.origin, Last: r.lastEvent, Text: r.output.String(), Failures: r.failures, State: r.resultState})
 		j.recoveredItems++
 	}
 	if j.recoveredItems > 0 {
--- a/cicadagateway/cicadabatch/engine_test.go
+++ b/cicadagateway/cicadabatch/engine_test.go
@@ -36,15 +36,16 @@
 	runs         map[string]int   // started, by item
 	resumedAfter map[string][]int // by item: the event after which each run was to resume
 	active       int
-	dropAfter    int            // the first run of each item is interrupted after this event, if above 0
-	stalled      bool           // new runs send nothing
-	crashRuns    int            // the first runs of each item that end before the first event
-	leaving      string         // address of an engine that states that it is leaving
-	runsAt       map[string]int // by address
+	dropAfter    int                 // the first run of each item is interrupted after this event, if above 0
+	stalled      bool                // new runs send nothing
+	crashRuns    int                 // the first runs of each item that end before the first event
+	addresses    map[string][]string // of the runs, by item
+	leaving      string              // address of an engine that states that it is leaving
+	runsAt       map[string]int      // by address
 }
 
 func newFakeEngines() *fakeEngines {
-	return &fakeEngines{eventsSent: make(map[string]int), runs: make(map[string]int), resumedAfter: make(map[string][]int), runsAt: make(map[string]int)}
+	return &fakeEngines{eventsSent: make(map[string]int), runs: make(map[string]int), resumedAfter: make(map[string][]int), runsAt: make(map[string]int), addresses: make(map[string][]string)}
 }
 
 // activeRuns returns the number of items that are running.
@@ -99,6 +100,7 @@
 	e.resumedAfter[id] = append(e.resumedAfter[id], lastEvent)
 	e.runs[id]++
 	e.runsAt[address]++
+	e.addresses[id] = append(e.addresses[id], address)
 	if e.leaving == address {
 		head += "Server-Leaving: 1\r\n"
 	}
@@ -233,3 +235,16 @@
 	assert.NilError(t, err)
 	return *resp
 }
+
+// occupy keeps slots of an endpoint taken by online requests of another process until ctx
+// is done.
+func (m *testOwner) occupy(ctx context.Context, endpoint string, slots int) {
+	for {
+		m.table.SetPeer("entry", map[string]cicadaplace.InFlight{endpoint: {Online: slots}})
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(250 * time.Millisecond):
+		}
+	}
+}
--- a/cicadagateway/cicadabatch/job.go
+++ b/cicadagateway/cicadabatch/job.go
@@ -38,10 +38,13 @@
 	excludedEndpoints []string     // of the last failed runs, see excluded
 	excludedUntil     time.Time
 	notBefore         time.Time // of the next run
-	grant             *cicadaplace.Grant
-	stop              func()    // cancels the current run
-	startedAt         time.Time // of the latest run
-	pinned            bool      // protected from preemption
+	// versionBusySince is when the endpoints of the version that began the item's output were
+	// first found busy while others were idle, or zero.
+	versionBusySince time.Time
+	grant            *cicadaplace.Grant
+	stop             func()    // cancels the current run
+	startedAt        time.Time // of the latest run
+	pinned           bool      // protected from preemption
 }
 
 // A job is a batch job as an owner process knows it.
--- a/cicadagateway/cicadabatch/metrics.go
+++ b/cicadagateway/cicadabatch/metrics.go
@@ -22,6 +22,7 @@
 	runTime            tally.Histogram // of uninterrupted runs
 	timeLeft           tally.Histogram // until a job is due, when a chunk of its results is listed
 	preempted          tally.Counter
+	restarted          tally.Counter // because the version that began the output was gone or busy
 	checkpointsWritten tally.Counter
 	checkpointsFailed  tally.Counter
 	jobsRefused        tally.Counter // beyond the limit of their route
@@ -30,7 +31,7 @@
 func newMetrics(scope tally.Scope) *metrics {
 	m := &metrics{
 		runTime: scope.Histogram("item_run_time", runTimeBuckets), timeLeft: scope.Histogram("result_time_left", timeLeftBuckets),
-		preempted: scope.Counter("items_put_aside"), checkpointsWritten: scope.Counter("checkpoints_written"),
+		preempted: scope.Counter("items_put_aside"), restarted: scope.Counter("items_restarted"), checkpointsWritten: scope.Counter("checkpoints_written"),
 		checkpointsFailed: scope.Counter("checkpoints_failed"), jobsRefused: scope.Counter("jobs_refused"),
 	}
 	for o, name := range outcomeNames {
--- a/cicadagateway/cicadabatch/order.go
+++ b/cicadagateway/cicadabatch/order.go
@@ -43,6 +43,14 @@
 	return time.Duration(max(fraction, minRemainingFraction) * float64(e.meanTime))
 }
 
+// elapsed estimates the run time until the given number of events.
+func (e *runEstimate) elapsed(events int) time.Duration {
+	if e.meanTime == 0 {
+		return initialRunTime
+	}
+	return time.Duration(float64(events) / max(e.meanEvents, 1) * float64(e.meanTime))
+}
+
 // slack returns how long an item can still wait without being late.
 func (e *runEstimate) slack(it *item, now time.Time) time.Duration {
 	return it.job.due().Sub(now) - e.remaining(it.lastEvent)
--- a/cicadagateway/cicadabatch/owner.go
+++ b/cicadagateway/cicadabatch/owner.go
@@ -15,7 +15,8 @@
 //
 // Items start when a slot is idle: those that can still be in time before those that
 // are late, and the job with the earliest due time first. When online requests need the
-// slots, items are preempted, and later resume after their last event at any endpoint.
+// slots, items are preempted, and later resume after their last event at any endpoint of the
+// software version that began their output. Where that is gone, they start anew.
 package cicadabatch
 
 import (
@@ -86,7 +87,7 @@
 	running         map[string][]*item // by endpoint
 	assignedOwners  []string           // from which job.owned was last computed
 	lastScan        time.Time          // when the waiting items were last scanned
-	waitingServices map[string]bool    // services with waiting items at the last scan
+	waitingServices map[string]bool    // services with waiting items at the last scan; true if some can run at any version
 
 	lastCheckpoint time.Time
 	saving         bool                                 // a checkpoint is being written
--- a/cicadagateway/cicadabatch/owner_test.go
+++ b/cicadagateway/cicadabatch/owner_test.go
@@ -229,18 +229,9 @@
 			all = append(all, cicadaview.Endpoint{ID: name, Service: "s", Address: name, Slots: 4})
 		}
 		o.table.SetEndpoints(all)
-		stop := make(chan struct{})
-		defer close(stop)
-		go func() {
-			for {
-				o.table.SetPeer("entry", map[string]cicadaplace.InFlight{"full": {Online: 4}})
-				select {
-				case <-stop:
-					return
-				case <-time.After(250 * time.Millisecond):
-				}
-			}
-		}()
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go o.occupy(ctx, "full", 4)
 		time.Sleep(time.Second)
 		o.call(t, submitCall("j", 20))
 		time.Sleep(10 * time.Second)
--- a/cicadagateway/cicadabatch/progress.go
+++ b/cicadagateway/cicadabatch/progress.go
@@ -4,6 +4,8 @@
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
+
+	"cicadalink.example/cicadagateway/cicadaorigin"
 )
 
 // A Progress is the progress of an item, either complete or since an earlier event. It
@@ -15,7 +17,9 @@
 	From int
 	// Base is the hash of the output up to From. If two owners have run the item, it
 	// prevents the output of one from being appended to that of the other.
-	Base     uint64
+	Base uint64
+	// Origin is where the output began. Only there it can be continued.
+	Origin   cicadaorigin.Origin
 	Last     int    // id of the last event in Text
 	Text     string // output
 	Failures int
@@ -27,8 +31,9 @@
 // itemProgress is the combined output of an item's runs.
 type itemProgress struct {
 	output    strings.Builder
-	lastEvent int // id of the last event in output
-	failures  int // responses that reported a failure of the item
+	origin    cicadaorigin.Origin // of output, if it has an event
+	lastEvent int                 // id of the last event in output
+	failures  int                 // responses that reported a failure of the item
 }
 
 // apply adds a received progress. It reports false if the progress does not continue
@@ -40,7 +45,8 @@
 		return true
 	case p.From == 0:
 		ip.output.Reset()
-	case p.From == ip.lastEvent && p.Base == xxhash.Sum64String(ip.output.String()):
+		ip.origin = p.Origin
+	case p.From == ip.lastEvent && p.Origin == ip.origin && p.Base == xxhash.Sum64String(ip.output.String()):
 	default:
 		return false
 	}
@@ -51,7 +57,7 @@
 
 // progress returns the full progress of an item that is not running.
 func (it *item) progress() Progress {
-	return Progress{Item: it.ID, Last: it.lastEvent, Text: it.output.String(), Failures: it.failures}
+	return Progress{Item: it.ID, Origin: it.origin, Last: it.lastEvent, Text: it.output.String(), Failures: it.failures}
 }
 
 // currentEvent returns the id of an item's last event, including the events of a run in
@@ -88,7 +94,7 @@
 		text += runOutput
 		next.event, next.outputLen = last, len(text)
 	}
-	p = Progress{Item: it.ID, From: since.event, Last: next.event, Text: text[since.outputLen:], Failures: it.failures}
+	p = Progress{Item: it.ID, From: since.event, Origin: it.origin, Last: next.event, Text: text[since.outputLen:], Failures: it.failures}
 	if since.event > 0 {
 		p.Base = xxhash.Sum64String(text[:since.outputLen])
 	}
--- a/cicadagateway/cicadabatch/schedule.go
+++ b/cicadagateway/cicadabatch/schedule.go
@@ -51,7 +51,7 @@
 	o.lastScan = now
 	clear(o.waitingServices)
 	for service, waiting := range o.waitingItems(now) {
-		o.waitingServices[service] = true
+		o.waitingServices[service] = slices.ContainsFunc(waiting, func(it *item) bool { return !it.continues() })
 		if free, _ := o.table.FreeSlots(service); free > 0 {
 			o.startWaiting(service, waiting, now)
 		}
@@ -61,10 +61,11 @@
 // slotAvailable reports whether a service that had waiting items at the last scan has a
 // slot for them, or no items were waiting then. Without this check, a long backlog would
 // be scanned at each change of a peer's load, which would take most of the CPU time.
-// Urgent items may take more slots; they wait for the next scan.
+// Urgent items may take more slots, and items that continue an output may use fewer; both
+// wait for the next scan.
 func (o *Owner) slotAvailable() bool {
-	for service := range o.waitingServices {
-		if o.table.BatchSlots(service) > 0 {
+	for service, anyVersion := range o.waitingServices {
+		if anyVersion && o.table.BatchSlots(service) > 0 {
 			return true
 		}
 	}
@@ -81,11 +82,12 @@
 		return 1
 	})
 	for _, it := range waiting {
-		excluded := it.excluded(now)
-		grant := o.table.AcquireBatch(cicadaplace.SlotRequest{Service: service, Avoid: excluded}, o.estimate.slack(it, now) < urgentSlack)
+		o.checkVersion(it, service, now)
+		req := it.slotRequest(service, now)
+		grant := o.table.AcquireBatch(req, o.estimate.slack(it, now) < urgentSlack)
 		if grant != nil {
 			o.startRun(it, grant)
-		} else if len(excluded) == 0 {
+		} else if req.Unrestricted() {
 			return
 		}
 	}
@@ -117,7 +119,7 @@
 				continue
 			}
 			if route, ok := config.Route(j.record.Host, it.Path); ok {
-				service := route.SelectService(it.targetFraction)
+				service := serviceOf(route, it)
 				byService[service] = append(byService[service], it)
 			}
 		}
@@ -185,6 +187,7 @@
 	endpoint := grant.Endpoint()
 	ctx, cancel := context.WithCancel(o.ctx)
 	it.state, it.grant, it.stop, it.startedAt, it.pinned = itemRunning, grant, cancel, time.Now(), false
+	it.begin(endpoint)
 	o.running[endpoint.ID] = append(o.running[endpoint.ID], it)
 	r := &run{firstEvent: it.lastEvent, lastEvent: it.lastEvent, onRateLimit: grant.RecordRateLimit, onLeaving: grant.RecordLeaving}
 	it.run = r
--- /dev/null
+++ b/cicadagateway/cicadabatch/version.go
@@ -0,0 +1,75 @@
+package cicadabatch
+
+import (
+	"slices"
+	"time"
+
+	"cicadalink.example/cicadagateway/cicadaorigin"
+	"cicadalink.example/cicadagateway/cicadaplace"
+	"cicadalink.example/cicadakernel/cicadaview"
+)
+
+// continues reports whether the next run of an item continues an output.
+func (it *item) continues() bool { return it.lastEvent > 0 }
+
+// serviceOf returns the service of an item's next run: the one that began the item's output
+// if the route still has it.
+func serviceOf(route *cicadaview.Route, it *item) string {
+	began := func(t cicadaview.Target) bool { return t.Service == it.origin.Service }
+	if it.continues() && slices.ContainsFunc(route.Targets, began) {
+		return it.origin.Service
+	}
+	return route.SelectService(it.targetFraction)
+}
+
+// slotRequest returns the request for a slot of an item's next run.
+func (it *item) slotRequest(service string, now time.Time) cicadaplace.SlotRequest {
+	return cicadaplace.SlotRequest{
+		Service: service, Avoid: it.excluded(now), Continues: it.continues(), Version: it.origin.Version,
+	}
+}
+
+// checkVersion lets an item start anew if the version that began its output is gone. If the
+// endpoints of that version are only busy, while others are idle, the item waits for them as
+// long as the output took, so that it does at most twice the work that is necessary.
+func (o *Owner) checkVersion(it *item, service string, now time.Time) {
+	if !it.continues() {
+		return
+	}
+	same, others := o.table.CountVersion(service, it.origin.Version)
+	sameService := it.origin.Service == service
+	switch {
+	case others == 0 && same == 0:
+		return // no endpoint is known at present
+	case same > 0 && sameService && (others == 0 || o.table.BatchSlots(service) == 0):
+		it.versionBusySince = time.Time{}
+		return
+	case same > 0 && sameService:
+		if it.versionBusySince.IsZero() {
+			it.versionBusySince = now
+		}
+		if now.Sub(it.versionBusySince) < o.estimate.elapsed(it.lastEvent) {
+			return
+		}
+	}
+	o.log.Info("item starts anew", "item", it.ID, "job", it.job.id, "event", it.lastEvent, "service", service,
+		"began-at", it.origin.Service, "software-version", it.origin.Version, "endpoints", same, "others", others)
+	o.metrics.restarted.Inc(1)
+	it.restart()
+}
+
+// restart discards the output of an item that is waiting.
+func (it *item) restart() {
+	failures := it.failures
+	it.itemProgress = itemProgress{failures: failures}
+	it.savedMark, it.replicatedMark = progressMark{}, progressMark{}
+	it.versionBusySince = time.Time{}
+}
+
+// begin records where an item's output begins, when a run starts it.
+func (it *item) begin(endpoint cicadaview.Endpoint) {
+	it.versionBusySince = time.Time{}
+	if !it.continues() {
+		it.origin = cicadaorigin.Origin{Service: endpoint.Service, Version: endpoint.SoftwareVersion}
+	}
+}
--- a/cicadagateway/cicadaplace/batch.go
+++ b/cicadagateway/cicadaplace/batch.go
@@ -146,6 +146,23 @@
 	return svc.idleSlots(time.Now()), svc.slots
 }
 
+// CountVersion returns how many endpoints of a service have a software version and are not
+// draining, and how many others there are.
+func (t *Table) CountVersion(service, version string) (same, others int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range t.service(service).endpoints {
+		switch {
+		case e.Draining:
+		case e.SoftwareVersion == version:
+			same++
+		default:
+			others++
+		}
+	}
+	return same, others
+}
+
 // BatchSlots returns the number of idle slots of a service that an item which is not urgent
 // may take. It is 0 while only the online reserve is idle.
 func (t *Table) BatchSlots(service string) int {
--- a/cicadagateway/cicadaplace/queue.go
+++ b/cicadagateway/cicadaplace/queue.go
@@ -31,8 +31,8 @@
 	return !slices.Contains(req.Avoid, e.ID)
 }
 
-// unrestricted reports whether the request may use all endpoints of its service.
-func (req SlotRequest) unrestricted() bool { return len(req.Avoid) == 0 && !req.Continues }
+// Unrestricted reports whether the request may use all endpoints of its service.
+func (req SlotRequest) Unrestricted() bool { return len(req.Avoid) == 0 && !req.Continues }
 
 // Acquire returns a slot for an online request. If none is free, the request waits
 // for at most MaxWait. Requests are granted slots in order of arrival, those that continue
@@ -166,7 +166,7 @@
 			e := t.selectEndpoint(svc, w.request)
 			if e == nil {
 				i++
-				if w.request.unrestricted() {
+				if w.request.Unrestricted() {
 					break
 				}
 				continue
--- a/cicadagateway/cicadaplace/table.go
+++ b/cicadagateway/cicadaplace/table.go
@@ -244,7 +244,7 @@
 // responded since its backoff only if there is no other: several of these may have crashed.
 func (t *Table) selectEndpoint(svc *service, req SlotRequest) *endpointState {
 	now := time.Now()
-	if !req.unrestricted() {
+	if !req.Unrestricted() {
 		if e := t.choose(svc, req, func(e *endpointState) bool { return e.backoff == 0 && !now.Before(e.backoffUntil) }); e != nil {
 			return e
 		}
