Do not take a refusal that is sent twice for the response to a second try

Reported by other operators: a faulty endpoint writes an earlier refusal once more on a kept connection, and callers are told 'not run' of requests that run (REFUSED), or these run at a second endpoint (TWICE). It can happen here: responses are matched to requests by id alone, and a request that a full endpoint has refused may come to it again, on the same connection, with the same id; items always do.

On a connection that was used before, a response without an id is not taken for one of the current request.

--- a/cicadagateway/cicadaexchange/client.go
+++ b/cicadagateway/cicadaexchange/client.go
@@ -24,6 +24,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -53,6 +54,7 @@
 	maxIdlePerAddress   = 16
 	maxSkippedResponses = 4        // informational responses and responses to other requests
 	maxSkippedBodyBytes = 1 << 20  // of a response to another request
+	maxFailedIDs        = 32       // of a connection, see conn.failedIDs
 	maxHeaderBytes      = 64 << 10 // of a response
 	maxDiscardedBytes   = 64 << 10 // of a body that nobody needs
 	readBufferSize      = 4 << 10
@@ -74,6 +76,14 @@
 	EchoHeader string
 }
 
+// id returns the value that identifies the request's response, or "".
+func (r Request) id() string {
+	if r.EchoHeader == "" {
+		return ""
+	}
+	return r.Header.Get(r.EchoHeader)
+}
+
 // A Client sends requests and pools idle connections by address. It is safe for
 // concurrent use.
 type Client struct {
@@ -129,6 +139,10 @@
 	address string
 	expires time.Time
 	reused  bool
+	// failedIDs are the ids of requests that got a response on this connection which was not
+	// a success. An endpoint may send such a response once more, and the same request may be
+	// sent to it again.
+	failedIDs []string
 }
 
 // A headerLimit limits the bytes that are read from a connection for one response header,
@@ -159,6 +173,7 @@
 	client     *Client
 	conn       *conn
 	stopCancel func() bool // stops closing the connection when the context ends
+	id         string      // of the request
 	complete   bool        // the body was read to its end
 	framed     bool        // see Framed
 	closed     bool
@@ -167,7 +182,7 @@
 // Do sends a request and returns its response once the header was read. When ctx
 // ends, the connection is closed, which cancels the request at the endpoint.
 func (c *Client) Do(ctx context.Context, address string, req Request) (*Response, error) {
-	cn, err := c.getConn(ctx, address)
+	cn, err := c.getConn(ctx, address, req.id())
 	if err != nil {
 		return nil, err
 	}
@@ -184,7 +199,7 @@
 		return nil, merry.Errorf("read response from %s: %w: %w", address, ErrInvalidResponse, err)
 	}
 	return &Response{
-		Response: res, client: c, conn: cn, stopCancel: stopCancel,
+		Response: res, client: c, conn: cn, stopCancel: stopCancel, id: req.id(),
 		framed: res.ContentLength >= 0 || len(res.TransferEncoding) > 0,
 	}, nil
 }
@@ -234,10 +249,16 @@
 		if res.StatusCode < http.StatusOK {
 			continue
 		}
+		if req.EchoHeader == "" {
+			return res, nil
+		}
 		echo := res.Header.Get(req.EchoHeader)
-		if req.EchoHeader == "" || echo == "" || echo == req.Header.Get(req.EchoHeader) {
+		if echo == req.id() || echo == "" && !cn.reused {
 			return res, nil
 		}
+		if echo == "" {
+			return nil, merry.Errorf("response without %s on a reused connection: %w", req.EchoHeader, ErrInvalidResponse)
+		}
 		cn.limit.limited = false
 		if _, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxSkippedBodyBytes)); err != nil || res.Close {
 			return nil, merry.Errorf("response belongs to request %s: %w", echo, ErrInvalidResponse)
@@ -287,7 +308,10 @@
 	}
 	r.closed = true
 	open := r.stopCancel()
-	if !open || !r.complete || !r.framed || r.Response.Close || r.conn.r.Buffered() > 0 {
+	if r.id != "" && r.StatusCode != http.StatusOK {
+		r.conn.failedIDs = append(r.conn.failedIDs, r.id)
+	}
+	if !open || !r.complete || !r.framed || r.Response.Close || r.conn.r.Buffered() > 0 || len(r.conn.failedIDs) > maxFailedIDs {
 		_ = r.conn.Close()
 		return
 	}
@@ -328,11 +352,11 @@
 	c.idle[cn.address] = append(list, cn)
 }
 
-// getConn returns the most recently used idle connection that is reusable, or a new
-// connection.
-func (c *Client) getConn(ctx context.Context, address string) (*conn, error) {
+// getConn returns the most recently used idle connection that is reusable for the request
+// with the given id, or a new connection.
+func (c *Client) getConn(ctx context.Context, address, id string) (*conn, error) {
 	for {
-		cn := c.popIdle(address)
+		cn := c.popIdle(address, id)
 		if cn == nil {
 			break
 		}
@@ -350,24 +374,33 @@
 	return &conn{Conn: raw, limit: limit, r: bufio.NewReaderSize(limit, readBufferSize), address: address}, nil
 }
 
-// popIdle takes the most recently used idle connection that has not expired from the
-// pool. It returns nil if there is none, and closes the expired connections it finds.
-func (c *Client) popIdle(address string) *conn {
+// popIdle takes from the pool the most recently used idle connection on which the request
+// with the given id has not failed. It returns nil if there is none, and closes the expired
+// connections it finds.
+func (c *Client) popIdle(address, id string) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	list := c.idle[address]
 	now := time.Now()
-	for len(list) > 0 {
-		cn := list[len(list)-1]
-		list = list[:len(list)-1]
-		c.idle[address] = list
-		if now.Before(cn.expires) {
-			return cn
+	list := slices.DeleteFunc(c.idle[address], func(cn *conn) bool {
+		expired := !now.Before(cn.expires)
+		if expired {
+			_ = cn.Close()
+		}
+		return expired
+	})
+	var found *conn
+	for i := len(list) - 1; i >= 0; i-- {
+		if !slices.Contains(list[i].failedIDs, id) {
+			found = list[i]
+			list = slices.Delete(list, i, i+1)
+			break
 		}
-		_ = cn.Close()
 	}
-	delete(c.idle, address)
-	return nil
+	c.idle[address] = list
+	if len(list) == 0 {
+		delete(c.idle, address)
+	}
+	return found
 }
 
 // reusable reports whether an idle connection is open and has no unread bytes.
