Keep errors of endpoints out of streams, and do not take an empty rest for the end

It can happen here: a response with another status than 200 was written into the stream of which the caller had a part, whether by a 4xx or by a 500 at the last attempt, and a stream or an item that was resumed ended as complete if an endpoint sent nothing as its rest. A stream of events without ids was run again from its start within one answer.

Change: once a caller has a part of a stream, only a response of the same status and type continues it. Other responses are errors of the attempt: another endpoint is tried if attempts are left, else the connection is closed. A rest without any event is believed if two endpoints agree, for streams and for items. Events without ids are not resumed.

--- a/cicadagateway/cicadabatch/engine_test.go
+++ b/cicadagateway/cicadabatch/engine_test.go
@@ -40,6 +40,7 @@
 	stalled      bool                // new runs send nothing
 	crashRuns    int                 // the first runs of each item that end before the first event
 	addresses    map[string][]string // of the runs, by item
+	emptyRests   int                 // the first runs of each item that resume it and send nothing
 	leaving      string              // address of an engine that states that it is leaving
 	runsAt       map[string]int      // by address
 }
@@ -118,6 +119,10 @@
 	if crash {
 		return
 	}
+	if lastEvent > 0 && e.takeEmptyRest(id) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+head+"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n")
+		return
+	}
 	if stalled {
 		<-disconnected
 		return
@@ -147,6 +152,13 @@
 	_, _ = io.WriteString(conn, "0\r\n\r\n")
 }
 
+// takeEmptyRest reports whether a run of an item that is resumed sends nothing.
+func (e *fakeEngines) takeEmptyRest(id string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.runs[id]-1 <= e.emptyRests
+}
+
 // checkOutput checks that an output has each of n events once and in order, and that
 // each run in it starts where it was asked to resume.
 func (e *fakeEngines) checkOutput(t *testing.T, id, text string, n int) {
--- a/cicadagateway/cicadabatch/job.go
+++ b/cicadagateway/cicadabatch/job.go
@@ -38,6 +38,7 @@
 	excludedEndpoints []string     // of the last failed runs, see excluded
 	excludedUntil     time.Time
 	notBefore         time.Time // of the next run
+	emptyRests        int       // runs since the last event that brought no event, and no error
 	// versionBusySince is when the endpoints of the version that began the item's output were
 	// first found busy while others were idle, or zero.
 	versionBusySince time.Time
--- a/cicadagateway/cicadabatch/run.go
+++ b/cicadagateway/cicadabatch/run.go
@@ -209,6 +209,20 @@
 	return true, nil
 }
 
+// agreeingEmptyRests is how many runs must have brought no event of an item that they resumed
+// before that is taken for the end of its output. It is rare that only the end of a run is
+// lost.
+const agreeingEmptyRests = 2
+
+// confirmEnd reports whether a run that ended without an error has completed the item.
+func (it *item) confirmEnd(r *run) bool {
+	if r.firstEvent == 0 || r.lastEvent > r.firstEvent {
+		return true
+	}
+	it.emptyRests++
+	return it.emptyRests >= agreeingEmptyRests
+}
+
 // snapshot returns the run's output so far and the id of its last event.
 func (r *run) snapshot() (text string, last int) {
 	r.mu.Lock()
--- a/cicadagateway/cicadabatch/schedule.go
+++ b/cicadagateway/cicadabatch/schedule.go
@@ -228,7 +228,7 @@
 	it.state = itemWaiting
 	it.output.WriteString(r.output.String())
 	if r.lastEvent > it.lastEvent {
-		it.backoffShift = 0
+		it.backoffShift, it.emptyRests = 0, 0
 	}
 	it.lastEvent = r.lastEvent
 	maxAttempts := 1
@@ -244,6 +244,10 @@
 	switch result {
 	case runComplete:
 		grant.RecordSuccess()
+		if !it.confirmEnd(r) {
+			o.backOff(it, grant, now)
+			break
+		}
 		if fromStart {
 			o.metrics.runTime.RecordDuration(now.Sub(it.startedAt))
 			o.estimate.observe(now.Sub(it.startedAt), it.lastEvent)
--- a/cicadagateway/cicadabatch/version.go
+++ b/cicadagateway/cicadabatch/version.go
@@ -63,7 +63,7 @@
 	failures := it.failures
 	it.itemProgress = itemProgress{failures: failures}
 	it.savedMark, it.replicatedMark = progressMark{}, progressMark{}
-	it.versionBusySince = time.Time{}
+	it.versionBusySince, it.emptyRests = time.Time{}, 0
 }
 
 // begin records where an item's output begins, when a run starts it.
--- a/cicadagateway/cicadarelay/exchange.go
+++ b/cicadagateway/cicadarelay/exchange.go
@@ -44,11 +44,12 @@
 	answered    bool // whether the current run has got an event, or a complete answer
 	events      eventParser
 
-	stream    string              // id of the request that got the stream's first event
-	origin    cicadaorigin.Origin // of the stream, if continues is set
-	continues bool                // whether the next attempt continues an output
-	tracked   bool                // whether origins knows the stream as running
-	returned  bool                // whether avoid was cleared because no other endpoint was left
+	stream     string              // id of the request that got the stream's first event
+	origin     cicadaorigin.Origin // of the stream, if continues is set
+	continues  bool                // whether the next attempt continues an output
+	tracked    bool                // whether origins knows the stream as running
+	emptyRests int                 // attempts to resume a stream that brought no event, and no error
+	returned   bool                // whether avoid was cleared because no other endpoint was left
 }
 
 // run makes attempts until one succeeds or no further attempt is allowed.
@@ -129,12 +130,20 @@
 		return x.handleInvalidResponse(ctx, grant, sent, merry.Errorf("response with status %d has no signature: %w", res.StatusCode, cicadaexchange.ErrInvalidResponse))
 	}
 	grant.RecordSuccess()
+	if x.headerSent && !x.continuesStream(res) {
+		res.Discard()
+		return x.handleNotTheRest(ctx, grant, sent, merry.Errorf("status %d, type %q: %w", res.StatusCode, res.Header.Get("Content-Type"), errNotTheRest))
+	}
 	if res.StatusCode >= http.StatusInternalServerError && x.mayRunAgain() && ctx.Err() == nil {
 		x.logFailedAttempt(grant, sent, "endpoint-error", nil)
 		x.avoid = append(x.avoid, endpoint.ID)
 		return true
 	}
-	if err := x.forwardResponse(res, endpoint); err != nil {
+	err = x.forwardResponse(res, endpoint)
+	if errors.Is(err, errNotTheRest) {
+		return x.handleNotTheRest(ctx, grant, sent, err)
+	}
+	if err != nil {
 		return x.handleInvalidResponse(ctx, grant, sent, err)
 	}
 	if res.StatusCode == http.StatusOK {
@@ -165,8 +174,11 @@
 }
 
 // mayRunAgain reports whether a request that may have run may be sent to another
-// endpoint.
+// endpoint. A stream of which the caller has events without an id cannot be resumed.
 func (x *exchange) mayRunAgain() bool {
+	if x.headerSent && x.events.lastID == "" {
+		return false
+	}
 	return x.route.Idempotent() && x.runs < x.route.MaxAttempts && x.sends-x.unsent < maxSends
 }
 
@@ -237,7 +249,7 @@
 		x.fail(ctx, err)
 		return false
 	}
-	if x.events.oversized || !x.mayRunAgain() || (x.headerSent && x.route.Kind != cicadaview.Stream) {
+	if x.events.oversized || !x.mayRunAgain() {
 		x.fail(ctx, err)
 		return false
 	}
--- a/cicadagateway/cicadarelay/forward.go
+++ b/cicadagateway/cicadarelay/forward.go
@@ -109,8 +109,19 @@
 	if x.events.lastID == "" && !x.answered && !res.Framed() {
 		return merry.Errorf("connection closed before the first event: %w", cicadaexchange.ErrInvalidResponse)
 	}
+	if x.headerSent && !x.answered {
+		x.emptyRests++
+		if x.emptyRests < agreeingEmptyRests {
+			return merry.Errorf("no event follows event %s: %w", x.events.lastID, errNotTheRest)
+		}
+	}
 	if !x.headerSent {
 		x.sendHeader(res, 0)
 	}
 	return nil
 }
+
+// agreeingEmptyRests is how many endpoints must have sent no event as the rest of a stream
+// before that is taken for its end. Usually an endpoint has one to send, as it is rare that
+// only the end of a stream is lost.
+const agreeingEmptyRests = 2
--- a/cicadagateway/cicadarelay/relay_test.go
+++ b/cicadagateway/cicadarelay/relay_test.go
@@ -135,10 +135,11 @@
 
 // routes are the routes that scripts refer to, by name.
 var routes = map[string]cicadaview.Route{
-	"unsafe":    {Kind: cicadaview.Unsafe, MaxAttempts: 2},
-	"safe":      {Kind: cicadaview.Safe, MaxAttempts: 2},
-	"stream":    {Kind: cicadaview.Stream, MaxAttempts: 1},
-	"resumable": {Kind: cicadaview.Stream, MaxAttempts: 2, Resumable: true},
+	"unsafe":          {Kind: cicadaview.Unsafe, MaxAttempts: 2},
+	"safe":            {Kind: cicadaview.Safe, MaxAttempts: 2},
+	"stream":          {Kind: cicadaview.Stream, MaxAttempts: 1},
+	"resumable":       {Kind: cicadaview.Stream, MaxAttempts: 2, Resumable: true},
+	"resumable-twice": {Kind: cicadaview.Stream, MaxAttempts: 3, Resumable: true},
 }
 
 // TestScripts runs the scripts in testdata. Each names a route and the responses of
--- a/cicadagateway/cicadarelay/resume.go
+++ b/cicadagateway/cicadarelay/resume.go
@@ -3,9 +3,13 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"slices"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
+	"cicadalink.example/cicadagateway/cicadaexchange"
 	"cicadalink.example/cicadagateway/cicadaorigin"
 	"cicadalink.example/cicadagateway/cicadaplace"
 	"cicadalink.example/cicadakernel/cicadaview"
@@ -111,6 +115,28 @@
 	}
 }
 
+// continuesStream reports whether a response is the rest of a stream that has begun: of the
+// same status and type.
+func (x *exchange) continuesStream(res *cicadaexchange.Response) bool {
+	return x.route.Kind == cicadaview.Stream && res.StatusCode == http.StatusOK && res.Header.Get("Content-Type") == x.w.Header().Get("Content-Type")
+}
+
+// errNotTheRest reports a response that is not the rest of the stream of which the caller has
+// a part.
+var errNotTheRest = merry.Sentinel("cicadarelay: response is not the rest of the stream")
+
+// handleNotTheRest handles a response that is not the rest of the stream. Nothing of it is
+// sent to the caller. It reports whether the request may be sent to another endpoint.
+func (x *exchange) handleNotTheRest(ctx context.Context, grant *cicadaplace.Grant, sent time.Time, err error) bool {
+	x.logFailedAttempt(grant, sent, "not-the-rest", err)
+	if ctx.Err() != nil || !x.mayRunAgain() {
+		x.fail(ctx, err)
+		return false
+	}
+	x.avoid = append(x.avoid, grant.Endpoint().ID)
+	return true
+}
+
 // forgetStream ends the record of a running stream.
 func (x *exchange) forgetStream() {
 	if x.tracked {
