Take a success without a length and without a body for broken

A response that ends within its header did not pass for a whole one: TestResponseThatIsCutIsNotWhole, TestCallerGetsNoResponseThatIsCut and TestStoreResponseThatIsCutIsAnError cut responses after each byte, and hold on too. What can happen here is next to it: a response without a length that ends right after its header became a whole one with an empty body. The script until-close-empty fails on (200, empty). Such a success is now a broken run. A body without a length that ends early cannot be told from a whole one.

--- a/cicadagateway/cicadarelay/forward.go
+++ b/cicadagateway/cicadarelay/forward.go
@@ -47,6 +47,9 @@
 	if err != nil {
 		return merry.Errorf("read response: %w", err)
 	}
+	if len(body) == 0 && !res.Framed() && res.StatusCode == http.StatusOK && x.r.Method != http.MethodHead {
+		return merry.Errorf("connection closed before the body: %w", cicadaexchange.ErrInvalidResponse)
+	}
 	x.stopTimer()
 	x.sendHeader(res, len(body))
 	if _, err := x.w.Write(body); err != nil {
