Continue outputs at the software version that began them at entries with agents too

The same cause as in cicadarelay: after a broken attempt cicadadispatch continued an output at an engine of any version. Engines report their version in /load, agents in their load reports, and the dispatcher continues at engines of that version only, or waits for one as long as before.

An engine that reports no version is of the version "", so nothing changes for those that do not. Callers of these entries cannot resume a stream themselves. Not covered: an engine that is restarted with another version within the second between two polls of its agent.

--- a/cicadaagent/cicadaendpoint/agent.go
+++ b/cicadaagent/cicadaendpoint/agent.go
@@ -147,8 +147,8 @@
 	return nil
 }
 
-// monitorEngine polls the engine's health and models, and passes them to the gate,
-// until ctx ends.
+// monitorEngine polls the engine's health, models and software version, and passes them to
+// the gate, until ctx ends.
 func (a *Agent) monitorEngine(ctx context.Context) {
 	for {
 		up := a.engine.Healthy(ctx)
@@ -156,6 +156,7 @@
 		if up && a.engine.LoadReport != nil {
 			if report, err := a.engine.LoadReport(ctx); err == nil {
 				a.gate.SetModels(report.Models)
+				a.gate.SetSoftwareVersion(report.SoftwareVersion)
 			}
 		}
 		if !cicadaretry.Sleep(ctx, healthCheckInterval) {
--- a/cicadaagent/cicadaengine/engine.go
+++ b/cicadaagent/cicadaengine/engine.go
@@ -68,11 +68,12 @@
 }
 
 // A LoadReport is an engine's report of its load. Age is the time since the engine
-// measured it.
+// measured it. SoftwareVersion is the version of the engine's software, or "" if unknown.
 type LoadReport struct {
-	Running int
-	Models  []string
-	Age     time.Duration
+	Running         int
+	Models          []string
+	Age             time.Duration
+	SoftwareVersion string
 }
 
 // An Engine gives access to one engine. Functions that the adapter does not support
--- a/cicadaagent/cicadaengine/inference.go
+++ b/cicadaagent/cicadaengine/inference.go
@@ -206,11 +206,13 @@
 		Running int      `json:"running"`
 		Models  []string `json:"models"`
 		AgeMs   int64    `json:"age_ms"`
+		Version string   `json:"version"`
 	}
 	if err := json.NewDecoder(io.LimitReader(res.Body, maxBodyBytes)).Decode(&body); err != nil {
 		return LoadReport{}, merry.Errorf("decode load report: %w", err)
 	}
-	return LoadReport{Running: body.Running, Models: body.Models, Age: time.Duration(body.AgeMs) * time.Millisecond}, nil
+	age := time.Duration(body.AgeMs) * time.Millisecond
+	return LoadReport{Running: body.Running, Models: body.Models, Age: age, SoftwareVersion: body.Version}, nil
 }
 
 func (e inferenceEngine) order(ctx context.Context, order *cicadawire.EngineOrder) error {
--- a/cicadaagent/cicadagate/gate.go
+++ b/cicadaagent/cicadagate/gate.go
@@ -63,23 +63,24 @@
 	scope  tally.Scope
 	boot   int64
 
-	mu           sync.Mutex
-	policy       cicadaadmit.Policy
-	onlineQueue  []*task
-	batchQueue   []*task
-	runningTasks map[*task]struct{}
-	state        cicadaadmit.State
-	usage        usageTable
-	draining     bool
-	loadChanged  chan struct{}
-	idle         chan struct{} // closed when no call is running; nil if nobody waits
-	attempts     attemptTable
-	fence        fence
-	latencies    latencies
-	models       []string
-	revision     atomic.Int64
-	engineUp     atomic.Bool
-	crashes      atomic.Int64
+	mu              sync.Mutex
+	policy          cicadaadmit.Policy
+	onlineQueue     []*task
+	batchQueue      []*task
+	runningTasks    map[*task]struct{}
+	state           cicadaadmit.State
+	usage           usageTable
+	draining        bool
+	loadChanged     chan struct{}
+	idle            chan struct{} // closed when no call is running; nil if nobody waits
+	attempts        attemptTable
+	fence           fence
+	latencies       latencies
+	models          []string
+	softwareVersion string
+	revision        atomic.Int64
+	engineUp        atomic.Bool
+	crashes         atomic.Int64
 }
 
 // A task is a call that is queued or running.
@@ -174,6 +175,13 @@
 	g.models = models
 }
 
+// SetSoftwareVersion sets the version of the engine's software.
+func (g *Gate) SetSoftwareVersion(version string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.softwareVersion = version
+}
+
 // Run executes one attempt of a call and sends its frames. It returns after the last
 // frame.
 func (g *Gate) Run(ctx context.Context, call *cicadawire.Call, send func(*cicadawire.Frame) error) error {
@@ -337,6 +345,8 @@
 		Models:        g.models,
 		Revision:      g.revision.Load(),
 		EngineUp:      g.engineUp.Load(),
+
+		SoftwareVersion: g.softwareVersion,
 	}
 }
 
--- a/cicadadev/cicadadeployment/deployment.go
+++ b/cicadadev/cicadadeployment/deployment.go
@@ -83,6 +83,7 @@
 type options struct {
 	entries    int
 	engines    int
+	versions   []string // of the engines' software
 	ledgers    int
 	logs       io.Writer
 	logLevel   string
@@ -106,6 +107,11 @@
 	return func(o *options) { o.logs, o.logLevel = w, level }
 }
 
+// WithSoftwareVersions sets the versions of the engines' software, in order.
+func WithSoftwareVersions(versions ...string) Option {
+	return func(o *options) { o.versions = versions }
+}
+
 // WithTokenTime sets the interval at which the engines generate tokens.
 func WithTokenTime(d time.Duration) Option { return func(o *options) { o.tokenTime = d } }
 
@@ -192,7 +198,12 @@
 }
 
 func (d *Deployment) startEngine(name string) error {
-	engine := cicadastandin.NewEngine(cicadastandin.WithModels(Model), cicadastandin.WithTokenTime(d.opts.tokenTime))
+	version := ""
+	if n := len(d.engines); n < len(d.opts.versions) {
+		version = d.opts.versions[n]
+	}
+	engine := cicadastandin.NewEngine(cicadastandin.WithModels(Model), cicadastandin.WithTokenTime(d.opts.tokenTime),
+		cicadastandin.WithSoftwareVersion(version))
 	address, err := d.serve(engine.Handler())
 	if err != nil {
 		return err
--- a/cicadadev/cicadadeployment/stop_test.go
+++ b/cicadadev/cicadadeployment/stop_test.go
@@ -81,6 +81,48 @@
 	tasks.Wait()
 }
 
+// reportedVersions returns how many software versions an entry knows of the engines.
+func (d *Deployment) reportedVersions(entry int) int {
+	group, ok := d.entries[entry].process.Fleet().Table().Group("assistants")
+	if !ok {
+		return 0
+	}
+	versions := make(map[string]bool)
+	for _, e := range group.Endpoints() {
+		if v := e.SoftwareVersion(); v != "" {
+			versions[v] = true
+		}
+	}
+	return len(versions)
+}
+
+// Guards against streams that go on, after their engine has crashed, at an engine of another
+// software version.
+func TestStreamsStayAtTheirSoftwareVersion(t *testing.T) {
+	d, err := Start(t.Context(), WithEntries(2), WithEngines(3), WithSoftwareVersions("v1", "v2", "v1"), WithTokenTime(3*time.Millisecond))
+	assert.NilError(t, err)
+	defer d.Close()
+	for i := range 2 {
+		waitUntil(t, func() bool { return d.reportedVersions(i) == 2 })
+	}
+	var tasks conc.WaitGroup
+	for i := range 12 {
+		tasks.Go(func() {
+			prompt := fmt.Sprint("quote ", i)
+			text, complete, err := readStream(t.Context(), d.EntryURL(i%2), prompt)
+			assert.Check(t, err)
+			assert.Check(t, complete, "stream %d ended early", i)
+			assert.Check(t, text == expectedText(prompt), "stream %d has the wrong text", i)
+		})
+	}
+	waitUntil(t, func() bool { return d.Engine(0).Running()+d.Engine(1).Running()+d.Engine(2).Running() == 12 })
+	waitUntil(t, func() bool { return d.Engine(1).Tokens() > 2*d.Engine(1).Running() })
+	d.Engine(1).Crash()
+	tasks.Wait()
+	assert.Assert(t, d.Engine(1).Resumed() > 0)
+	assert.Equal(t, d.Engine(0).Resumed()+d.Engine(2).Resumed(), int64(0))
+}
+
 // When a caller disconnects, its request must be cancelled at the engine.
 func TestCancellationReachesEngine(t *testing.T) {
 	d, err := Start(t.Context(), WithEntries(1), WithEngines(1), WithTokenTime(20*time.Millisecond))
--- a/cicadadev/cicadastandin/engine.go
+++ b/cicadadev/cicadastandin/engine.go
@@ -43,11 +43,14 @@
 // An Engine is a stand-in for a model engine.
 type Engine struct {
 	models    []string
+	version   string
 	tokenTime time.Duration
 	downTime  time.Duration
 	running   atomic.Int64
 	served    atomic.Int64
 	cancelled atomic.Int64
+	resumed   atomic.Int64
+	tokens    atomic.Int64
 	crashes   atomic.Int64
 
 	mu             sync.Mutex
@@ -63,6 +66,11 @@
 // WithModels sets the models that the engine reports as loaded.
 func WithModels(models ...string) EngineOption { return func(e *Engine) { e.models = models } }
 
+// WithSoftwareVersion sets the software version that the engine reports.
+func WithSoftwareVersion(version string) EngineOption {
+	return func(e *Engine) { e.version = version }
+}
+
 // WithTokenTime sets the interval at which tokens are generated.
 func WithTokenTime(d time.Duration) EngineOption { return func(e *Engine) { e.tokenTime = d } }
 
@@ -84,6 +92,12 @@
 // Cancelled returns the number of responses cancelled by the caller.
 func (e *Engine) Cancelled() int64 { return e.cancelled.Load() }
 
+// Resumed returns the number of requests that continued an output.
+func (e *Engine) Resumed() int64 { return e.resumed.Load() }
+
+// Tokens returns the number of tokens sent.
+func (e *Engine) Tokens() int64 { return e.tokens.Load() }
+
 // Crashes returns the number of crashes.
 func (e *Engine) Crashes() int64 { return e.crashes.Load() }
 
@@ -130,7 +144,7 @@
 	if down, _ := e.crashState(); down {
 		panic(http.ErrAbortHandler)
 	}
-	writeJSON(w, http.StatusOK, map[string]any{"running": e.running.Load(), "models": e.models, "age_ms": 0})
+	writeJSON(w, http.StatusOK, map[string]any{"running": e.running.Load(), "models": e.models, "age_ms": 0, "version": e.version})
 }
 
 func (e *Engine) handleOrder(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
@@ -193,6 +207,9 @@
 	control := http.NewResponseController(w)
 	ticker := time.NewTicker(max(e.tokenTime, time.Microsecond))
 	defer ticker.Stop()
+	if body.ResumeFrom > 0 {
+		e.resumed.Add(1)
+	}
 	for i := body.ResumeFrom; i < numTokens; i++ {
 		select {
 		case <-ticker.C:
@@ -204,6 +221,7 @@
 		}
 		writeEvent(w, tokenEvent(Token(body.promptText(), i), chat))
 		_ = control.Flush()
+		e.tokens.Add(1)
 	}
 	e.served.Add(1)
 	promptTokens := len(body.promptText())/charsPerToken + 1
--- a/cicadaentry/cicadadispatch/dispatcher.go
+++ b/cicadaentry/cicadadispatch/dispatcher.go
@@ -304,8 +304,9 @@
 // selectEndpoint selects the endpoint for the next attempt of a request. The
 // endpoints named in exclude have been tried. A batch attempt uses none of them. An
 // online attempt uses them only if no other endpoint is available, and never the
-// one tried last.
-func (d *Dispatcher) selectEndpoint(req *Request, exclude []string) (target, error) {
+// one tried last. If began is not nil, the request continues an output, which only endpoints
+// of that software version can do.
+func (d *Dispatcher) selectEndpoint(req *Request, exclude []string, began *string) (target, error) {
 	var endpoints []*cicadafleet.Endpoint
 	var views []cicadaroute.EndpointView
 	now := d.now()
@@ -317,6 +318,11 @@
 		endpoints = append(endpoints, group.Endpoints()...)
 		views = append(views, group.Views(now)...)
 	}
+	for i, endpoint := range endpoints {
+		if began != nil && endpoint.SoftwareVersion() != *began {
+			views[i].Unusable = true
+		}
+	}
 	criteria := cicadaroute.Criteria{Prefix: req.Call.GetPrefix(), Exclude: exclude}
 	if req.Call.GetClass() == cicadawire.CallClass_BATCH {
 		if i := cicadaroute.SelectBatch(views, criteria, d.intn); i >= 0 {
--- a/cicadaentry/cicadadispatch/run.go
+++ b/cicadaentry/cicadadispatch/run.go
@@ -30,6 +30,7 @@
 	resumeText []byte
 	headSent   bool
 	mayHaveRun bool
+	began      *string // software version that sent the first chunk, or nil
 	// resumeDeadline is when an interrupted request is no longer resumed. It is
 	// set by the first call of waitToResume.
 	resumeDeadline time.Time
@@ -47,6 +48,7 @@
 	sinkErr   error
 	cancel    context.CancelFunc
 	peeked    *cicadawire.Frame
+	version   string // of the engine's software when the attempt began
 	nextIndex int32
 }
 
@@ -76,7 +78,7 @@
 		if err != nil {
 			return nil, r.correctNotRun(err)
 		}
-		selected, err := r.d.selectEndpoint(r.req, r.tried)
+		selected, err := r.d.selectEndpoint(r.req, r.tried, r.began)
 		if err != nil && r.waitToResume(ctx) {
 			continue
 		}
@@ -220,7 +222,7 @@
 	if !(probe && r.d.probeBudget.Take()) && !r.d.hedgeBudget.Take() {
 		return nil, false
 	}
-	selected, err := r.d.selectEndpoint(r.req, r.tried)
+	selected, err := r.d.selectEndpoint(r.req, r.tried, r.began)
 	if err != nil || slices.Contains(r.tried, selected.endpoint.Name()) {
 		return nil, false
 	}
@@ -263,6 +265,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	a := &attempt{
 		endpoint:  selected.endpoint,
+		version:   selected.endpoint.SoftwareVersion(),
 		startedAt: r.d.now(),
 		tracked:   selected.endpoint.BeginAttempt(r.isBatch()),
 		call:      r.d.attemptCall(ctx, r, selected.endpoint.Boot(), suspect),
@@ -376,6 +379,9 @@
 		r.headSent = true
 	} else {
 		r.chunks++
+		if r.began == nil {
+			r.began = &a.version
+		}
 		if !r.nonIdempotent() && !r.headSent && len(r.resumeText) < maxResumeTextBytes {
 			r.resumeText = append(r.resumeText, frame.GetData()...)
 		}
--- a/cicadaentry/cicadafleet/endpoint.go
+++ b/cicadaentry/cicadafleet/endpoint.go
@@ -132,6 +132,13 @@
 // DataCentre returns the name of the endpoint's data centre.
 func (e *Endpoint) DataCentre() string { return e.dataCentre }
 
+// SoftwareVersion returns the version of the endpoint's engine as last reported, or "".
+func (e *Endpoint) SoftwareVersion() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.load.GetSoftwareVersion()
+}
+
 // RecordMessage records that a message from the endpoint's agent was received.
 func (e *Endpoint) RecordMessage() {
 	e.mu.Lock()
