Doubt the registered version of an endpoint after it has refused a connection

Cause, by reading: an endpoint that has crashed may come back under its id with another version of its software, and its former registration stands until the new process has written its own. A stream could go on there, or begin there under the wrong version.

Change: after a refused connection, here or at a peer, no output is continued at the endpoint, and what begins there is of unknown version, until it has registered anew or five seconds have passed. TestVersionIsInDoubtAfterARefusal. No play shows the fault; a restart that no process notices is not covered.

--- a/cicadagateway/cicadaplace/grant.go
+++ b/cicadagateway/cicadaplace/grant.go
@@ -30,7 +30,7 @@
 
 func (t *Table) grantOnline(e *endpointState, since time.Time) *Grant {
 	now := time.Now()
-	g := &Grant{table: t, state: e, endpoint: e.Endpoint, grantedAt: now, waited: now.Sub(since), load: e.total()}
+	g := &Grant{table: t, state: e, endpoint: e.grantedEndpoint(now), grantedAt: now, waited: now.Sub(since), load: e.total()}
 	e.local.Online++
 	e.limit.take(now)
 	return g
@@ -89,7 +89,7 @@
 func (g *Grant) RecordRefusal() {
 	t := g.table
 	t.mu.Lock()
-	news := g.state.backOff(time.Now())
+	news := g.state.recordRefusal(time.Now())
 	t.mu.Unlock()
 	if news {
 		t.onRefusal(g.endpoint.ID)
@@ -101,10 +101,30 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if e := t.endpointsByID[id]; e != nil {
-		e.backOff(time.Now())
+		e.recordRefusal(time.Now())
 	}
 }
 
+// versionDoubtTime is how long after a refused connection the registered software version of
+// an endpoint is in doubt. Its process has ended, and the next one may register late.
+const versionDoubtTime = 5 * time.Second
+
+// recordRefusal starts a backoff after a refused connection. It reports false during one.
+func (e *endpointState) recordRefusal(now time.Time) bool {
+	e.versionDoubtUntil = now.Add(versionDoubtTime)
+	return e.backOff(now)
+}
+
+// grantedEndpoint returns the endpoint as a request sees it: without a software version if
+// that is in doubt. Nothing is then continued elsewhere that begins there.
+func (e *endpointState) grantedEndpoint(now time.Time) cicadaview.Endpoint {
+	endpoint := e.Endpoint
+	if now.Before(e.versionDoubtUntil) {
+		endpoint.SoftwareVersion = ""
+	}
+	return endpoint
+}
+
 // RecordOverload records that the endpoint rejected the request because it had no capacity.
 func (g *Grant) RecordOverload() {
 	g.table.mu.Lock()
--- a/cicadagateway/cicadaplace/queue.go
+++ b/cicadagateway/cicadaplace/queue.go
@@ -25,7 +25,10 @@
 
 // allows reports whether an endpoint may be used for the request at all.
 func (req SlotRequest) allows(e *endpointState) bool {
-	if e.Draining || req.Continues && e.SoftwareVersion != req.Version {
+	if e.Draining {
+		return false
+	}
+	if req.Continues && (e.SoftwareVersion != req.Version || time.Now().Before(e.versionDoubtUntil)) {
 		return false
 	}
 	return !slices.Contains(req.Avoid, e.ID)
--- a/cicadagateway/cicadaplace/refusal_test.go
+++ b/cicadagateway/cicadaplace/refusal_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"cicadalink.example/cicadakernel/cicadaview"
 )
 
 // A crashedFifth is a fleet of entries of which none knows that a fifth of the endpoints has
@@ -147,3 +149,40 @@
 		})
 	}
 }
+
+// Guards against a stream that goes on at an endpoint which has started anew, with another
+// software version, under the id of one that was registered before.
+func TestVersionIsInDoubtAfterARefusal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := NewTable("me")
+		list := func(startedMs int64, version string) []cicadaview.Endpoint {
+			return []cicadaview.Endpoint{{ID: "e", Service: "s", Slots: 4, StartedMs: startedMs, SoftwareVersion: version}}
+		}
+		continues := func(version string) error {
+			grant, err := table.Acquire(t.Context(), SlotRequest{Service: "s", Continues: true, Version: version})
+			if err == nil {
+				grant.Release()
+			}
+			return err
+		}
+		begin := func() string {
+			grant, err := table.Acquire(t.Context(), SlotRequest{Service: "s"})
+			assert.NilError(t, err)
+			grant.Release()
+			return grant.Endpoint().SoftwareVersion
+		}
+		table.SetEndpoints(list(1, "v1"))
+		assert.NilError(t, continues("v1"))
+		assert.Equal(t, begin(), "v1")
+		table.RecordPeerRefusal("e")
+		assert.ErrorIs(t, continues("v1"), ErrNoEndpoint)
+		assert.Equal(t, begin(), "")
+		table.SetEndpoints(list(2, "v2"))
+		assert.NilError(t, continues("v2"))
+		assert.ErrorIs(t, continues("v1"), ErrNoEndpoint)
+		assert.Equal(t, begin(), "v2")
+		table.RecordPeerRefusal("e")
+		time.Sleep(versionDoubtTime)
+		assert.NilError(t, continues("v2"), "it would have registered by now")
+	})
+}
--- a/cicadagateway/cicadaplace/table.go
+++ b/cicadagateway/cicadaplace/table.go
@@ -75,6 +75,9 @@
 	backoffUntil time.Time
 	backoff      time.Duration // length of the latest backoff; 0 after a success
 	limit        rateLimit
+	// versionDoubtUntil is until when the registered software version may be that of a
+	// former process.
+	versionDoubtUntil time.Time
 }
 
 func (e *endpointState) online() int { return e.local.Online + e.peers.Online }
@@ -179,7 +182,7 @@
 			state = &endpointState{}
 		}
 		if state.StartedMs != e.StartedMs {
-			state.backoff, state.backoffUntil = 0, time.Time{}
+			state.backoff, state.backoffUntil, state.versionDoubtUntil = 0, time.Time{}, time.Time{}
 			state.limit = rateLimit{}
 		}
 		e.Draining = e.Draining || t.saidLeaving(e)
