Record the origins of streams whose routes have two services

Found by reading the change: a route that divides its requests between two services has no single version, so that a stream of it was refused when its caller resumed it at another entry, though each service had one version and nothing had been recorded. Such streams are recorded always. An own record now goes before the only version. A refusal for a version without endpoints asks the caller to return after a second, as a crashed endpoint is back after some. TestStreamsOfRoutesWithTwoServicesAreRecorded.

--- a/cicadagateway/cicadabatch/schedule.go
+++ b/cicadagateway/cicadabatch/schedule.go
@@ -238,7 +238,8 @@
 		}
 	}
 	o.log.Info("run ended", "item", it.ID, "job", it.job.id, "outcome", result.String(), "endpoint", grant.Endpoint().ID,
-		"software-version", grant.Endpoint().SoftwareVersion, "from-event", r.firstEvent, "status", r.status, "rate-limit", r.rateLimit, "event", it.lastEvent, "failures", it.failures, "took", now.Sub(it.startedAt).String(),
+		"software-version", grant.Endpoint().SoftwareVersion, "from-event", r.firstEvent, "event", it.lastEvent,
+		"status", r.status, "rate-limit", r.rateLimit, "failures", it.failures, "took", now.Sub(it.startedAt).String(),
 		"slack", o.estimate.slack(it, now).String(), "error", err)
 	o.metrics.runs[result].Inc(1)
 	switch result {
--- a/cicadagateway/cicadaorigin/example_test.go
+++ b/cicadagateway/cicadaorigin/example_test.go
@@ -13,7 +13,7 @@
 	tracker := cicadaorigin.NewTracker("entry-1", versions,
 		cicadaorigin.WithSend(func(_ string, m cicadaorigin.Message) { holder.Receive(m) }))
 	tracker.SetMembers([]string{"entry-2"})
-	tracker.Begin("request-7", cicadaorigin.Origin{Service: "assistants", Version: "v2"})
+	tracker.Begin("request-7", cicadaorigin.Origin{Service: "assistants", Version: "v2"}, false)
 
 	origin, err := holder.Find(context.Background(), "request-7", []string{"assistants"})
 	fmt.Println(origin.Version, err)
--- a/cicadagateway/cicadaorigin/fleet_test.go
+++ b/cicadagateway/cicadaorigin/fleet_test.go
@@ -167,7 +167,7 @@
 		killed = append(killed, m)
 		for k := range 4 {
 			s := stream{fmt.Sprintf("%d-%d-%d", i, k, f.random.Uint64()), Origin{Service: "s", Version: versions[f.random.IntN(len(versions))]}}
-			m.tracker.Begin(s.id, s.origin)
+			m.tracker.Begin(s.id, s.origin, false)
 			streams = append(streams, s)
 		}
 	}
@@ -255,7 +255,7 @@
 		f.gossip()
 		entry := f.members[3]
 		for i := range 200 {
-			entry.tracker.Begin(fmt.Sprint("stream-", i), Origin{Service: "s", Version: "v1"})
+			entry.tracker.Begin(fmt.Sprint("stream-", i), Origin{Service: "s", Version: "v1"}, false)
 		}
 		time.Sleep(time.Second)
 		f.setVersions(func(m *testMember) bool { return m != entry }, "v1", "v2")
@@ -274,6 +274,23 @@
 	})
 }
 
+// Guards against streams that are refused because their route has two services, of which each
+// has one version.
+func TestStreamsOfRoutesWithTwoServicesAreRecorded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(1, 9)
+		f.setVersions(all, "v1")
+		time.Sleep(2 * startTime)
+		f.gossip()
+		f.members[3].tracker.Begin("stream", Origin{Service: "s", Version: "v1"}, true)
+		time.Sleep(2 * transit)
+		f.kill(f.members[3])
+		origin, err := f.members[0].tracker.Find(t.Context(), "stream", []string{"other", "s"})
+		assert.NilError(t, err)
+		assert.Equal(t, origin.Service, "s")
+	})
+}
+
 // Guards against a guess of a member that is cut off and does not know of a new version.
 func TestIsolatedMemberDoesNotGuess(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -354,7 +371,7 @@
 	}
 	tracker.SetMembers(members)
 	for i := 0; b.Loop(); i++ {
-		tracker.Begin(fmt.Sprint(i), Origin{Service: "s", Version: "v"})
+		tracker.Begin(fmt.Sprint(i), Origin{Service: "s", Version: "v"}, false)
 	}
 }
 
--- a/cicadagateway/cicadaorigin/tracker.go
+++ b/cicadagateway/cicadaorigin/tracker.go
@@ -14,7 +14,7 @@
 //	versions := cicadaorigin.NewVersions()
 //	tracker := cicadaorigin.NewTracker("entry-1", versions, cicadaorigin.WithSend(send))
 //	tracker.SetMembers(members)
-//	tracker.Begin(id, cicadaorigin.Origin{Service: "assistants", Version: "v2"})
+//	tracker.Begin(id, cicadaorigin.Origin{Service: "assistants", Version: "v2"}, false)
 //	defer tracker.End(id)
 //
 // and where the caller resumes the stream
@@ -144,9 +144,11 @@
 }
 
 // Begin records that a stream has begun or goes on in this process. It must be called
-// before the caller gets the first event. Sending does not block.
-func (t *Tracker) Begin(stream string, origin Origin) {
-	recorded := t.versions.Recorded(origin.Service)
+// before the caller gets the first event. If shared is set, the stream's route has other
+// services too, so that its origin is recorded at other members in any case. Sending does not
+// block.
+func (t *Tracker) Begin(stream string, origin Origin, shared bool) {
+	recorded := shared || t.versions.Recorded(origin.Service)
 	t.mu.Lock()
 	t.records.add(Record{Stream: stream, Origin: origin}, time.Now())
 	t.running[stream] = &runningStream{origin: origin, recorded: recorded}
@@ -197,14 +199,14 @@
 // services. It asks other members if necessary, and fails with ErrUnknown if none that
 // replies in time knows the stream.
 func (t *Tracker) Find(ctx context.Context, stream string, services []string) (Origin, error) {
+	if origin, ok := t.known(stream); ok {
+		return t.found(origin, "own-record")
+	}
 	if len(services) == 1 {
 		if version, ok := t.versions.Single(services[0]); ok {
 			return t.found(Origin{Service: services[0], Version: version}, "single-version")
 		}
 	}
-	if origin, ok := t.known(stream); ok {
-		return t.found(origin, "own-record")
-	}
 	if origin, ok := t.ask(ctx, stream); ok {
 		return t.found(origin, "record-of-member")
 	}
--- a/cicadagateway/cicadarelay/exchange.go
+++ b/cicadagateway/cicadarelay/exchange.go
@@ -293,7 +293,8 @@
 	x.relay.scope.Tagged(map[string]string{"reason": reason}).Counter("failed").Inc(1)
 	x.relay.metrics.recordFailed(reason, time.Since(x.start))
 	x.relay.log.Info("request failed", "id", x.id, "route", x.route.Name, "kind", x.route.Kind.String(), "reason", reason,
-		"status", status, "runs", x.runs, "sends", x.sends, "started", x.headerSent, "software-version", x.origin.Version, "resumes", x.r.Header.Get(adapter.HeaderResumes),
+		"status", status, "runs", x.runs, "sends", x.sends, "started", x.headerSent,
+		"software-version", x.origin.Version, "resumes", x.r.Header.Get(adapter.HeaderResumes),
 		"resumed-after", x.r.Header.Get(adapter.HeaderLastEventID), "after", time.Since(x.start).String(), "error", err)
 	if x.headerSent || reason == reasonCallerDisconnected {
 		panic(http.ErrAbortHandler)
@@ -306,6 +307,8 @@
 			retry = verdict.Remaining
 		case reasonUnknownOrigin:
 			retry = unknownOriginRetryAfter
+		case reasonVersionGone:
+			retry = versionGoneRetryAfter
 		}
 		x.w.Header().Set("Retry-After", strconv.FormatFloat(retry.Seconds(), 'f', 3, 64))
 	}
@@ -329,7 +332,8 @@
 	x.relay.metrics.recordCompleted(x.route.Kind, grant.WaitTime(), x.events.timeToFirst(x.start), now.Sub(x.start))
 	x.relay.log.Info("request completed", "id", x.id, "route", x.route.Name, "kind", x.route.Kind.String(), "status", res.StatusCode,
 		"endpoint", grant.Endpoint().ID, "software-version", grant.Endpoint().SoftwareVersion, "resumes", x.r.Header.Get(adapter.HeaderResumes),
-		"resumed-after", x.r.Header.Get(adapter.HeaderLastEventID), "rate-limit", res.Header.Get(adapter.HeaderRateLimit), "load", grant.Load(), "waited", grant.WaitTime().String(), "sends", x.sends, "runs", x.runs,
+		"resumed-after", x.r.Header.Get(adapter.HeaderLastEventID), "rate-limit", res.Header.Get(adapter.HeaderRateLimit),
+		"load", grant.Load(), "waited", grant.WaitTime().String(), "sends", x.sends, "runs", x.runs,
 		"sent-after", sent.Sub(x.start).String(), "first-event", x.events.timeToFirst(x.start).String(), "took", now.Sub(x.start).String())
 }
 
@@ -338,7 +342,8 @@
 func (x *exchange) logFailedAttempt(grant *cicadaplace.Grant, sent time.Time, outcome string, err error) {
 	x.relay.scope.Tagged(map[string]string{"outcome": outcome}).Counter("attempts_failed").Inc(1)
 	x.relay.log.Info("attempt failed", "id", x.id, "route", x.route.Name, "outcome", outcome, "endpoint", grant.Endpoint().ID,
-		"software-version", grant.Endpoint().SoftwareVersion, "address", grant.Endpoint().Address, "load", grant.Load(), "sends", x.sends, "runs", x.runs, "last-event", x.events.lastID,
+		"software-version", grant.Endpoint().SoftwareVersion, "address", grant.Endpoint().Address,
+		"load", grant.Load(), "sends", x.sends, "runs", x.runs, "last-event", x.events.lastID,
 		"fingerprint", strconv.FormatUint(x.fingerprint, 16), "prompt", loggedPrompt(x.r.Header),
 		"sent-for", time.Since(sent).String(), "error", err)
 }
--- a/cicadagateway/cicadarelay/resume.go
+++ b/cicadagateway/cicadarelay/resume.go
@@ -26,6 +26,10 @@
 // unknown origin at another entry. Its record may only have been late.
 const unknownOriginRetryAfter = 100 * time.Millisecond
 
+// versionGoneRetryAfter is the time after which a caller should try to resume a stream whose
+// version has no endpoint. One that has crashed is back after some seconds.
+const versionGoneRetryAfter = time.Second
+
 // resumedByCaller reports whether the request is the rest of a stream that the caller has
 // received in part.
 func (x *exchange) resumedByCaller() bool {
@@ -110,7 +114,7 @@
 		x.relay.metrics.countResumed(by)
 	}
 	if x.stream != "" {
-		x.relay.origins.Begin(x.stream, x.origin)
+		x.relay.origins.Begin(x.stream, x.origin, len(x.route.Targets) > 1)
 		x.tracked = true
 	}
 }
