--- /dev/null
+++ b/cicadagateway/cicadabatch/submit.go
@@ -0,0 +1,125 @@
+package cicadabatch
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"maps"
+	"net/http"
+	"time"
+
+	"cicadalink.example/cicadakernel/cicadaplatform"
+	adapter "cicadalink.example/platform"
+)
+
+// submit accepts a job. Concurrent submissions of one job are handled as one.
+func (o *Owner) submit(ctx context.Context, c *Call) Response {
+	outcome := o.submissions.DoChan(c.Job, func() (any, error) {
+		ctx, cancel := context.WithTimeout(o.ctx, acceptTimeout)
+		defer cancel()
+		return o.accept(ctx, c), nil
+	})
+	select {
+	case r := <-outcome:
+		return r.Val.(Response)
+	case <-ctx.Done():
+		return outcomeUnknown()
+	}
+}
+
+// accept stores a job, if its tokens fit in the limit of its route.
+func (o *Owner) accept(ctx context.Context, c *Call) Response {
+	exists := false
+	o.enqueueAndWait(func() { exists = o.jobs[c.Job] != nil })
+	if exists {
+		return Response{Status: http.StatusAccepted}
+	}
+	items, err := adapter.DecodeJob(c.Body)
+	if err != nil {
+		o.log.Warn("submission rejected", "job", c.Job, "error", err)
+		return Response{Status: http.StatusBadRequest}
+	}
+	if refusal := o.reserve(ctx, c, sumTokens(items)); refusal != nil {
+		return o.confirmRefusal(ctx, c, *refusal)
+	}
+	now := time.Now()
+	r := jobRecord{
+		Host: c.Host, Path: c.Path, AcceptedMs: now.UnixMilli(), DueMs: c.Due.Milliseconds(), GiveUpMs: c.GiveUp.Milliseconds(),
+		Total: len(items), SubmittedBy: o.name, Items: items,
+	}
+	value, err := json.Marshal(r)
+	if err != nil {
+		o.releaseTokens(c.Host, c.Path, c.Job)
+		o.log.Error("failed to encode submission", "job", c.Job, "error", err)
+		return Response{Status: http.StatusInternalServerError}
+	}
+	obj, err := o.store.Create(ctx, cicadaplatform.ClassClaim, JobsPrefix+c.Job, value)
+	if err != nil && !errors.Is(err, cicadaplatform.ErrExists) {
+		return o.submitError(c, err)
+	}
+	o.log.Info("job accepted", "job", c.Job, "items", len(items), "repeat", err != nil, "took", time.Since(now).String())
+	if err == nil {
+		o.enqueue(func() {
+			if o.jobs[c.Job] == nil {
+				j := o.addJob(c.Job, r, now)
+				j.version = obj.Version()
+				j.loaded = true // a new job has no results to load
+			}
+			o.Wake()
+		})
+	}
+	return Response{Status: http.StatusAccepted}
+}
+
+func sumTokens(items []adapter.Item) int64 {
+	tokens := int64(0)
+	for _, it := range items {
+		tokens += int64(it.Tokens)
+	}
+	return tokens
+}
+
+// lookupTTL is how long the store's answer that a refused job does not exist is trusted.
+// Callers may return many times within their time, and each look-up is a call to the store.
+const lookupTTL = 5 * time.Second
+
+// confirmRefusal returns the refusal of a job that is not in the store. A job that another
+// owner has accepted, and this one does not know yet, is not refused.
+func (o *Owner) confirmRefusal(ctx context.Context, c *Call, refusal Response) Response {
+	recent := false
+	o.enqueueAndWait(func() { recent = time.Since(o.absentJobs[c.Job]) < lookupTTL })
+	if recent {
+		return refusal
+	}
+	_, err := o.store.Get(ctx, JobsPrefix+c.Job)
+	switch {
+	case err == nil:
+		return Response{Status: http.StatusAccepted}
+	case errors.Is(err, cicadaplatform.ErrNotFound):
+		o.enqueue(func() { o.absentJobs[c.Job] = time.Now() })
+		return refusal
+	}
+	o.log.Warn("failed to look up refused job", "job", c.Job, "error", err)
+	return outcomeUnknown()
+}
+
+// forgetAbsentJobs removes look-ups that are not trusted any more.
+func (o *Owner) forgetAbsentJobs(now time.Time) {
+	maps.DeleteFunc(o.absentJobs, func(_ string, at time.Time) bool { return now.Sub(at) >= lookupTTL })
+}
+
+func (o *Owner) submitError(c *Call, err error) Response {
+	o.log.Warn("failed to store job", "job", c.Job, "error", err)
+	switch {
+	case errors.Is(err, cicadaplatform.ErrTooLarge):
+		o.releaseTokens(c.Host, c.Path, c.Job)
+		return Response{Status: http.StatusRequestEntityTooLarge}
+	case errors.Is(err, cicadaplatform.ErrInDoubt):
+		return outcomeUnknown()
+	case errors.Is(err, cicadaplatform.ErrUnavailable):
+		o.releaseTokens(c.Host, c.Path, c.Job)
+		return unavailable()
+	}
+	return outcomeUnknown()
+}
+
--- a/cicadagateway/cicadaexchange/client.go
+++ b/cicadagateway/cicadaexchange/client.go
@@ -18,21 +18,17 @@
 package cicadaexchange
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"io"
 	"net"
 	"net/http"
-	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
 
 	"github.com/ansel1/merry/v2"
-	"golang.org/x/sys/unix"
 )
 
 // Errors returned by Do and when reading a response.
@@ -122,50 +118,6 @@
 	return c
 }
 
-// setTCPUserTimeout sets TCP_USER_TIMEOUT, so that a connection fails if sent data
-// is not acknowledged in time.
-func setTCPUserTimeout(_, _ string, raw syscall.RawConn) error {
-	var sockErr error
-	err := raw.Control(func(fd uintptr) {
-		sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(tcpUserTimeout.Milliseconds()))
-	})
-	return errors.Join(err, sockErr)
-}
-
-type conn struct {
-	net.Conn
-	limit   *headerLimit
-	r       *bufio.Reader
-	address string
-	expires time.Time
-	reused  bool
-	// failedIDs are the ids of requests that got a response on this connection which was not
-	// a success. An endpoint may send such a response once more, and the same request may be
-	// sent to it again.
-	failedIDs []string
-}
-
-// A headerLimit limits the bytes that are read from a connection for one response header,
-// so that an endpoint that sends bytes without end cannot exhaust the memory.
-type headerLimit struct {
-	net.Conn
-	limited bool
-	left    int
-}
-
-// Read implements io.Reader.
-func (l *headerLimit) Read(p []byte) (int, error) {
-	if !l.limited {
-		return l.Conn.Read(p)
-	}
-	if l.left <= 0 {
-		return 0, ErrTooLarge
-	}
-	n, err := l.Conn.Read(p[:min(len(p), l.left)])
-	l.left -= n
-	return n, err
-}
-
 // Response wraps the http.Response of an endpoint. Its body is read with Read, and
 // Close must be called.
 type Response struct {
@@ -318,111 +270,6 @@
 	r.client.putIdle(r.conn, idleTimeout(r.Header))
 }
 
-// idleTimeout returns how long a connection may stay idle and still be reused. It is
-// derived from the timeout in the Keep-Alive header of the response.
-func idleTimeout(h http.Header) time.Duration {
-	for part := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
-		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
-		if !strings.EqualFold(name, "timeout") {
-			continue
-		}
-		if s, err := strconv.Atoi(value); err == nil {
-			return time.Duration(s)*time.Second - keepAliveMargin
-		}
-	}
-	return defaultIdleTimeout
-}
-
-// putIdle adds a connection to the pool. A full pool closes the connection that has
-// been idle for longest.
-func (c *Client) putIdle(cn *conn, timeout time.Duration) {
-	if timeout <= 0 {
-		_ = cn.Close()
-		return
-	}
-	cn.expires = time.Now().Add(timeout)
-	cn.reused = true
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	list := c.idle[cn.address]
-	if len(list) >= maxIdlePerAddress {
-		_ = list[0].Close()
-		list = list[1:]
-	}
-	c.idle[cn.address] = append(list, cn)
-}
-
-// getConn returns the most recently used idle connection that is reusable for the request
-// with the given id, or a new connection.
-func (c *Client) getConn(ctx context.Context, address, id string) (*conn, error) {
-	for {
-		cn := c.popIdle(address, id)
-		if cn == nil {
-			break
-		}
-		if cn.reusable() {
-			return cn, nil
-		}
-		_ = cn.Close()
-	}
-	raw, err := c.dial(ctx, address)
-	if err != nil {
-		return nil, merry.Errorf("connect to %s: %w: %w", address, ErrNotSent, err)
-	}
-	c.onConnect()
-	limit := &headerLimit{Conn: raw}
-	return &conn{Conn: raw, limit: limit, r: bufio.NewReaderSize(limit, readBufferSize), address: address}, nil
-}
-
-// popIdle takes from the pool the most recently used idle connection on which the request
-// with the given id has not failed. It returns nil if there is none, and closes the expired
-// connections it finds.
-func (c *Client) popIdle(address, id string) *conn {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	now := time.Now()
-	list := slices.DeleteFunc(c.idle[address], func(cn *conn) bool {
-		expired := !now.Before(cn.expires)
-		if expired {
-			_ = cn.Close()
-		}
-		return expired
-	})
-	var found *conn
-	for i := len(list) - 1; i >= 0; i-- {
-		if !slices.Contains(list[i].failedIDs, id) {
-			found = list[i]
-			list = slices.Delete(list, i, i+1)
-			break
-		}
-	}
-	c.idle[address] = list
-	if len(list) == 0 {
-		delete(c.idle, address)
-	}
-	return found
-}
-
-// reusable reports whether an idle connection is open and has no unread bytes.
-func (cn *conn) reusable() bool {
-	sc, ok := cn.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	reusable := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		reusable = errors.Is(err, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && reusable
-}
-
 // RefusedConnection reports whether an error of Do means that the endpoint refused the
 // connection, so that no process listens at its address.
 func RefusedConnection(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
@@ -440,14 +287,3 @@
 	_ = raw.Close()
 	return false
 }
-
-// CloseIdle closes the idle connections to an address.
-func (c *Client) CloseIdle(address string) {
-	c.mu.Lock()
-	list := c.idle[address]
-	delete(c.idle, address)
-	c.mu.Unlock()
-	for _, cn := range list {
-		_ = cn.Close()
-	}
-}
