--- a/cicadagateway/cicadabatch/submit.go
+++ b/cicadagateway/cicadabatch/submit.go
@@ -122,4 +122,3 @@
 	}
 	return outcomeUnknown()
 }
-
