--- a/cicadagateway/cicadabatch/version.go
+++ b/cicadagateway/cicadabatch/version.go
@@ -41,16 +41,8 @@
 	switch {
 	case others == 0 && same == 0:
 		return // no endpoint is known at present
-	case same > 0 && sameService && (others == 0 || o.table.BatchSlots(service) == 0):
-		it.versionBusySince = time.Time{}
+	case same > 0 && sameService && !o.versionBusyForLong(it, service, others, now):
 		return
-	case same > 0 && sameService:
-		if it.versionBusySince.IsZero() {
-			it.versionBusySince = now
-		}
-		if now.Sub(it.versionBusySince) < o.estimate.elapsed(it.lastEvent) {
-			return
-		}
 	}
 	o.log.Info("item starts anew", "item", it.ID, "job", it.job.id, "event", it.lastEvent, "service", service,
 		"began-at", it.origin.Service, "software-version", it.origin.Version, "endpoints", same, "others", others)
@@ -58,6 +50,19 @@
 	it.restart()
 }
 
+// versionBusyForLong reports whether the endpoints of the version that began an item's output
+// have been busy, while others were idle, for as long as the output took.
+func (o *Owner) versionBusyForLong(it *item, service string, others int, now time.Time) bool {
+	if others == 0 || o.table.BatchSlots(service) == 0 {
+		it.versionBusySince = time.Time{}
+		return false
+	}
+	if it.versionBusySince.IsZero() {
+		it.versionBusySince = now
+	}
+	return now.Sub(it.versionBusySince) >= o.estimate.elapsed(it.lastEvent)
+}
+
 // restart discards the output of an item that is waiting.
 func (it *item) restart() {
 	failures := it.failures
--- a/cicadagateway/cicadarelay/exchange.go
+++ b/cicadagateway/cicadarelay/exchange.go
@@ -44,12 +44,12 @@
 	answered    bool // whether the current run has got an event, or a complete answer
 	events      eventParser
 
-	stream     string              // id of the request that got the stream's first event
-	origin     cicadaorigin.Origin // of the stream, if continues is set
-	continues  bool                // whether the next attempt continues an output
-	tracked    bool                // whether origins knows the stream as running
-	emptyRests int                 // attempts to resume a stream that brought no event, and no error
-	returned   bool                // whether avoid was cleared because no other endpoint was left
+	stream       string              // id of the request that got the stream's first event
+	origin       cicadaorigin.Origin // of the stream, if continues is set
+	continues    bool                // whether the next attempt continues an output
+	tracked      bool                // whether origins knows the stream as running
+	emptyRests   int                 // attempts to resume a stream that brought no event, and no error
+	avoidCleared bool                // whether avoid was cleared because no other endpoint was left
 }
 
 // run makes attempts until one succeeds or no further attempt is allowed.
--- a/cicadagateway/cicadarelay/metrics.go
+++ b/cicadagateway/cicadarelay/metrics.go
@@ -11,6 +11,13 @@
 // latencyBuckets range from 1 ms to 16 s.
 var latencyBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 15)
 
+// Who broke off a stream that went on, as the value of a tag. A caller breaks it off if its
+// connection to the entry ends.
+const (
+	brokenOffByEndpoint = "endpoint"
+	brokenOffByCaller   = "caller"
+)
+
 // metrics holds the latency histograms. They are created once because a lookup by
 // tags costs more than recording a value.
 type metrics struct {
@@ -29,7 +36,7 @@
 		slotWaitTime:   scope.Histogram("slot_wait_time", latencyBuckets),
 		resumed:        make(map[string]tally.Counter),
 	}
-	for _, by := range []string{"endpoint", "caller"} {
+	for _, by := range []string{brokenOffByEndpoint, brokenOffByCaller} {
 		m.resumed[by] = scope.Tagged(map[string]string{"by": by}).Counter("streams_resumed")
 	}
 	for _, kind := range []cicadaview.Kind{cicadaview.Safe, cicadaview.Unsafe, cicadaview.Stream} {
--- a/cicadagateway/cicadarelay/resume.go
+++ b/cicadagateway/cicadarelay/resume.go
@@ -88,8 +88,8 @@
 		return nil, cicadaplace.ErrNoEndpoint
 	}
 	grant, err := x.relay.table.Acquire(ctx, x.slotRequest())
-	if errors.Is(err, cicadaplace.ErrNoEndpoint) && x.continues && len(x.avoid) > 0 && !x.returned {
-		x.avoid, x.returned = nil, true
+	if errors.Is(err, cicadaplace.ErrNoEndpoint) && x.continues && len(x.avoid) > 0 && !x.avoidCleared {
+		x.avoid, x.avoidCleared = nil, true
 		return x.relay.table.Acquire(ctx, x.slotRequest())
 	}
 	return grant, err
@@ -101,17 +101,14 @@
 	if x.route.Kind != cicadaview.Stream || !x.route.Resumable {
 		return
 	}
-	by := "endpoint"
 	switch {
 	case !x.continues:
-		x.stream = x.id
-		x.origin, x.continues = cicadaorigin.Origin{Service: endpoint.Service, Version: endpoint.SoftwareVersion}, true
-		by = ""
+		x.stream, x.continues = x.id, true
+		x.origin = cicadaorigin.Origin{Service: endpoint.Service, Version: endpoint.SoftwareVersion}
 	case x.resumedByCaller():
-		by = "caller"
-	}
-	if by != "" {
-		x.relay.metrics.countResumed(by)
+		x.relay.metrics.countResumed(brokenOffByCaller)
+	default:
+		x.relay.metrics.countResumed(brokenOffByEndpoint)
 	}
 	if x.stream != "" {
 		x.relay.origins.Begin(x.stream, x.origin, len(x.route.Targets) > 1)
