--- a/cicadadev/cicadadeployment/stop_test.go
+++ b/cicadadev/cicadadeployment/stop_test.go
@@ -57,15 +57,12 @@
 	return text.String()
 }
 
-// Streams that are in progress when an endpoint stops or an engine crashes must not
-// lose or repeat a token. They finish at the same endpoint, or resume at another one
-// after the last token sent.
-func TestStreamsSurviveEndpoints(t *testing.T) {
-	d, err := Start(t.Context(), WithEntries(2), WithEngines(3), WithTokenTime(3*time.Millisecond))
-	assert.NilError(t, err)
-	defer d.Close()
+// startStreams starts streams at two entries and three engines, which must be complete and
+// right in the end, and returns when all of them are running.
+func (d *Deployment) startStreams(t *testing.T, n int) *conc.WaitGroup {
+	t.Helper()
 	var tasks conc.WaitGroup
-	for i := range 12 {
+	for i := range n {
 		tasks.Go(func() {
 			prompt := fmt.Sprint("quote ", i)
 			text, complete, err := readStream(t.Context(), d.EntryURL(i%2), prompt)
@@ -74,7 +71,18 @@
 			assert.Check(t, text == expectedText(prompt), "stream %d has the wrong text", i)
 		})
 	}
-	waitUntil(t, func() bool { return d.Engine(0).Running()+d.Engine(1).Running()+d.Engine(2).Running() == 12 })
+	waitUntil(t, func() bool { return d.Engine(0).Running()+d.Engine(1).Running()+d.Engine(2).Running() == int64(n) })
+	return &tasks
+}
+
+// Streams that are in progress when an endpoint stops or an engine crashes must not
+// lose or repeat a token. They finish at the same endpoint, or resume at another one
+// after the last token sent.
+func TestStreamsSurviveEndpoints(t *testing.T) {
+	d, err := Start(t.Context(), WithEntries(2), WithEngines(3), WithTokenTime(3*time.Millisecond))
+	assert.NilError(t, err)
+	defer d.Close()
+	tasks := d.startStreams(t, 12)
 	d.Engine(1).Crash()
 	assert.NilError(t, d.StopAgent(0))
 	d.agents[0].done <- nil
@@ -105,17 +113,7 @@
 	for i := range 2 {
 		waitUntil(t, func() bool { return d.reportedVersions(i) == 2 })
 	}
-	var tasks conc.WaitGroup
-	for i := range 12 {
-		tasks.Go(func() {
-			prompt := fmt.Sprint("quote ", i)
-			text, complete, err := readStream(t.Context(), d.EntryURL(i%2), prompt)
-			assert.Check(t, err)
-			assert.Check(t, complete, "stream %d ended early", i)
-			assert.Check(t, text == expectedText(prompt), "stream %d has the wrong text", i)
-		})
-	}
-	waitUntil(t, func() bool { return d.Engine(0).Running()+d.Engine(1).Running()+d.Engine(2).Running() == 12 })
+	tasks := d.startStreams(t, 12)
 	waitUntil(t, func() bool { return d.Engine(1).Tokens() > 2*d.Engine(1).Running() })
 	d.Engine(1).Crash()
 	tasks.Wait()
--- a/cicadagateway/cicadabatch/owner_test.go
+++ b/cicadagateway/cicadabatch/owner_test.go
@@ -196,32 +196,21 @@
 }
 
 // Guards against items that are listed as complete with a part of their output, because an
-// endpoint sent nothing as the rest.
+// endpoint sent nothing as the rest. Two that send nothing agree that only the end of the
+// first run was lost.
 func TestEmptyRestIsNotTheEndOfAnItem(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		d := newTestDeployment()
-		d.dropAfter, d.emptyRests = 7, 1
-		o := d.startOwner("o1", fixedOwners("o1"))
-		defer o.stop()
-		time.Sleep(time.Second)
-		o.call(t, submitCall("j", 20))
-		time.Sleep(3 * time.Second)
-		d.checkComplete(t, o.results(t, "j", 0), "j", 20)
-	})
-}
-
-// Two runs that bring nothing agree that only the end of the first run was lost.
-func TestItemEndsAfterTwoEmptyRests(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		d := newTestDeployment()
-		d.dropAfter, d.emptyRests = 7, 2
-		o := d.startOwner("o1", fixedOwners("o1"))
-		defer o.stop()
-		time.Sleep(time.Second)
-		o.call(t, submitCall("j", 20))
-		time.Sleep(3 * time.Second)
-		d.checkComplete(t, o.results(t, "j", 0), "j", 7)
-	})
+	for emptyRests, events := range map[int]int{1: 20, 2: 7} {
+		synctest.Test(t, func(t *testing.T) {
+			d := newTestDeployment()
+			d.dropAfter, d.emptyRests = 7, emptyRests
+			o := d.startOwner("o1", fixedOwners("o1"))
+			defer o.stop()
+			time.Sleep(time.Second)
+			o.call(t, submitCall("j", 20))
+			time.Sleep(3 * time.Second)
+			d.checkComplete(t, o.results(t, "j", 0), "j", events)
+		})
+	}
 }
 
 // Guards against items that are sent to an endpoint after it has said that it is leaving.
