Let members that have just started and agree on one version continue streams

Cause: a member distrusted its own list for 1.2 s after its start, whatever it had heard. Change: it trusts it as soon as a peer has sent the same digest and none a different one. TestStartedMembersThatAgreeDoNotRefuse fails before (unknown origin).

--- a/cicadagateway/cicadaorigin/fleet_test.go
+++ b/cicadagateway/cicadaorigin/fleet_test.go
@@ -320,6 +320,19 @@
 	})
 }
 
+// Guards against streams that are refused because all members have just started, although
+// they agree that one version serves.
+func TestStartedMembersThatAgreeDoNotRefuse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(1, 3)
+		f.setVersions(all, "v1")
+		f.gossip()
+		origin, err := f.members[0].tracker.Find(t.Context(), "stream", []string{"s"})
+		assert.NilError(t, err)
+		assert.Equal(t, origin.Version, "v1")
+	})
+}
+
 // The memory for records is limited, and they expire.
 func TestRecordsExpire(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/cicadagateway/cicadaorigin/versions.go
+++ b/cicadagateway/cicadaorigin/versions.go
@@ -186,5 +186,6 @@
 }
 
 func (v *Versions) uncertain() bool {
-	return v.isolated || v.disagree > 0 || time.Since(v.startedAt) < startTime
+	unheard := len(v.peers) == 0 && time.Since(v.startedAt) < startTime
+	return v.isolated || v.disagree > 0 || unheard
 }
