--- a/review/rig/large.go
+++ b/review/rig/large.go
@@ -59,8 +59,9 @@
 		d.store.setBusy(false)
 	}
 	end := time.Now().Add(finishS)
+	calm := func() time.Duration { return time.Since(time.Unix(0, lastRun.Load())) }
 	got := 0
-	for time.Now().Before(end) {
+	for time.Now().Before(end) || calm() < 6*time.Second && time.Now().Before(end.Add(30*time.Second)) {
 		results, total, a := d.readAll(d.entries[1], job)
 		rec.add("client reads all: status %d, %d results of %d, error %v", a.status, len(results), total, a.err)
 		got = len(results)
@@ -76,9 +77,8 @@
 	for _, wk := range d.workers {
 		busy += len(wk.slots)
 	}
-	calm := time.Since(time.Unix(0, lastRun.Load()))
-	rec.add("FinishS is over: %d of %d items are listed, %d slots of workers are taken, the last run ended %.1f s ago", got, items, busy, calm.Seconds())
-	broken := got < items && busy == 0 && calm > 5*time.Second
+	rec.add("FinishS is over: %d of %d items are listed, %d slots of workers are taken, the last run ended %.1f s ago", got, items, busy, calm().Seconds())
+	broken := got < items && busy == 0 && calm() > 5*time.Second
 	if broken {
 		rec.add("LOST: %d items are not listed", items-got)
 	}
--- a/review/rig/stale.go
+++ b/review/rig/stale.go
@@ -18,7 +18,9 @@
 		items  = 12
 		freeze = 4 * time.Second
 	)
-	d := newDeployment(rec, 2, 3, 2, newConfig(batchRoute(0), streamRoute()), func(id string) script {
+	route := batchRoute(0)
+	route["DueMs"] = 40000
+	d := newDeployment(rec, 2, 3, 2, newConfig(route, streamRoute()), func(id string) script {
 		if id[0] == 'd' { // a draft for a person
 			var n int
 			_, _ = fmt.Sscanf(id[1:], "%x", &n)
@@ -114,7 +116,7 @@
 			}
 		})
 	}
-	time.Sleep(600 * time.Millisecond)
+	time.Sleep(10 * time.Second)
 	if d.trouble {
 		d.signal(owner, syscall.SIGSTOP)
 	} else {
