review: case 5, a stopping entry takes streams that it then cuts

Cause: a stopping entry accepts until two seconds before the end of its drain, while a request may take longer.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -6,4 +6,4 @@
   echo "build the system and review/build.sh first" >&2
   exit 2
 fi
-exec target/review-rig smuggled review/5
+exec target/review-rig stopping review/5
