--- a/review/rig/large.go
+++ b/review/rig/large.go
@@ -26,7 +26,7 @@
 			return (rows + rows)[:60-len(fmt.Sprint(n))] + fmt.Sprint(n)
 		}}
 	})
-	defer d.stop(false)
+	defer d.stop()
 	var lastRun atomic.Int64 // when a worker last had an item
 	for _, wk := range d.workers {
 		done := wk.onDone
@@ -64,7 +64,7 @@
 	for time.Now().Before(end) || calm() < 6*time.Second && time.Now().Before(end.Add(30*time.Second)) {
 		results, total, a := d.readAll(d.entries[1], job)
 		rec.add("client reads all: status %d, %d results of %d, error %v", a.status, len(results), total, a.err)
-		got = len(results)
+		got = max(got, len(results))
 		for _, r := range results {
 			if want := d.workers[0].plan(r.ID).output(); r.State != "complete" || r.Output != want {
 				rec.add("MIXED: item %s is %s with %d bytes of %d", r.ID, r.State, len(r.Output), len(want))
--- a/review/rig/refused.go
+++ b/review/rig/refused.go
@@ -44,7 +44,7 @@
 		}
 		return s
 	})
-	defer d.stop(false)
+	defer d.stop()
 	for _, wk := range d.workers {
 		wk.onRun = func(w, id string, last int) {
 			rec.add("worker %s runs %s after event %d", w, id, last)
--- a/review/rig/smuggled.go
+++ b/review/rig/smuggled.go
@@ -15,7 +15,7 @@
 	var mu sync.Mutex
 	ran := map[string]int{}
 	d := newDeployment(rec, 2, 3, 2, newConfig(batchRoute(0)), func(id string) script { return plain(id, 5, 50*time.Millisecond) })
-	defer d.stop(false)
+	defer d.stop()
 	for _, wk := range d.workers {
 		wk.onRun = func(w, id string, last int) {
 			rec.add("worker %s runs %s after event %d", w, id, last)
--- a/review/rig/stale.go
+++ b/review/rig/stale.go
@@ -28,7 +28,7 @@
 		}
 		return plain(id, 20, 50*time.Millisecond)
 	})
-	defer d.stop(false)
+	defer d.stop()
 
 	// Traffic of persons in steps: high, low, high.
 	var high atomic.Bool
@@ -53,6 +53,7 @@
 				a := call(http.MethodPost, d.entries[c%2].front, "/draft/"+id, map[string]string{
 					"X-Request-Id": id, "X-Model": "m", "X-Token-Count": "250,20", "X-Prompt-Prefix": "5c1e07a2:100," + id + ":250", "X-Deadline-Ms": "5000",
 				}, []byte("draft"), 5*time.Second)
+				rec.add("draft %s: status %d, error %v", id, a.status, a.err)
 				if a.status == http.StatusOK && a.err == nil {
 					served.Add(1)
 				} else {
