--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -683,7 +683,7 @@
 			break
 		}
 		if time.Now().After(deadline) {
-			fatal("the system is not ready after 20 s, logs in %s", d.dir)
+			fatal("the system is not ready after 20 s; KEEP=1 keeps its logs")
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
