Keep the output of a run when its item is given up

Cause: abandonItems stopped the run of an item without adding the run's events to the item's output, while the marks of its checkpoints counted them. Until the result was listed, the next checkpoint cut the output beyond its end.

Change: what a run has received is added to the item in one place, also when the item is given up. The end of an older run is no longer taken for that of the item's current one.

The switch that stops creations at the store was written in two tests; it is one function now, no assertion changed.

--- a/cicadagateway/cicadabatch/checkpoint_test.go
+++ b/cicadagateway/cicadabatch/checkpoint_test.go
@@ -15,7 +15,6 @@
 	"github.com/cespare/xxhash/v2"
 	"gotest.tools/v3/assert"
 
-	"cicadalink.example/cicadakernel/cicadaplatform"
 	adapter "cicadalink.example/platform"
 )
 
@@ -96,14 +95,7 @@
 func TestFinishedItemsSurviveStoreOutageAndRestart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d, dir := newTestDeployment(), t.TempDir()
-		var down atomic.Bool
-		create := d.backend.Create
-		d.backend.Create = func(ctx context.Context, name string, value []byte) (cicadaplatform.Object, error) {
-			if down.Load() {
-				return cicadaplatform.Object{}, cicadaplatform.ErrUnavailable
-			}
-			return create(ctx, name, value)
-		}
+		down := d.stopCreates()
 		o := d.startOwner("o1", fixedOwners("o1"), WithCheckpoints(openCheckpoints(t, dir)))
 		time.Sleep(time.Second)
 		o.call(t, submitCall("j", 30, 422, 40))
--- a/cicadagateway/cicadabatch/engine_test.go
+++ b/cicadagateway/cicadabatch/engine_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -199,6 +200,19 @@
 	return d
 }
 
+// stopCreates makes the store refuse to create objects while the returned value is true. It
+// must be called before the owners are started.
+func (d *testDeployment) stopCreates() *atomic.Bool {
+	down, create := new(atomic.Bool), d.backend.Create
+	d.backend.Create = func(ctx context.Context, name string, value []byte) (cicadaplatform.Object, error) {
+		if down.Load() {
+			return cicadaplatform.Object{}, cicadaplatform.ErrUnavailable
+		}
+		return create(ctx, name, value)
+	}
+	return down
+}
+
 // testOwner is an owner with its slot table and a function to stop it.
 type testOwner struct {
 	*Owner
--- a/cicadagateway/cicadabatch/owner_test.go
+++ b/cicadagateway/cicadabatch/owner_test.go
@@ -452,14 +452,7 @@
 func TestResultsAreNotListedDuringStoreOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d := newTestDeployment()
-		var down atomic.Bool
-		create := d.backend.Create
-		d.backend.Create = func(ctx context.Context, name string, value []byte) (cicadaplatform.Object, error) {
-			if down.Load() {
-				return cicadaplatform.Object{}, cicadaplatform.ErrUnavailable
-			}
-			return create(ctx, name, value)
-		}
+		down := d.stopCreates()
 		o := d.startOwner("o1", fixedOwners("o1"))
 		defer o.stop()
 		time.Sleep(time.Second)
--- a/cicadagateway/cicadabatch/progress.go
+++ b/cicadagateway/cicadabatch/progress.go
@@ -70,6 +70,13 @@
 	return last
 }
 
+// collectRun adds the events that the current run has received to the item's output.
+func (it *item) collectRun() {
+	output, last := it.run.snapshot()
+	it.output.WriteString(output)
+	it.lastEvent = last
+}
+
 // A progressMark records how much of an item's progress has been saved or sent.
 type progressMark struct {
 	event     int
--- a/cicadagateway/cicadabatch/schedule.go
+++ b/cicadagateway/cicadabatch/schedule.go
@@ -220,17 +220,16 @@
 // endRun applies the outcome of a run to its item.
 func (o *Owner) endRun(it *item, r *run, grant *cicadaplace.Grant, result outcome, err error) {
 	o.release(it)
-	if it.state != itemRunning {
+	if it.state != itemRunning || it.run != r {
 		return // listed or abandoned in the meantime
 	}
 	now := time.Now()
 	fromStart := it.lastEvent == 0
 	it.state = itemWaiting
-	it.output.WriteString(r.output.String())
 	if r.lastEvent > it.lastEvent {
 		it.backoffShift, it.emptyRests = 0, 0
 	}
-	it.lastEvent = r.lastEvent
+	it.collectRun()
 	maxAttempts := 1
 	if config := o.config(); config != nil {
 		if route, ok := config.Route(it.job.record.Host, it.Path); ok {
@@ -332,6 +331,7 @@
 		if it.state == itemRunning {
 			it.stop()
 			o.release(it)
+			it.collectRun() // checkpoints may hold this output
 			it.state = itemWaiting
 		}
 		if it.state == itemWaiting {
