End a process when one of its goroutines panics or stalls

Cause: conc.WaitGroup keeps a panic for Wait, which nobody calls while a process runs. Some twenty goroutines of the gateway were started so, and others in the entry with agents, the agent and the log.

Change: cicadatask.Group takes its place wherever nobody waits: a panic is logged with its stack, counted, and ends the process after a shutdown as by a signal. cicadatask.Watch does the same for a loop without progress (event loop of jobs, sender of states), and a listener for peers that fails ends the process too; before, that was one log line. Panics while one request, call, submission or item is served are contained, logged and counted.

--- a/cicadaagent/cicadaendpoint/agent.go
+++ b/cicadaagent/cicadaendpoint/agent.go
@@ -20,7 +20,6 @@
 
 	"github.com/ansel1/merry/v2"
 	"github.com/hashicorp/go-hclog"
-	"github.com/sourcegraph/conc"
 	"google.golang.org/protobuf/proto"
 
 	"cicadalink.example/cicadaagent/cicadaengine"
@@ -29,6 +28,7 @@
 	"cicadalink.example/cicadakernel/cicadaadmit"
 	"cicadalink.example/cicadakernel/cicadaplatform"
 	"cicadalink.example/cicadakernel/cicadaretry"
+	"cicadalink.example/cicadakernel/cicadatask"
 	"cicadalink.example/cicadakernel/cicadawire"
 )
 
@@ -110,7 +110,7 @@
 	defer stop()
 	ctx, a.initiateShutdown = context.WithCancel(ctx)
 	defer a.initiateShutdown()
-	var tasks conc.WaitGroup
+	var tasks cicadatask.Group
 	defer tasks.Wait()
 	server := cicadawire.NewServer()
 	if err := cicadawire.DRPCRegisterAgent(server.Mux(), &service{agent: a}); err != nil {
--- a/cicadadev/cicadadeployment/deployment.go
+++ b/cicadadev/cicadadeployment/deployment.go
@@ -26,7 +26,6 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
-	"github.com/sourcegraph/conc"
 
 	"cicadalink.example/cicadaagent/cicadaendpoint"
 	"cicadalink.example/cicadadev/cicadastandin"
@@ -36,6 +35,7 @@
 	"cicadalink.example/cicadakernel/cicadaconfig"
 	"cicadalink.example/cicadakernel/cicadaplatform"
 	"cicadalink.example/cicadakernel/cicadasettings"
+	"cicadalink.example/cicadakernel/cicadatask"
 )
 
 // Keys and names of the demo configuration.
@@ -67,7 +67,7 @@
 	agents      []*runningProcess[*cicadaendpoint.Agent]
 	platformURL string
 	servers     []*http.Server
-	tasks       conc.WaitGroup
+	tasks       cicadatask.Group
 	opts        options
 }
 
@@ -263,7 +263,7 @@
 	return nil
 }
 
-func runProcess[T any](tasks *conc.WaitGroup, process T, serve func(context.Context) error) *runningProcess[T] {
+func runProcess[T any](tasks *cicadatask.Group, process T, serve func(context.Context) error) *runningProcess[T] {
 	ctx, stop := context.WithCancel(context.Background())
 	r := &runningProcess[T]{process: process, stop: stop, done: make(chan error, 1)}
 	tasks.Go(func() { r.done <- serve(ctx) })
--- a/cicadaentry/cicadafleet/fleet.go
+++ b/cicadaentry/cicadafleet/fleet.go
@@ -25,13 +25,13 @@
 
 	"github.com/ansel1/merry/v2"
 	"github.com/hashicorp/go-hclog"
-	"github.com/sourcegraph/conc"
 	"github.com/uber-go/tally/v4"
 
 	"cicadalink.example/cicadakernel/cicadaconfig"
 	"cicadalink.example/cicadakernel/cicadamember"
 	"cicadalink.example/cicadakernel/cicadaplatform"
 	"cicadalink.example/cicadakernel/cicadaretry"
+	"cicadalink.example/cicadakernel/cicadatask"
 	"cicadalink.example/cicadakernel/cicadawire"
 )
 
@@ -67,7 +67,7 @@
 	wake        chan struct{}
 	cancel      context.CancelFunc
 	closed      bool
-	tasks       conc.WaitGroup
+	tasks       cicadatask.Group
 }
 
 // ErrNotStarted reports a fleet that has not loaded the configuration yet, and so
--- a/cicadaentry/cicadanode/node.go
+++ b/cicadaentry/cicadanode/node.go
@@ -35,6 +35,7 @@
 	"cicadalink.example/cicadakernel/cicadaplatform"
 	"cicadalink.example/cicadakernel/cicadaretry"
 	"cicadalink.example/cicadakernel/cicadasuspect"
+	"cicadalink.example/cicadakernel/cicadatask"
 	"cicadalink.example/cicadakernel/cicadawire"
 )
 
@@ -50,7 +51,7 @@
 	cfg            *Settings
 	log            hclog.Logger
 	scope          tally.Scope
-	reports        conc.WaitGroup // broadcasts that nobody waits for
+	reports        cicadatask.Group // broadcasts that nobody waits for
 	setReady       func(bool)
 	store          *cicadaplatform.Client
 	pool           *cicadawire.Pool
@@ -150,7 +151,7 @@
 func (n *Node) Serve(ctx context.Context) error {
 	servingCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	var tasks conc.WaitGroup
+	var tasks cicadatask.Group
 	defer tasks.Wait()
 	defer n.reports.Wait()
 	peerServer := cicadawire.NewServer()
--- a/cicadaentry/cicadashard/manager.go
+++ b/cicadaentry/cicadashard/manager.go
@@ -36,6 +36,7 @@
 	"cicadalink.example/cicadakernel/cicadamember"
 	"cicadalink.example/cicadakernel/cicadaplatform"
 	"cicadalink.example/cicadakernel/cicadaretry"
+	"cicadalink.example/cicadakernel/cicadatask"
 	"cicadalink.example/cicadakernel/cicadawire"
 )
 
@@ -123,7 +124,7 @@
 	deps    Deps
 	ownerID string
 	cancel  context.CancelFunc
-	tasks   conc.WaitGroup
+	tasks   cicadatask.Group
 
 	mu             sync.Mutex
 	owners         map[int]*owner
--- a/cicadaentry/cicadashard/runner.go
+++ b/cicadaentry/cicadashard/runner.go
@@ -7,11 +7,10 @@
 	"sync"
 	"time"
 
-	"github.com/sourcegraph/conc"
-
 	"cicadalink.example/cicadaentry/cicadafile"
 	"cicadalink.example/cicadakernel/cicadajob"
 	"cicadalink.example/cicadakernel/cicadaretry"
+	"cicadalink.example/cicadakernel/cicadatask"
 	"cicadalink.example/cicadakernel/cicadawire"
 )
 
@@ -36,7 +35,7 @@
 // A jobRunner schedules and runs the items of one shard's jobs.
 type jobRunner struct {
 	owner *owner
-	tasks conc.WaitGroup
+	tasks cicadatask.Group
 	wake  chan struct{}
 
 	mu            sync.Mutex
--- a/cicadagateway/cicadabatch/calls.go
+++ b/cicadagateway/cicadabatch/calls.go
@@ -7,7 +7,10 @@
 	"net/http"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	"cicadalink.example/cicadakernel/cicadaplatform"
+	"cicadalink.example/cicadakernel/cicadatask"
 	adapter "cicadalink.example/platform"
 )
 
@@ -78,8 +81,17 @@
 // outcomeUnknown is the response to a call whose write may still take effect.
 func outcomeUnknown() Response { return Response{Status: http.StatusBadGateway} }
 
-// Handle serves a call.
+// Handle serves a call. If that panics, the caller gets an error.
 func (o *Owner) Handle(ctx context.Context, c *Call) (*Response, error) {
+	var resp Response
+	if err := cicadatask.Try(func() { resp = o.handle(ctx, c) }); err != nil {
+		o.log.Error("call panicked", "job", c.Job, "kind", int(c.Kind), "error", err)
+		return nil, merry.Errorf("handle call: %w", err)
+	}
+	return &resp, nil
+}
+
+func (o *Owner) handle(ctx context.Context, c *Call) Response {
 	var resp Response
 	switch c.Kind {
 	case CallSubmit:
@@ -106,7 +118,7 @@
 	default:
 		resp = Response{Status: http.StatusBadRequest}
 	}
-	return &resp, nil
+	return resp
 }
 
 // enqueueAndWait runs f in the event loop and waits until it has returned.
--- a/cicadagateway/cicadabatch/engine_test.go
+++ b/cicadagateway/cicadabatch/engine_test.go
@@ -44,6 +44,7 @@
 	emptyRests   int                 // the first runs of each item that resume it and send nothing
 	leaving      string              // address of an engine that states that it is leaving
 	runsAt       map[string]int      // by address
+	beforeDial   func()              // called for each connection, if set
 }
 
 func newFakeEngines() *fakeEngines {
@@ -72,6 +73,9 @@
 }
 
 func (e *fakeEngines) dial(_ context.Context, address string) (net.Conn, error) {
+	if e.beforeDial != nil {
+		e.beforeDial()
+	}
 	clientConn, serverConn := net.Pipe()
 	go e.serve(serverConn, address)
 	return clientConn, nil
--- a/cicadagateway/cicadabatch/owner.go
+++ b/cicadagateway/cicadabatch/owner.go
@@ -26,7 +26,6 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
-	"github.com/sourcegraph/conc"
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/singleflight"
 
@@ -35,6 +34,7 @@
 	"cicadalink.example/cicadagateway/cicadaplace"
 	"cicadalink.example/cicadagateway/cicadareservation"
 	"cicadalink.example/cicadakernel/cicadaplatform"
+	"cicadalink.example/cicadakernel/cicadatask"
 	"cicadalink.example/cicadakernel/cicadaview"
 )
 
@@ -56,6 +56,8 @@
 	// this much.
 	maxClockSkew  = 10 * time.Second
 	taskQueueSize = 256
+	// stallLimit is how long the event loop may make no progress. It never waits for I/O.
+	stallLimit = 10 * time.Second
 )
 
 // An Owner runs the jobs assigned to it. Its mutable state is accessed only by one event loop.
@@ -79,7 +81,7 @@
 	wakeup         chan struct{}
 	ctx            context.Context
 	startedAt      time.Time
-	wg             conc.WaitGroup
+	wg             cicadatask.Group
 
 	// The fields below are accessed only by the event loop.
 	jobs            map[string]*job
@@ -155,10 +157,12 @@
 	for _, opt := range opts {
 		opt(o)
 	}
+	watch := cicadatask.NewWatch(ctx, "event loop of jobs", stallLimit)
 	o.wg.Go(func() {
 		ticker := time.NewTicker(tickInterval)
 		defer ticker.Stop()
 		for {
+			watch.Progress()
 			select {
 			case <-ctx.Done():
 				return
--- a/cicadagateway/cicadabatch/schedule.go
+++ b/cicadagateway/cicadabatch/schedule.go
@@ -9,6 +9,7 @@
 
 	"cicadalink.example/cicadagateway/cicadaexchange"
 	"cicadalink.example/cicadagateway/cicadaplace"
+	"cicadalink.example/cicadakernel/cicadatask"
 	adapter "cicadalink.example/platform"
 )
 
@@ -194,7 +195,11 @@
 	req := o.runRequest(it, endpoint.ID)
 	o.wg.Go(func() {
 		defer cancel()
-		result, err := r.execute(ctx, o.client, req, endpoint)
+		result, err := runBroken, error(nil)
+		if failure := cicadatask.Try(func() { result, err = r.execute(ctx, o.client, req, endpoint) }); failure != nil {
+			result, err = runBroken, failure
+			o.log.Error("run panicked", "item", it.ID, "job", it.job.id, "error", failure)
+		}
 		o.enqueue(func() { o.endRun(it, r, grant, result, err) })
 	})
 }
--- a/cicadagateway/cicadabatch/submit.go
+++ b/cicadagateway/cicadabatch/submit.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"cicadalink.example/cicadakernel/cicadaplatform"
+	"cicadalink.example/cicadakernel/cicadatask"
 	adapter "cicadalink.example/platform"
 )
 
@@ -17,7 +18,11 @@
 	outcome := o.submissions.DoChan(c.Job, func() (any, error) {
 		ctx, cancel := context.WithTimeout(o.ctx, acceptTimeout)
 		defer cancel()
-		return o.accept(ctx, c), nil
+		resp := outcomeUnknown()
+		if err := cicadatask.Try(func() { resp = o.accept(ctx, c) }); err != nil {
+			o.log.Error("submission panicked", "job", c.Job, "error", err)
+		}
+		return resp, nil
 	})
 	select {
 	case r := <-outcome:
--- a/cicadagateway/cicadafollow/follow.go
+++ b/cicadagateway/cicadafollow/follow.go
@@ -25,6 +25,7 @@
 
 	"cicadalink.example/cicadakernel/cicadaplatform"
 	"cicadalink.example/cicadakernel/cicadaretry"
+	"cicadalink.example/cicadakernel/cicadatask"
 )
 
 const (
@@ -64,7 +65,7 @@
 	shouldPoll    func() bool
 	coalesceDelay time.Duration
 	asOf          atomic.Int64
-	wg            conc.WaitGroup
+	wg            cicadatask.Group
 }
 
 // An Option configures a Follower.
--- a/cicadagateway/cicadafollow/registry.go
+++ b/cicadagateway/cicadafollow/registry.go
@@ -10,10 +10,10 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/go-hclog"
-	"github.com/sourcegraph/conc"
 
 	"cicadalink.example/cicadakernel/cicadaplatform"
 	"cicadalink.example/cicadakernel/cicadaretry"
+	"cicadalink.example/cicadakernel/cicadatask"
 	"cicadalink.example/cicadakernel/cicadaview"
 )
 
@@ -47,7 +47,7 @@
 	retained     map[string]time.Time // endpoints without a registration, with the earliest time of their removal
 	recentLosses []time.Time          // times of the losses within massLossWindow
 	digest       atomic.Uint64
-	wg           conc.WaitGroup
+	wg           cicadatask.Group
 }
 
 // Digest returns a hash of the endpoints that does not depend on the order in which
--- a/cicadagateway/cicadapeer/peer.go
+++ b/cicadagateway/cicadapeer/peer.go
@@ -24,11 +24,11 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/hashicorp/go-hclog"
-	"github.com/sourcegraph/conc"
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/time/rate"
 
 	"cicadalink.example/cicadakernel/cicadaretry"
+	"cicadalink.example/cicadakernel/cicadatask"
 )
 
 const (
@@ -36,6 +36,8 @@
 	// failureTimeout is the time without messages after which a member is considered
 	// failed.
 	failureTimeout = 1200 * time.Millisecond
+	// stallLimit is how long the sender may make no progress.
+	stallLimit = 10 * time.Second
 	// restartTimeout is the time without messages from an incarnation after which one
 	// with a lower number replaces it.
 	restartTimeout = 2 * heartbeatInterval
@@ -108,7 +110,7 @@
 	notify       chan struct{}
 	notifiedAt   atomic.Int64  // Unix nanoseconds of the first change not sent yet, or 0
 	staleness    time.Duration // moving average, see Staleness
-	wg           conc.WaitGroup
+	wg           cicadatask.Group
 }
 
 // An Option configures a Group.
@@ -195,7 +197,9 @@
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
 	limiter := rate.NewLimiter(rate.Inf, sendBurst)
+	watch := cicadatask.NewWatch(ctx, "sender of peer states", stallLimit)
 	for {
+		watch.Progress()
 		select {
 		case <-ctx.Done():
 			return
--- a/cicadagateway/cicadaprocess/directory.go
+++ b/cicadagateway/cicadaprocess/directory.go
@@ -9,12 +9,12 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
-	"github.com/sourcegraph/conc"
 
 	"cicadalink.example/cicadagateway/cicadafollow"
 	"cicadalink.example/cicadagateway/cicadapeer"
 	"cicadalink.example/cicadakernel/cicadaplatform"
 	"cicadalink.example/cicadakernel/cicadaretry"
+	"cicadalink.example/cicadakernel/cicadatask"
 	adapter "cicadalink.example/platform"
 )
 
@@ -42,7 +42,7 @@
 	mu            sync.Mutex
 	registrations map[string]registration // by object name
 	removed       chan struct{}           // signals that this process's registration was deleted
-	wg            conc.WaitGroup
+	wg            cicadatask.Group
 }
 
 type registration struct {
--- a/cicadagateway/cicadaprocess/jobs.go
+++ b/cicadagateway/cicadaprocess/jobs.go
@@ -18,6 +18,7 @@
 	"cicadalink.example/cicadagateway/cicadarelay"
 	"cicadalink.example/cicadagateway/cicadareservation"
 	"cicadalink.example/cicadakernel/cicadaretry"
+	"cicadalink.example/cicadakernel/cicadatask"
 	"cicadalink.example/cicadakernel/cicadaview"
 	"cicadalink.example/cicadakernel/cicadawire"
 	adapter "cicadalink.example/platform"
@@ -125,7 +126,7 @@
 		return err
 	}
 	<-ctx.Done()
-	n.announceShutdown()
+	n.announceShutdown(ctx)
 	cicadaretry.Sleep(context.Background(), ownerShutdownDelay)
 	n.log.Info("shutdown complete")
 	return nil
@@ -159,7 +160,7 @@
 	}
 	n.wg.Go(func() {
 		if err := srv.Serve(ctx, ln); err != nil && ctx.Err() == nil {
-			n.log.Error("failed to serve peers", "error", err)
+			cicadatask.Fail(merry.Errorf("serve peers: %w", err))
 		}
 	})
 	return nil
--- a/cicadagateway/cicadaprocess/process.go
+++ b/cicadagateway/cicadaprocess/process.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"errors"
 	"math"
 	"net"
 	"net/http"
@@ -19,7 +20,6 @@
 
 	"github.com/ansel1/merry/v2"
 	"github.com/hashicorp/go-hclog"
-	"github.com/sourcegraph/conc"
 	"github.com/uber-go/tally/v4"
 
 	"cicadalink.example/cicadagateway/cicadabatch"
@@ -32,6 +32,7 @@
 	"cicadalink.example/cicadakernel"
 	"cicadalink.example/cicadakernel/cicadaplatform"
 	"cicadalink.example/cicadakernel/cicadaretry"
+	"cicadalink.example/cicadakernel/cicadatask"
 	"cicadalink.example/cicadakernel/cicadaview"
 	"cicadalink.example/cicadakernel/cicadawire"
 	adapter "cicadalink.example/platform"
@@ -96,7 +97,7 @@
 	leaving          atomic.Bool  // this process is shutting down
 	retiring         atomic.Bool  // this process's VM is being retired
 	storeUp          atomic.Bool  // the state of link
-	wg               conc.WaitGroup
+	wg               cicadatask.Group
 }
 
 // New returns a Node. Call Serve to run it.
@@ -165,9 +166,19 @@
 	return n.serveCallers(ctx, workCtx)
 }
 
+// shutdownReason returns why a process shuts down: a signal, or the failure of a background
+// goroutine.
+func shutdownReason(ctx context.Context) string {
+	var failure *cicadatask.Failure
+	if errors.As(context.Cause(ctx), &failure) {
+		return failure.Reason()
+	}
+	return "signal"
+}
+
 // announceShutdown informs peers, and makes an entry report not ready.
-func (n *Node) announceShutdown() {
-	n.log.Info("shutting down", "reason", "signal")
+func (n *Node) announceShutdown(ctx context.Context) {
+	n.log.Info("shutting down", "reason", shutdownReason(ctx))
 	n.leaving.Store(true)
 	n.notifyPeers()
 }
@@ -350,16 +361,16 @@
 		return merry.Errorf("serve callers: %w", err)
 	case <-ctx.Done():
 	}
-	err = n.shutDown(&tracker, ln)
+	err = n.shutDown(ctx, &tracker, ln)
 	_ = srv.Close() // closes the connections that are still open after the drain, which shutDown has logged
 	return err
 }
 
 // shutDown keeps serving until the balancer has detected that the entry is not ready,
 // and then waits for the requests in progress.
-func (n *Node) shutDown(tracker *connTracker, ln net.Listener) error {
+func (n *Node) shutDown(stopped context.Context, tracker *connTracker, ln net.Listener) error {
 	end := time.Now().Add(time.Duration(n.drainLimit.Load()) - exitMargin)
-	n.announceShutdown()
+	n.announceShutdown(stopped)
 	cicadaretry.Sleep(context.Background(), unreadyDelay)
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
--- a/cicadagateway/cicadaprocess/retire.go
+++ b/cicadagateway/cicadaprocess/retire.go
@@ -6,12 +6,11 @@
 	"sync"
 	"time"
 
-	"github.com/sourcegraph/conc"
-
 	"cicadalink.example/cicadagateway/cicadafollow"
 	"cicadalink.example/cicadagateway/cicadapeer"
 	"cicadalink.example/cicadakernel/cicadaplatform"
 	"cicadalink.example/cicadakernel/cicadaretry"
+	"cicadalink.example/cicadakernel/cicadatask"
 	adapter "cicadalink.example/platform"
 )
 
@@ -33,7 +32,7 @@
 	reportedRunning map[string]bool                  // VMs reported as being emptied
 	reportedEmpty   map[string]bool                  // VMs reported empty
 	idleSince       time.Time                        // when the owner became idle; zero while it has work
-	wg              conc.WaitGroup
+	wg              cicadatask.Group
 }
 
 func newRetirementHandler(ctx context.Context, n *Node, ownerIdle func() bool) *retirementHandler {
--- a/cicadagateway/cicadarelay/relay.go
+++ b/cicadagateway/cicadarelay/relay.go
@@ -17,9 +17,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"time"
@@ -27,13 +29,13 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/go-hclog"
-	"github.com/sourcegraph/conc"
 	"github.com/uber-go/tally/v4"
 
 	"cicadalink.example/cicadagateway/cicadaexchange"
 	"cicadalink.example/cicadagateway/cicadaorigin"
 	"cicadalink.example/cicadagateway/cicadaplace"
 	"cicadalink.example/cicadakernel/cicadasuspect"
+	"cicadalink.example/cicadakernel/cicadatask"
 	"cicadalink.example/cicadakernel/cicadaview"
 	adapter "cicadalink.example/platform"
 )
@@ -83,7 +85,7 @@
 	monitor *cicadasuspect.Monitor
 	// origins knows which versions of endpoints began streams.
 	origins *cicadaorigin.Tracker
-	tasks   conc.WaitGroup
+	tasks   cicadatask.Group
 }
 
 // An Option configures a Relay.
@@ -142,6 +144,7 @@
 
 // ServeHTTP serves one request of a caller. It implements http.Handler.
 func (rl *Relay) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	defer rl.reportPanic(r)
 	if rl.shuttingDown() {
 		w.Header().Set("Connection", "close")
 	} else {
@@ -175,6 +178,21 @@
 	rl.forward(w, r, route, body)
 }
 
+// reportPanic logs and counts a panic while a request was served. The panic goes on, which
+// closes the connection: what the caller has got may be incomplete.
+func (rl *Relay) reportPanic(r *http.Request) {
+	v := recover()
+	if v == nil {
+		return
+	}
+	if v != http.ErrAbortHandler {
+		rl.scope.Counter("requests_panicked").Inc(1)
+		rl.log.Error("request panicked", "id", r.Header.Get(adapter.HeaderRequestID), "path", r.URL.Path, "error", fmt.Sprint(v),
+			"stack", string(debug.Stack()))
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // hostOf returns the host of a request without its port.
 func hostOf(r *http.Request) string {
 	if host, _, err := net.SplitHostPort(r.Host); err == nil {
--- a/cicadakernel/cicadalog/writer.go
+++ b/cicadakernel/cicadalog/writer.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
-	"github.com/sourcegraph/conc"
 	"google.golang.org/protobuf/proto"
 
+	"cicadalink.example/cicadakernel/cicadatask"
 	"cicadalink.example/cicadakernel/cicadawire"
 )
 
@@ -49,7 +49,7 @@
 	wake         chan struct{}
 	stop         context.CancelFunc
 	stopped      chan struct{}
-	tasks        conc.WaitGroup
+	tasks        cicadatask.Group
 }
 
 type pendingRecord struct {
--- a/cicadakernel/logwriter.go
+++ b/cicadakernel/logwriter.go
@@ -10,7 +10,8 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
-	"github.com/sourcegraph/conc"
+
+	"cicadalink.example/cicadakernel/cicadatask"
 )
 
 const (
@@ -37,7 +38,7 @@
 	out       io.Writer
 	pending   chan struct{}
 	done      chan struct{}
-	wg        conc.WaitGroup
+	wg        cicadatask.Group
 }
 
 // NewLogWriter returns a LogWriter that writes to out. Close stops its goroutine.
--- a/cicadakernel/process.go
+++ b/cicadakernel/process.go
@@ -48,6 +48,7 @@
 	"github.com/urfave/cli/v3"
 
 	"cicadalink.example/cicadakernel/cicadasettings"
+	"cicadalink.example/cicadakernel/cicadatask"
 )
 
 // Version is the version that every program of this repository reports.
@@ -60,6 +61,8 @@
 	metricsInterval      = time.Second
 	adminHeaderTimeout   = 10 * time.Second
 	adminShutdownTimeout = 2 * time.Second
+	// failureShutdownTimeout limits the shutdown after a background goroutine has failed.
+	failureShutdownTimeout = 15 * time.Second
 )
 
 // CommonSettings holds the settings that all programs share.
@@ -119,6 +122,7 @@
 	ready        atomic.Bool
 	logWriter    *LogWriter // nil if log lines are written directly
 	closers      []io.Closer
+	exit         func(status int)
 }
 
 // NewProcess returns a process with logging and metrics set up. It logs to w.
@@ -142,6 +146,7 @@
 		scope:   scope,
 		metrics: reporter.HTTPHandler(),
 		closers: []io.Closer{closer},
+		exit:    os.Exit,
 	}
 }
 
@@ -191,6 +196,27 @@
 	return errors.Join(errs...)
 }
 
+// stopOnFailure returns a context that is done when ctx is or a background goroutine fails.
+// The program then shuts down as after a signal. If that takes longer than
+// failureShutdownTimeout, the process exits, so that it can be started again.
+func (p *Process) stopOnFailure(ctx context.Context) (stoppable context.Context, stop func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	stopHandling := cicadatask.HandleFailures(func(f *cicadatask.Failure) {
+		p.scope.Tagged(map[string]string{"reason": f.Reason()}).Counter("background_failures").Inc(1)
+		p.log.Error("background goroutine failed, shutting down", "reason", f.Reason(), "error", f.Error())
+		p.SetReady(false)
+		cancel(f)
+		time.AfterFunc(failureShutdownTimeout, func() {
+			p.log.Error("shutdown after failure takes too long, exiting")
+			p.exit(ExitUsage)
+		})
+	})
+	return ctx, func() {
+		stopHandling()
+		cancel(nil)
+	}
+}
+
 func (p *Process) serveAdmin(addr string) (*http.Server, error) {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
@@ -258,6 +284,8 @@
 	}
 	p := NewProcess(name, cfg.Base(), out)
 	p.settingsFile, p.logWriter = file, logWriter
+	ctx, stopOnFailure := p.stopOnFailure(ctx)
+	defer stopOnFailure()
 	if addr := cfg.Base().Admin; addr != "" {
 		srv, err := p.serveAdmin(addr)
 		if err != nil {
@@ -270,6 +298,9 @@
 		}()
 	}
 	err := start(ctx, p)
+	if failure := (*cicadatask.Failure)(nil); errors.As(context.Cause(ctx), &failure) {
+		err = merry.Errorf("background goroutine failed: %s", failure.Reason())
+	}
 	if closeErr := p.Close(); err == nil {
 		err = closeErr
 	}
