Let a stopping entry take only requests that it can finish

Cause: a stopping entry took requests until 2 s before its end, on new and on kept connections, whatever time their deadlines and routes allowed them.

Change: once the balancer must have noticed that the entry is not ready, a request whose body has arrived is refused with 503 and a Retry-After of 50 ms, unless it must be finished before the connections are closed. Nothing of it was sent, so the promise holds. Calls on jobs are checked with their own limit, which the handlers now state.

--- a/cicadagateway/cicadaprocess/connections_test.go
+++ b/cicadagateway/cicadaprocess/connections_test.go
@@ -11,6 +11,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"gotest.tools/v3/assert"
 
 	"cicadalink.example/cicadagateway/cicadarelay"
@@ -206,3 +207,21 @@
 	assert.Equal(t, n, 0)
 	assert.ErrorIs(t, err, net.ErrClosed)
 }
+
+// TestShutdownLimitsRequests guards against a stopping entry that accepts requests until its
+// end, whatever time they may take.
+func TestShutdownLimitsRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const drainLimit = 8 * time.Second
+		n := &Node{log: hclog.NewNullLogger()}
+		n.drainLimit.Store(int64(drainLimit))
+		stopped := time.Now()
+		done := make(chan error, 1)
+		go func() { done <- n.shutDown(t.Context(), &connTracker{}, newPipeListener()) }()
+		time.Sleep(unreadyDelay - time.Millisecond)
+		assert.Assert(t, n.connectionsEnd().IsZero(), "the balancer may still send requests of any length")
+		time.Sleep(2 * time.Millisecond)
+		assert.Equal(t, n.connectionsEnd(), stopped.Add(drainLimit-exitMargin))
+		assert.NilError(t, <-done)
+	})
+}
--- a/cicadagateway/cicadaprocess/jobs.go
+++ b/cicadagateway/cicadaprocess/jobs.go
@@ -40,6 +40,7 @@
 // to the owners of the jobs.
 func (n *Node) jobHandlers(client *cicadabatch.Client) cicadarelay.JobHandlers {
 	return cicadarelay.JobHandlers{
+		Timeout: jobCallMargin,
 		Submit: func(ctx context.Context, route *cicadaview.Route, host, id string, body []byte) cicadarelay.JobResponse {
 			return n.callOwner(ctx, client, &cicadabatch.Call{
 				Kind: cicadabatch.CallSubmit, Job: id, Host: host, Path: route.Prefix, Due: route.Due, GiveUp: route.GiveUpAfter, Body: body,
--- a/cicadagateway/cicadaprocess/process.go
+++ b/cicadagateway/cicadaprocess/process.go
@@ -45,7 +45,7 @@
 	unreadyDelay = 2500 * time.Millisecond
 	exitMargin   = 400 * time.Millisecond // time left before the platform kills the process
 	// lastAcceptMargin is the time reserved for requests on the last connection that a
-	// stopping entry accepts.
+	// stopping entry accepts. Requests that may take longer are refused.
 	lastAcceptMargin  = 2 * time.Second
 	readHeaderTimeout = 5 * time.Second
 	callerIdleTimeout = 75 * time.Second
@@ -93,10 +93,11 @@
 	versions         *cicadaorigin.Versions
 	origins          *cicadaorigin.Tracker
 	refusalsReported tally.Counter
-	drainLimit       atomic.Int64 // longest time of a graceful shutdown, in nanoseconds
-	leaving          atomic.Bool  // this process is shutting down
-	retiring         atomic.Bool  // this process's VM is being retired
-	storeUp          atomic.Bool  // the state of link
+	drainLimit       atomic.Int64              // longest time of a graceful shutdown, in nanoseconds
+	leaving          atomic.Bool               // this process is shutting down
+	shutdownEnd      atomic.Pointer[time.Time] // when connections are closed; nil while all requests are accepted
+	retiring         atomic.Bool               // this process's VM is being retired
+	storeUp          atomic.Bool               // the state of link
 	wg               cicadatask.Group
 }
 
@@ -335,7 +336,8 @@
 		return err
 	}
 	relay := cicadarelay.New(n.config.Load, n.table, n.client, n.log,
-		cicadarelay.WithScope(n.process.Scope()), cicadarelay.WithShuttingDown(n.leaving.Load), cicadarelay.WithJobHandlers(n.jobHandlers(client)),
+		cicadarelay.WithScope(n.process.Scope()), cicadarelay.WithShuttingDown(n.leaving.Load), cicadarelay.WithShutdownEnd(n.connectionsEnd),
+		cicadarelay.WithJobHandlers(n.jobHandlers(client)),
 		cicadarelay.WithMonitor(n.crashes.monitor), cicadarelay.WithOrigins(n.origins),
 		cicadarelay.WithBodyMemory(int64(bodyMemoryFraction*float64(n.cfg.Memory))))
 	var tracker connTracker
@@ -372,6 +374,7 @@
 	end := time.Now().Add(time.Duration(n.drainLimit.Load()) - exitMargin)
 	n.announceShutdown(stopped)
 	cicadaretry.Sleep(context.Background(), unreadyDelay)
+	n.shutdownEnd.Store(&end)
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	if err := tracker.drain(ctx, ln, end.Add(-lastAcceptMargin)); err != nil {
@@ -381,6 +384,15 @@
 	return nil
 }
 
+// connectionsEnd returns when a stopping entry closes its connections, or the zero time while
+// the balancer may not have detected yet that the entry is not ready.
+func (n *Node) connectionsEnd() time.Time {
+	if end := n.shutdownEnd.Load(); end != nil {
+		return *end
+	}
+	return time.Time{}
+}
+
 func (n *Node) handleReady(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != adapter.ReadyPath {
 		w.WriteHeader(http.StatusNotFound)
--- a/cicadagateway/cicadarelay/relay.go
+++ b/cicadagateway/cicadarelay/relay.go
@@ -57,6 +57,8 @@
 	Submit func(ctx context.Context, route *cicadaview.Route, host, id string, body []byte) JobResponse
 	// Call handles a call on an accepted job.
 	Call func(ctx context.Context, call adapter.JobCallKind, id, query string, wait time.Duration) JobResponse
+	// Timeout limits the time of either, in addition to the wait of a call.
+	Timeout time.Duration
 }
 
 // A JobResponse is the response to a call on a job.
@@ -81,6 +83,8 @@
 	bodies  bodyMemory
 	// shuttingDown reports whether the process is shutting down.
 	shuttingDown func() bool
+	// shutdownEnd returns when open connections are closed, or the zero time.
+	shutdownEnd func() time.Time
 	// monitor knows requests that crash endpoints.
 	monitor *cicadasuspect.Monitor
 	// origins knows which versions of endpoints began streams.
@@ -103,6 +107,13 @@
 	return func(r *Relay) { r.shuttingDown = shuttingDown }
 }
 
+// WithShutdownEnd sets the function that returns when the process will close open connections.
+// It returns the zero time as long as any request may be accepted. From then on, requests that
+// may last longer are refused.
+func WithShutdownEnd(shutdownEnd func() time.Time) Option {
+	return func(r *Relay) { r.shutdownEnd = shutdownEnd }
+}
+
 // WithBodyMemory limits the memory for the bodies of all requests in flight, in
 // bytes.
 func WithBodyMemory(limit int64) Option { return func(r *Relay) { r.bodies.limit = limit } }
@@ -124,7 +135,8 @@
 func New(config func() *cicadaview.Config, table *cicadaplace.Table, client *cicadaexchange.Client, log hclog.Logger, opts ...Option) *Relay {
 	r := &Relay{
 		config: config, table: table, client: client, log: log, scope: tally.NoopScope, shuttingDown: func() bool { return false },
-		monitor: cicadasuspect.NewMonitor("", QuarantinePeriod), origins: cicadaorigin.NewTracker("", cicadaorigin.NewVersions()),
+		shutdownEnd: func() time.Time { return time.Time{} },
+		monitor:     cicadasuspect.NewMonitor("", QuarantinePeriod), origins: cicadaorigin.NewTracker("", cicadaorigin.NewVersions()),
 	}
 	for _, opt := range opts {
 		opt(r)
@@ -171,6 +183,9 @@
 		rl.refuseBody(w, r, err)
 		return
 	}
+	if rl.refuseLate(w, r, rl.timeLimit(r, route)) {
+		return
+	}
 	if route.Kind == cicadaview.Batch {
 		rl.submitJob(w, r, route, body)
 		return
@@ -178,6 +193,36 @@
 	rl.forward(w, r, route, body)
 }
 
+// timeLimit returns the longest time that a request may take once its body has been read.
+func (rl *Relay) timeLimit(r *http.Request, route *cicadaview.Route) time.Duration {
+	switch limit := callerTimeout(r); {
+	case route.Kind == cicadaview.Batch:
+		return rl.jobs.Timeout
+	case route.Kind != cicadaview.Stream && route.Timeout > 0:
+		return min(limit, route.Timeout)
+	default:
+		return limit // the timeout of a stream's route ends with its first event
+	}
+}
+
+const (
+	// responseMargin is the time to send the end of a response before the connection is closed.
+	responseMargin = 50 * time.Millisecond
+	// shutdownRetryAfter is the time after which a caller should try another process.
+	shutdownRetryAfter = 50 * time.Millisecond
+)
+
+// refuseLate refuses a request that may last longer than the process does. It reports whether
+// it did.
+func (rl *Relay) refuseLate(w http.ResponseWriter, r *http.Request, limit time.Duration) bool {
+	end := rl.shutdownEnd()
+	if end.IsZero() || time.Until(end) >= limit+responseMargin {
+		return false
+	}
+	rl.refuse(w, r, http.StatusServiceUnavailable, "shutting-down", shutdownRetryAfter)
+	return true
+}
+
 // reportPanic logs and counts a panic while a request was served. The panic goes on, which
 // closes the connection: what the caller has got may be incomplete.
 func (rl *Relay) reportPanic(r *http.Request) {
@@ -293,6 +338,9 @@
 	if ms, err := strconv.Atoi(r.Header.Get(adapter.HeaderWait)); err == nil {
 		wait = time.Duration(ms) * time.Millisecond
 	}
+	if rl.refuseLate(w, r, wait+rl.jobs.Timeout) {
+		return
+	}
 	rl.writeJobResponse(w, r, id, rl.jobs.Call(r.Context(), call, id, r.URL.RawQuery, wait))
 }
 
