Count results as the store keeps them, and split a group that is too large

Cause: a group of results was filled up by the length of its texts and encoded afterwards, where <, > and & took six bytes and all was quoted twice; a group over the limit of an object was refused before it was sent, and the same group was tried again at each tick, for ever.

Change: JSON for the store and for pages is written without the escapes for HTML. Groups, and pages of results, are filled by their size as encoded (Client.ValueSize), and values are checked against the limit as written. A group that is too large, by whatever count, is halved; a single result that is too large is listed as failed, logged and counted.

--- a/cicadagateway/cicadabatch/calls.go
+++ b/cicadagateway/cicadabatch/calls.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"net/http"
 	"time"
@@ -312,7 +311,7 @@
 		for i := range r.Items {
 			r.Items[i] = adapter.Item{ID: r.Items[i].ID, Path: r.Items[i].Path}
 		}
-		value, err := json.Marshal(r)
+		value, err := cicadaplatform.EncodeJSON(r)
 		if err != nil {
 			return true, Response{Status: http.StatusInternalServerError}
 		}
--- a/cicadagateway/cicadabatch/job.go
+++ b/cicadagateway/cicadabatch/job.go
@@ -65,6 +65,7 @@
 	chunkVersions  []int64            // store versions of the chunks
 	version        int64              // store version of the job
 	writing        bool               // a chunk is being written
+	maxChunkLength int                // results in the next chunk, after one was too large; 0 for no limit
 	loaded         bool               // results were read from the store since the job moved
 	loading        bool               // results are being read
 	ended          bool               // by a CallEndJob
@@ -211,7 +212,7 @@
 	after = min(max(after, 0), len(j.results))
 	size := 0
 	for i, r := range j.results[after:] {
-		size += len(r.Output) + resultOverheadBytes
+		size += r.EncodedSize()
 		if size > maxPageBytes && i > 0 {
 			return j.results[after : after+i]
 		}
@@ -219,7 +220,5 @@
 	return j.results[after:]
 }
 
-const (
-	maxPageBytes        = 900 << 10 // of results in one response
-	resultOverheadBytes = 128       // of a result in addition to its output
-)
+// maxPageBytes limits the results in one response, as they are encoded.
+const maxPageBytes = 900 << 10
--- a/cicadagateway/cicadabatch/metrics.go
+++ b/cicadagateway/cicadabatch/metrics.go
@@ -26,6 +26,7 @@
 	checkpointsWritten tally.Counter
 	checkpointsFailed  tally.Counter
 	jobsRefused        tally.Counter // beyond the limit of their route
+	tooLarge           tally.Counter // items that failed because their result does not fit in an object
 }
 
 func newMetrics(scope tally.Scope) *metrics {
@@ -33,6 +34,7 @@
 		runTime: scope.Histogram("item_run_time", runTimeBuckets), timeLeft: scope.Histogram("result_time_left", timeLeftBuckets),
 		preempted: scope.Counter("items_put_aside"), restarted: scope.Counter("items_restarted"), checkpointsWritten: scope.Counter("checkpoints_written"),
 		checkpointsFailed: scope.Counter("checkpoints_failed"), jobsRefused: scope.Counter("jobs_refused"),
+		tooLarge: scope.Counter("results_too_large"),
 	}
 	for o, name := range outcomeNames {
 		m.runs[o] = scope.Tagged(map[string]string{"outcome": name}).Counter("item_runs")
--- a/cicadagateway/cicadabatch/store.go
+++ b/cicadagateway/cicadabatch/store.go
@@ -18,7 +18,7 @@
 	resultsPrefix = adapter.OwnKindPrefix + "results/"
 )
 
-// maxChunkBytes limits the output of the results in one chunk, before JSON quoting.
+// maxChunkBytes limits the results in one chunk, as the store keeps them.
 const maxChunkBytes = 400 << 10
 
 func chunkName(id string, number int) string {
@@ -44,7 +44,7 @@
 // writeChunk creates the chunk with the given number. If another owner has created it
 // already, it returns that chunk instead.
 func writeChunk(ctx context.Context, store *cicadaplatform.Client, id string, number int, c chunk) (chunk, error) {
-	value, err := json.Marshal(c)
+	value, err := cicadaplatform.EncodeJSON(c)
 	if err != nil {
 		return chunk{}, merry.Errorf("encode results of %s: %w", id, err)
 	}
@@ -71,11 +71,16 @@
 	return r, nil
 }
 
-// fitChunk returns how many of the results fit in one chunk, at least one.
-func fitChunk(results []adapter.Result) int {
+// fitChunk returns how many of the results fit in one chunk, at least one. valueSize returns
+// the size of an object's value as the store keeps it.
+func fitChunk(results []adapter.Result, valueSize func(name string, value []byte) int) int {
 	size := 0
 	for i, r := range results {
-		size += len(r.Output)
+		value, err := cicadaplatform.EncodeJSON(r)
+		if err != nil {
+			return max(i, 1) // the write reports the error
+		}
+		size += valueSize(resultsPrefix, value)
 		if size > maxChunkBytes && i > 0 {
 			return i
 		}
--- a/cicadagateway/cicadabatch/submit.go
+++ b/cicadagateway/cicadabatch/submit.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"maps"
 	"net/http"
@@ -52,7 +51,7 @@
 		Host: c.Host, Path: c.Path, AcceptedMs: now.UnixMilli(), DueMs: c.Due.Milliseconds(), GiveUpMs: c.GiveUp.Milliseconds(),
 		Total: len(items), SubmittedBy: o.name, Items: items,
 	}
-	value, err := json.Marshal(r)
+	value, err := cicadaplatform.EncodeJSON(r)
 	if err != nil {
 		o.releaseTokens(c.Host, c.Path, c.Job)
 		o.log.Error("failed to encode submission", "job", c.Job, "error", err)
--- a/cicadakernel/cicadaplatform/client.go
+++ b/cicadakernel/cicadaplatform/client.go
@@ -224,6 +224,15 @@
 	return vms, nil
 }
 
+// ValueSize returns the size of an object's value as the store keeps it, in bytes. Writes of
+// more than MaxValueSize fail with ErrTooLarge.
+func (c *Client) ValueSize(name string, value []byte) int {
+	if c.backend.ValueSize == nil {
+		return len(value)
+	}
+	return c.backend.ValueSize(name, value)
+}
+
 // Create writes an object that must not exist. It retries until the outcome is
 // known or ctx ends. ErrExists means that another writer has created the object.
 func (c *Client) Create(ctx context.Context, class Class, name string, value []byte) (Object, error) {
--- a/cicadakernel/cicadaplatform/store.go
+++ b/cicadakernel/cicadaplatform/store.go
@@ -28,7 +28,8 @@
 	"cicadalink.example/cicadakernel"
 )
 
-// MaxValueSize is the largest value of an object, in bytes.
+// MaxValueSize is the largest value of an object as the store keeps it, in bytes. A backend may
+// encode values, see Backend.ValueSize.
 const MaxValueSize = 1 << 20
 
 // Errors of the Object API.
@@ -128,6 +129,9 @@
 	Watch func(ctx context.Context, prefix string, from int64) (Page, error)
 	// VMs returns the platform's list of VMs.
 	VMs func(ctx context.Context) ([]VM, error)
+	// ValueSize returns the size of an object's value as the store keeps it, in bytes. If
+	// ValueSize is nil, values are kept as they are.
+	ValueSize func(name string, value []byte) int
 }
 
 // Adapters is the registry of platform adapters by URL scheme.
