Keep the states that members exchange within a datagram

A state holds those of all members that it relays; in a partition of large deployments that exceeds the 60 KiB that receivers read, or what a datagram may hold. The message was then dropped with a line at debug level, and its sender taken for failed.

Change: relayed states are left out, in random order, so that others follow with the next message; then the endpoints with the fewest requests in flight. peer_states_cut counts it.

--- a/cicadagateway/cicadapeer/metrics.go
+++ b/cicadagateway/cicadapeer/metrics.go
@@ -6,7 +6,8 @@
 type metrics struct {
 	sent, sentBytes         tally.Counter
 	received, receivedBytes tally.Counter
-	messageSize             tally.Gauge // of the last message sent, in bytes
+	messageSize             tally.Gauge   // of the last message sent, in bytes
+	cut                     tally.Counter // states that did not fit in a datagram
 }
 
 func newMetrics(scope tally.Scope) metrics {
@@ -16,6 +17,7 @@
 		received:      scope.Counter("peer_messages_received"),
 		receivedBytes: scope.Counter("peer_bytes_received"),
 		messageSize:   scope.Gauge("peer_message_size"),
+		cut:           scope.Counter("peer_states_cut"),
 	}
 }
 
--- a/cicadagateway/cicadapeer/peer.go
+++ b/cicadagateway/cicadapeer/peer.go
@@ -54,8 +54,7 @@
 	stalenessWeight = 1.0 / 64
 	// removalTimeout is the time after which a member that sends no messages is removed.
 	// Until then, messages are sent to it.
-	removalTimeout  = time.Minute
-	maxDatagramSize = 60 << 10
+	removalTimeout = time.Minute
 )
 
 type memberState struct {
@@ -247,11 +246,14 @@
 		addresses = append(addresses, a.udp)
 	}
 	g.mu.Unlock()
-	message, err := cbor.Marshal(state)
+	message, cut, err := encodeState(state)
 	if err != nil {
 		g.log.Error("failed to encode peer state", "error", err)
 		return len(addresses)
 	}
+	if cut {
+		g.metrics.cut.Inc(1)
+	}
 	for _, a := range addresses {
 		if _, err := g.conn.WriteToUDP(message, a); err != nil {
 			g.log.Debug("failed to send peer state", "address", a.String(), "error", err)
