Send large progress of a job to another owner in parts

Change: a message holds up to 8 MiB of output and one more item; the rest follows with the next checkpoint, or in further messages of a hand-over.

--- a/cicadagateway/cicadabatch/checkpoint.go
+++ b/cicadagateway/cicadabatch/checkpoint.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"time"
 
@@ -19,6 +20,9 @@
 	replicateTimeout       = time.Second // limit on replicating a checkpoint to the next owner
 	// saveRetryDelay is the delay after a failed write. Each retry starts a new file.
 	saveRetryDelay = 3 * time.Second
+	// maxProgressBytes limits the output in one message to another owner. It is small compared
+	// with the largest message that is received.
+	maxProgressBytes = 8 << 20
 )
 
 // A Checkpoint is the progress of a job's items since the previous checkpoint.
@@ -169,7 +173,7 @@
 		if !j.owned || j.ended {
 			continue
 		}
-		if items := j.progressSince(full, func(it *item) *progressMark { return &it.savedMark }); len(items) > 0 {
+		if items := j.progressSince(full, math.MaxInt, func(it *item) *progressMark { return &it.savedMark }); len(items) > 0 {
 			checkpoints = append(checkpoints, Checkpoint{Job: j.id, Items: items})
 		}
 	}
@@ -193,9 +197,9 @@
 }
 
 // replicateProgress sends a job's progress since the last replication to its next
-// owner.
+// owner. What does not fit in a message follows with the next checkpoint.
 func (o *Owner) replicateProgress(j *job) {
-	items := j.progressSince(j.replicateFull, func(it *item) *progressMark { return &it.replicatedMark })
+	items := j.progressSince(j.replicateFull, maxProgressBytes, func(it *item) *progressMark { return &it.replicatedMark })
 	if len(items) == 0 {
 		return
 	}
@@ -214,18 +218,26 @@
 }
 
 // progressSince returns the progress of a job's items since the marks that markOf
-// selects, and advances these marks. If full is set, it returns all progress.
-func (j *job) progressSince(full bool, markOf func(*item) *progressMark) []Progress {
-	var all []Progress
+// selects, and advances these marks. If full is set, it returns all progress. It stops once
+// the output reaches limit bytes.
+func (j *job) progressSince(full bool, limit int, markOf func(*item) *progressMark) []Progress {
 	for _, it := range j.items {
-		m := markOf(it)
 		if full && it.state != itemListed {
-			*m = progressMark{}
+			*markOf(it) = progressMark{}
 		}
+	}
+	var all []Progress
+	size := 0
+	for _, it := range j.items {
+		if size >= limit {
+			break
+		}
+		m := markOf(it)
 		p, next, ok := it.progressSince(*m)
 		if ok {
 			*m = next
 			all = append(all, p)
+			size += len(p.Text)
 		}
 	}
 	return all
--- a/cicadagateway/cicadabatch/handover.go
+++ b/cicadagateway/cicadabatch/handover.go
@@ -12,9 +12,16 @@
 // progress of items that are still running is sent again when their runs have ended.
 func (o *Owner) handOver(j *job) {
 	var all []Progress
+	size := 0
 	for _, it := range j.items {
-		if p, _, ok := it.progressSince(progressMark{}); ok {
-			all = append(all, p)
+		p, _, ok := it.progressSince(progressMark{})
+		if !ok {
+			continue
+		}
+		all = append(all, p)
+		if size += len(p.Text); size >= maxProgressBytes {
+			o.sendProgress(j, all)
+			all, size = nil, 0
 		}
 	}
 	o.sendProgress(j, all)
