Run the gateway's processes under faults and check their order

Callers resume streams with Last-Event-Id and Resumes, run jobs, and ask for routes of each version of the configuration. Processes are suspended, killed and terminated, the store refuses all or one of them, endpoints crash and are replaced by other versions; faults overlap, drawn from a seed.

Checked: events missing, doubled, of another stream or of two versions; ends before the last event; outputs of items; results that change at their position; configurations that go back. TestChecksFindEachFault shows that the checks can fail.

--- /dev/null
+++ b/cicadasoak/check_test.go
@@ -0,0 +1,39 @@
+package main
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+)
+
+// TestChecksFindEachFault shows that each check can fail.
+func TestChecksFindEachFault(t *testing.T) {
+	whole := make([]string, streamEvents)
+	for i := range whole {
+		whole[i] = eventData("s", "v1", i+1)
+	}
+	replaced := func(i int, data string) []string {
+		out := append([]string(nil), whole...)
+		out[i] = data
+		return out
+	}
+	for rule, output := range map[string][]string{
+		"":                          whole,
+		"end before the last event": whole[:streamEvents-1],
+		"event of another stream":   replaced(3, eventData("other", "v1", 4)),
+		mixedVersions:               replaced(streamEvents-1, eventData("s", "v2", streamEvents)),
+		"not an event":              replaced(3, "x"),
+	} {
+		c := newChecks(hclog.NewNullLogger())
+		c.checkOutput("s", strings.Join(output, "\n"))
+		assert.Equal(t, c.violations[rule] > 0, rule != "", rule)
+		assert.Equal(t, len(c.violations) > 0, rule != "")
+	}
+	c := newChecks(hclog.NewNullLogger())
+	tr := &transcript{name: "s"}
+	tr.add(c, 1, eventData("s", "v1", 1))
+	tr.add(c, 3, eventData("s", "v1", 3))
+	assert.Assert(t, c.violations["event missing or doubled"] == 1 && c.broken())
+}
--- /dev/null
+++ b/cicadasoak/process.go
@@ -0,0 +1,301 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/hashicorp/go-hclog"
+)
+
+// Ports of each process, at an address of its own.
+const (
+	callerPort = 8144
+	readyPort  = 8140
+	peerPort   = 7660
+)
+
+const (
+	startTimeout = 20 * time.Second
+	// settleTime is the time after the start in which processes learn of each other.
+	settleTime = 3 * time.Second
+	grace      = 8 * time.Second
+	// restartDelay is the time after which a process that has ended is started again.
+	restartDelay = 300 * time.Millisecond
+)
+
+// A process is a process of the gateway and what the platform knows of it.
+type process struct {
+	name, ip string
+	entry    bool
+	front    *storeFront
+	storeAt  string
+
+	mu       sync.Mutex
+	cmd      *exec.Cmd
+	done     chan struct{} // closed when cmd has ended
+	lifetime int           // number of starts
+	stopped  bool          // by the deployment
+}
+
+func (p *process) callers() string { return fmt.Sprintf("%s:%d", p.ip, callerPort) }
+
+// started returns the number of starts of the process.
+func (p *process) started() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lifetime
+}
+
+// signal sends a signal to the process, if it runs.
+func (p *process) signal(sig syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.cmd.Process.Signal(sig)
+}
+
+// terminate stops the process as the platform does.
+func (p *process) terminate() {
+	p.mu.Lock()
+	cmd, done := p.cmd, p.done
+	p.mu.Unlock()
+	_ = cmd.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-done:
+	case <-time.After(grace):
+		_ = cmd.Process.Kill()
+	}
+}
+
+type deploymentConfig struct {
+	gateway, template, logs    string
+	entries, owners, endpoints int
+}
+
+// A deployment is the processes of the gateway and what surrounds them.
+type deployment struct {
+	cfg       deploymentConfig
+	log       hclog.Logger
+	dir       string
+	template  string
+	store     *store
+	entries   []*process
+	owners    []*process
+	mu        sync.Mutex // guards endpoints and servers
+	endpoints []*endpoint
+	servers   []*http.Server
+}
+
+// startDeployment starts a store, endpoints and processes, and waits until the entries are
+// ready. Each process has an address and a front of the store of its own.
+func startDeployment(ctx context.Context, cfg deploymentConfig, log hclog.Logger) (*deployment, error) {
+	template, err := os.ReadFile(cfg.template)
+	if err != nil {
+		return nil, merry.Errorf("read template: %w", err)
+	}
+	dir, err := os.MkdirTemp("", "cicadasoak-")
+	if err != nil {
+		return nil, merry.Errorf("make directory: %w", err)
+	}
+	d := &deployment{cfg: cfg, log: log, dir: dir, template: string(template), store: newStore()}
+	if err := d.startAll(ctx); err != nil {
+		d.stop()
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *deployment) startAll(ctx context.Context) error {
+	d.setConfig(1)
+	if err := d.release("v1", d.cfg.endpoints); err != nil {
+		return err
+	}
+	network := os.Getpid()%250 + 1
+	for i := range d.cfg.entries + d.cfg.owners {
+		p := &process{name: fmt.Sprintf("entry-%d", i+1), ip: fmt.Sprintf("127.1.%d.%d", network, i+1), entry: i < d.cfg.entries, front: &storeFront{store: d.store}}
+		if p.entry {
+			d.entries = append(d.entries, p)
+		} else {
+			p.name = fmt.Sprintf("owner-%d", i+1-d.cfg.entries)
+			d.owners = append(d.owners, p)
+		}
+		if err := d.serveStore(p); err != nil {
+			return err
+		}
+		if err := d.start(p); err != nil {
+			return err
+		}
+	}
+	return d.waitReady(ctx)
+}
+
+func (d *deployment) processes() []*process {
+	return append(append([]*process(nil), d.entries...), d.owners...)
+}
+
+func (d *deployment) serveStore(p *process) error {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return merry.Errorf("listen for store: %w", err)
+	}
+	p.storeAt = ln.Addr().String()
+	server := &http.Server{Handler: p.front}
+	d.servers = append(d.servers, server)
+	go func() { _ = server.Serve(ln) }() // ends with stop
+	return nil
+}
+
+var (
+	section     = regexp.MustCompile(`(?s)\{\{([#^])([.\w]+)\}\}(.*?)\{\{/[.\w]+\}\}`)
+	placeholder = regexp.MustCompile(`\{\{[.\w]+\}\}`)
+)
+
+// settings fills in the template of the settings, as the platform does.
+func (d *deployment) settings(p *process) string {
+	fields := map[string]string{
+		"Node": p.name, "Ip": p.ip, "Zone": "z-a", "PortRange.0": fmt.Sprint(peerPort), "Platform.Addr": p.storeAt, "Platform.WritesPerS": "400",
+		"Platform.ReadsPerS": "2000", "Limits.MemoryMb": "284", "Bounds.StatusS": "120", "Bounds.GraceS": fmt.Sprint(grace.Seconds()),
+	}
+	if p.entry {
+		fields["Listen.Front"], fields["Listen.Ready"] = p.callers(), fmt.Sprintf("%s:%d", p.ip, readyPort)
+	} else {
+		fields["DataDir"] = filepath.Join(d.dir, p.name+".data")
+	}
+	text := section.ReplaceAllStringFunc(d.template, func(s string) string {
+		m := section.FindStringSubmatch(s)
+		if _, present := fields[m[2]]; present == (m[1] == "#") {
+			return m[3]
+		}
+		return ""
+	})
+	return placeholder.ReplaceAllStringFunc(text, func(s string) string { return fields[strings.Trim(s, "{}")] })
+}
+
+// start starts a process, and starts it again whenever it has ended.
+func (d *deployment) start(p *process) error {
+	settings := filepath.Join(d.dir, p.name+".yaml")
+	if err := os.WriteFile(settings, []byte(d.settings(p)), 0o600); err != nil {
+		return merry.Errorf("write settings: %w", err)
+	}
+	if err := os.MkdirAll(filepath.Join(d.dir, p.name+".data"), 0o700); err != nil {
+		return merry.Errorf("make data directory: %w", err)
+	}
+	output, err := os.OpenFile(filepath.Join(d.dir, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return merry.Errorf("open log: %w", err)
+	}
+	defer output.Close()
+	cmd := exec.Command(d.cfg.gateway, "--config", settings)
+	cmd.Stdout, cmd.Stderr = output, output
+	done := make(chan struct{})
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.stopped {
+		return nil
+	}
+	if err := cmd.Start(); err != nil {
+		return merry.Errorf("start process: %w", err)
+	}
+	p.cmd, p.done = cmd, done
+	p.lifetime++
+	go func() {
+		_ = cmd.Wait()
+		close(done)
+		time.Sleep(restartDelay)
+		if err := d.start(p); err != nil {
+			d.log.Error("failed to start process again", "process", p.name, "error", err)
+		}
+	}()
+	return nil
+}
+
+func (d *deployment) waitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	for _, p := range d.entries {
+		for !p.ready(ctx) {
+			if !pause(ctx, 50*time.Millisecond) {
+				return merry.Errorf("%s is not ready after %s", p.name, startTimeout)
+			}
+		}
+	}
+	pause(ctx, settleTime)
+	return nil
+}
+
+// ready asks the process as the balancer does.
+func (p *process) ready(ctx context.Context) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s:%d/cicadalink/ready", p.ip, readyPort), nil)
+	if err != nil {
+		return false
+	}
+	res, err := (&http.Client{Timeout: time.Second}).Do(req)
+	if err != nil {
+		return false
+	}
+	_ = res.Body.Close()
+	return res.StatusCode == http.StatusOK
+}
+
+// release starts n endpoints of a version and registers them.
+func (d *deployment) release(version string, n int) error {
+	for i := range n {
+		e, err := startEndpoint(fmt.Sprintf("%s-%d", version, i), "", version)
+		if err != nil {
+			return merry.Errorf("start endpoint: %w", err)
+		}
+		d.mu.Lock()
+		d.endpoints = append(d.endpoints, e)
+		d.mu.Unlock()
+		d.store.put("servers", e.id, e.registration("ready"))
+	}
+	return nil
+}
+
+// stop ends all processes that the deployment has started, and keeps their logs if wanted.
+func (d *deployment) stop() {
+	for _, p := range d.processes() {
+		p.mu.Lock()
+		p.stopped = true
+		cmd, done := p.cmd, p.done
+		p.mu.Unlock()
+		if cmd != nil {
+			_ = cmd.Process.Kill()
+			<-done
+		}
+	}
+	for _, server := range d.servers {
+		_ = server.Close()
+	}
+	for _, e := range d.endpoints {
+		e.crash()
+	}
+	if d.cfg.logs != "" {
+		if err := os.CopyFS(filepath.Join(d.cfg.logs, filepath.Base(d.dir)), os.DirFS(d.dir)); err != nil {
+			d.log.Error("failed to keep logs", "error", err)
+		}
+	}
+	_ = os.RemoveAll(d.dir)
+}
+
+// pause waits for t, and reports false if ctx is done before.
+func pause(ctx context.Context, t time.Duration) bool {
+	timer := time.NewTimer(t)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/cicadasoak/scenario.go
@@ -0,0 +1,222 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+)
+
+// A soak is one run of a scenario.
+type soak struct {
+	*deployment
+	checks   *checks
+	log      hclog.Logger
+	random   *rand.Rand // of the faults; callers have one of their own
+	duration time.Duration
+	releases int          // of endpoints, including the first
+	config   atomic.Int64 // newest version of the configuration
+	faults   sync.WaitGroup
+}
+
+func newRandom(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, seed)) }
+
+var scenarios = map[string]func(context.Context, *soak){
+	"random":                       func(ctx context.Context, s *soak) { s.playRandom(ctx) },
+	"release-beside-stopped-entry": func(ctx context.Context, s *soak) { s.playRelease(ctx) },
+}
+
+const (
+	releaseStreams = 48
+	stopBeforeWake = 2200 * time.Millisecond
+	// Callers leave within this time before and after the stopped entry goes on.
+	leaveBefore = 120 * time.Millisecond
+	leaveAfter  = 180 * time.Millisecond
+)
+
+// playRelease stops one entry, registers endpoints of a new version meanwhile, lets streams
+// begin at the other entries, and lets their callers resume them at the stopped entry around
+// the moment at which it goes on.
+func (s *soak) playRelease(ctx context.Context) {
+	stopped, others := s.entries[0], s.entries[1:]
+	c := newCaller(others, s.checks, newRandom(s.random.Uint64()))
+	stopped.signal(syscall.SIGSTOP)
+	pause(ctx, 500*time.Millisecond)
+	if err := s.release("v2", len(s.endpoints)); err != nil {
+		s.log.Error("failed to release", "error", err)
+		return
+	}
+	pause(ctx, 700*time.Millisecond)
+	wake := time.Now().Add(stopBeforeWake - 700*time.Millisecond)
+	var callers sync.WaitGroup
+	for i := range releaseStreams {
+		callers.Go(func() {
+			st := &stream{}
+			leave := make(chan struct{})
+			at := wake.Add(-leaveBefore + time.Duration(c.intN(int(leaveBefore+leaveAfter))))
+			time.AfterFunc(time.Until(at), func() { close(leave) })
+			if c.receive(ctx, others[i%len(others)], st, leave) || st.last == 0 {
+				return
+			}
+			s.checks.count("begun at " + st.version)
+			if c.receive(ctx, stopped, st, nil) {
+				s.checks.count("went on at the stopped entry")
+				return
+			}
+			for range maxResumes {
+				if pause(ctx, 2*retryDelay); c.receive(ctx, c.anyEntry(), st, nil) {
+					s.checks.count("went on elsewhere")
+					return
+				}
+			}
+			s.checks.count("streams given up")
+		})
+	}
+	pause(ctx, time.Until(wake))
+	stopped.signal(syscall.SIGCONT)
+	callers.Wait()
+}
+
+const (
+	streamCallers = 40
+	jobInterval   = 700 * time.Millisecond
+	faultInterval = 700 * time.Millisecond
+	// calmTime is the time without faults at the end.
+	calmTime    = 8 * time.Second
+	maxVersions = 2 // of endpoints that serve side by side
+)
+
+// playRandom keeps callers of all kinds busy while random faults overlap.
+func (s *soak) playRandom(ctx context.Context) {
+	s.releases = 1
+	s.config.Store(1)
+	c := newCaller(s.entries, s.checks, newRandom(s.random.Uint64()))
+	callersCtx, stop := context.WithCancel(ctx)
+	var callers sync.WaitGroup
+	for range streamCallers {
+		callers.Go(func() {
+			for callersCtx.Err() == nil {
+				c.streamFrom(callersCtx, c.intN(2) == 0)
+				pause(callersCtx, retryDelay)
+			}
+		})
+	}
+	for _, p := range s.entries {
+		callers.Go(func() { c.watchConfig(callersCtx, p, func() int { return int(s.config.Load()) }) })
+	}
+	callers.Go(func() {
+		for pause(callersCtx, jobInterval) {
+			callers.Go(func() { c.runJob(callersCtx) })
+		}
+	})
+	s.injectFaults(ctx)
+	pause(ctx, calmTime)
+	stop()
+	callers.Wait()
+}
+
+// injectFaults injects faults for the duration and waits until they are over.
+func (s *soak) injectFaults(ctx context.Context) {
+	for end := time.Now().Add(s.duration); time.Now().Before(end) && pause(ctx, time.Duration(s.random.Int64N(int64(2*faultInterval)))); {
+		f := faults[s.random.IntN(len(faults))]
+		length := 300*time.Millisecond + time.Duration(s.random.Int64N(int64(3700*time.Millisecond)))
+		s.log.Info("fault", "kind", f.kind, "for", length.String())
+		f.inject(ctx, s, length)
+		s.checks.count("fault " + f.kind)
+	}
+	s.faults.Wait()
+}
+
+// A fault is a disruption from outside the processes.
+type fault struct {
+	kind   string
+	inject func(ctx context.Context, s *soak, length time.Duration)
+}
+
+var faults = []fault{
+	{"entry stopped", func(ctx context.Context, s *soak, length time.Duration) { s.suspend(ctx, s.pick(s.entries), length) }},
+	{"owner stopped", func(ctx context.Context, s *soak, length time.Duration) { s.suspend(ctx, s.pick(s.owners), length) }},
+	{"process killed", func(_ context.Context, s *soak, _ time.Duration) { s.pick(s.processes()).signal(syscall.SIGKILL) }},
+	{"entry terminated", func(_ context.Context, s *soak, _ time.Duration) { s.faults.Go(s.pick(s.entries).terminate) }},
+	{"store refuses all", func(ctx context.Context, s *soak, length time.Duration) { s.refuseStore(ctx, s.processes(), length) }},
+	{"store refuses one", func(ctx context.Context, s *soak, length time.Duration) {
+		s.refuseStore(ctx, []*process{s.pick(s.processes())}, length)
+	}},
+	{"configuration", func(_ context.Context, s *soak, _ time.Duration) { s.setConfig(int(s.config.Add(1))) }},
+	{"endpoint crash", func(ctx context.Context, s *soak, length time.Duration) { s.crashEndpoint(ctx, length) }},
+	{"release", func(ctx context.Context, s *soak, length time.Duration) { s.replaceEndpoints(ctx, length) }},
+	{"release beside a stopped entry", func(ctx context.Context, s *soak, length time.Duration) {
+		s.suspend(ctx, s.pick(s.entries), length)
+		s.replaceEndpoints(ctx, length)
+	}},
+}
+
+func (s *soak) pick(from []*process) *process { return from[s.random.IntN(len(from))] }
+
+func (s *soak) suspend(ctx context.Context, p *process, length time.Duration) {
+	p.signal(syscall.SIGSTOP)
+	s.faults.Go(func() {
+		pause(ctx, length)
+		p.signal(syscall.SIGCONT)
+	})
+}
+
+func (s *soak) refuseStore(ctx context.Context, to []*process, length time.Duration) {
+	for _, p := range to {
+		p.front.refusing.Store(true)
+	}
+	s.faults.Go(func() {
+		pause(ctx, length)
+		for _, p := range to {
+			p.front.refusing.Store(false)
+		}
+	})
+}
+
+// crashEndpoint crashes an endpoint and starts it again at its address.
+func (s *soak) crashEndpoint(ctx context.Context, length time.Duration) {
+	s.mu.Lock()
+	e := s.endpoints[s.random.IntN(len(s.endpoints))]
+	s.mu.Unlock()
+	e.crash()
+	s.faults.Go(func() {
+		pause(ctx, length)
+		if err := e.listen(); err != nil {
+			s.log.Error("failed to start endpoint again", "endpoint", e.id, "error", err)
+		}
+	})
+}
+
+// drainTime is how long an endpoint serves after it has reported that it is draining.
+const drainTime = 4 * time.Second
+
+// replaceEndpoints starts endpoints of a new version, and lets the oldest version leave if more
+// than maxVersions serve.
+func (s *soak) replaceEndpoints(ctx context.Context, _ time.Duration) {
+	s.releases++
+	if err := s.release(fmt.Sprint("v", s.releases), s.cfg.endpoints); err != nil {
+		s.log.Error("failed to release", "error", err)
+		return
+	}
+	s.mu.Lock()
+	var leaving []*endpoint
+	if n := len(s.endpoints) - maxVersions*s.cfg.endpoints; n > 0 {
+		leaving, s.endpoints = s.endpoints[:n], s.endpoints[n:]
+	}
+	s.mu.Unlock()
+	for _, e := range leaving {
+		s.store.put("servers", e.id, e.registration("draining"))
+	}
+	s.faults.Go(func() {
+		pause(ctx, drainTime)
+		for _, e := range leaving {
+			s.store.remove("servers", e.id)
+			e.crash()
+		}
+	})
+}
