Let members confirm that one version serves before a stream goes on

Callers saw: ORDER. Streams that had begun at a new version at other entries were taken up at an entry that had just stood still, and went on at the version that it had known before.

Cause: the entry answered from what it knew of the versions. It cannot know how old that is: its clock and its list of live peers stand still with it, and the messages of peers that it finds first are old. The same holds for an entry that has just been cut off.

Change: the entry asks the members that may have a record of the stream in any case; they reply with the digest of the versions that they know. The only version counts if at least one of them knows the same and none knows others; three replies of five are enough not to wait for the rest, as one of these would have the record. Without any reply the caller is sent to another entry.

Tests: TestMemberThatMissedAReleaseDoesNotGuess fails before ("v1 (origin.Version string) != v2"), both where the member goes on and where it is cut off. TestSingleVersionIsFoundBesideDeadMembers holds before and after.

--- a/cicadagateway/cicadaorigin/fleet_test.go
+++ b/cicadagateway/cicadaorigin/fleet_test.go
@@ -116,6 +116,13 @@
 	return !m.dead && !m.cut && m.tracker == tracker
 }
 
+// setCut sets whether a member gets and sends no messages.
+func (f *testFleet) setCut(m *testMember, cut bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m.cut = cut
+}
+
 func (f *testFleet) kill(members ...*testMember) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -299,9 +306,7 @@
 		time.Sleep(2 * startTime)
 		f.gossip()
 		m := f.members[0]
-		f.mu.Lock()
-		m.cut = true
-		f.mu.Unlock()
+		f.setCut(m, true)
 		f.setVersions(func(other *testMember) bool { return other != m }, "v1", "v2")
 		m.versions.KeepPeers(nil)
 		m.versions.SetIsolated(true)
@@ -310,6 +315,71 @@
 	})
 }
 
+// Guards against streams that go on at the version that a member knew before it was suspended or
+// cut off, which it has not noticed yet.
+func TestMemberThatMissedAReleaseDoesNotGuess(t *testing.T) {
+	for name, reconnect := range map[string]bool{"goes on": true, "is cut off": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newTestFleet(1, 9)
+				f.setVersions(all, "v1")
+				time.Sleep(2 * startTime)
+				f.gossip()
+				m, entry := f.members[0], f.members[3]
+				f.setCut(m, true)
+				f.setVersions(func(other *testMember) bool { return other != m }, "v1", "v2")
+				f.gossip()
+				const streams = 200
+				for i := range streams {
+					entry.tracker.Begin(fmt.Sprint("stream-", i), Origin{Service: "s", Version: "v2"}, false)
+				}
+				time.Sleep(2 * transit)
+				f.setCut(m, !reconnect)
+				found := 0
+				for i := range streams {
+					origin, err := m.tracker.Find(t.Context(), fmt.Sprint("stream-", i), []string{"s"})
+					if err != nil {
+						assert.ErrorIs(t, err, ErrUnknown)
+						continue
+					}
+					found++
+					assert.Equal(t, origin.Version, "v2")
+				}
+				if reconnect {
+					assert.Assert(t, found*10 >= streams*9, "%d of %d found", found, streams)
+				} else {
+					assert.Equal(t, found, 0)
+				}
+			})
+		})
+	}
+}
+
+// Guards against streams of the only version that are refused, or held up, because some of the
+// members that are asked are dead.
+func TestSingleVersionIsFoundBesideDeadMembers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(1, 9)
+		f.setVersions(all, "v1")
+		time.Sleep(2 * startTime)
+		f.gossip()
+		find := func(i int) time.Duration {
+			start := time.Now()
+			origin, err := f.members[0].tracker.Find(t.Context(), fmt.Sprint("stream-", i), []string{"s"})
+			assert.NilError(t, err)
+			assert.Equal(t, origin.Version, "v1")
+			return time.Since(start)
+		}
+		for i := range 100 {
+			assert.Assert(t, find(i) <= 2*transit+lookupInterval, "no member is dead")
+		}
+		f.kill(f.members[5:]...)
+		for i := range 100 {
+			assert.Assert(t, find(i) <= (lookupTries+1)*lookupInterval)
+		}
+	})
+}
+
 // A member that has just started has not heard yet of versions that others know.
 func TestStartingMemberDoesNotGuess(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/cicadagateway/cicadaorigin/tracker.go
+++ b/cicadagateway/cicadaorigin/tracker.go
@@ -7,7 +7,9 @@
 // begins a stream sends a record of its origin to a few members that the id of the stream
 // selects by rendezvous hashing, before the caller gets the first event. An entry to which
 // the caller returns asks the members that the id selects from its own list. While only
-// one version serves, and all members agree on that, no records are sent or needed.
+// one version serves, and all members agree on that, no records are sent. The entry asks all
+// the same: what it knows of the versions may be old without its knowledge, as after it was
+// suspended or cut off, and counts only if a member confirms it after the caller's return.
 //
 // # Usage
 //
@@ -87,6 +89,8 @@
 	Stream string `cbor:"1,keyasint"`
 	// Origin is nil if the member has no record of the stream.
 	Origin *Origin `cbor:"2,keyasint,omitempty"`
+	// VersionsDigest is that of the versions that the member knows, see Versions.Digest.
+	VersionsDigest uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // A Tracker keeps the origins of the streams that this process serves, and of those that
@@ -202,14 +206,15 @@
 	if origin, ok := t.known(stream); ok {
 		return t.found(origin, "own-record")
 	}
-	if len(services) == 1 {
+	a := t.ask(ctx, stream)
+	if a.origin != nil {
+		return t.found(*a.origin, "record-of-member")
+	}
+	if len(services) == 1 && a.versionsConfirmed {
 		if version, ok := t.versions.Single(services[0]); ok {
 			return t.found(Origin{Service: services[0], Version: version}, "single-version")
 		}
 	}
-	if origin, ok := t.ask(ctx, stream); ok {
-		return t.found(origin, "record-of-member")
-	}
 	t.metrics.countLookup("unknown")
 	return Origin{}, ErrUnknown
 }
@@ -225,12 +230,44 @@
 	return t.records.get(stream, time.Now())
 }
 
+// An answer is what other members say of a stream.
+type answer struct {
+	origin *Origin // nil if none has a record
+	// versionsConfirmed is set if a member knows the same versions as this one, and none
+	// knows others.
+	versionsConfirmed bool
+}
+
 // A query is a question to other members that waits for replies.
 type query struct {
-	waiting map[string]bool // members that have not replied
-	origin  *Origin
-	done    chan struct{} // closed when one knows the stream or all have replied
-	closed  bool
+	waiting   map[string]bool // members that have not replied
+	enough    int             // replies without a record, of which one is from a holder
+	agreeing  int             // replies of members that know the same versions
+	disagrees bool            // whether a member knows other versions
+	origin    *Origin
+	done      chan struct{} // closed when no more replies are needed
+	closed    bool
+}
+
+// add adds a reply of a member. digest is that of the versions that this member knows.
+func (q *query) add(from string, r Reply, digest uint64) {
+	if !q.waiting[from] {
+		return
+	}
+	delete(q.waiting, from)
+	switch r.VersionsDigest {
+	case 0: // the member has just started
+	case digest:
+		q.agreeing++
+	default:
+		q.disagrees = true
+	}
+	if r.Origin != nil {
+		q.origin = r.Origin
+	}
+	if q.origin != nil || len(q.waiting) == 0 || q.agreeing >= q.enough && !q.disagrees {
+		q.finish()
+	}
 }
 
 func (q *query) finish() {
@@ -240,18 +277,26 @@
 	}
 }
 
-// ask asks the members that the stream selects, until one knows it, all have replied, or
-// the tries are used up.
-func (t *Tracker) ask(ctx context.Context, stream string) (Origin, bool) {
+// unnamedStream stands for a stream whose caller does not say which it is. No member has a
+// record of it.
+const unnamedStream = "-"
+
+// ask asks the members that the stream selects, until one knows it, enough have replied, or
+// the tries are used up. If there are no other members, what this one knows is confirmed.
+func (t *Tracker) ask(ctx context.Context, stream string) answer {
+	if stream == "" {
+		stream = unnamedStream
+	}
 	q := &query{waiting: make(map[string]bool), done: make(chan struct{})}
 	t.mu.Lock()
 	for _, member := range rank(stream, t.members, askedMembers) {
 		q.waiting[member] = true
 	}
-	if stream == "" || len(q.waiting) == 0 {
+	if len(q.waiting) == 0 {
 		t.mu.Unlock()
-		return Origin{}, false
+		return answer{versionsConfirmed: true}
 	}
+	q.enough = max(len(q.waiting)-holders+1, 1)
 	t.queries[stream] = append(t.queries[stream], q)
 	t.mu.Unlock()
 	defer t.removeQuery(stream, q)
@@ -262,7 +307,7 @@
 		case <-q.done:
 			return t.answer(q)
 		case <-ctx.Done():
-			return Origin{}, false
+			return answer{}
 		case <-timer.C:
 		}
 		if tries++; tries > lookupTries {
@@ -285,13 +330,10 @@
 	return members
 }
 
-func (t *Tracker) answer(q *query) (Origin, bool) {
+func (t *Tracker) answer(q *query) answer {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if q.origin == nil {
-		return Origin{}, false
-	}
-	return *q.origin, true
+	return answer{origin: q.origin, versionsConfirmed: q.agreeing > 0 && !q.disagrees}
 }
 
 func (t *Tracker) removeQuery(stream string, q *query) {
@@ -322,7 +364,7 @@
 	}
 	var reply *Reply
 	if m.Query != "" {
-		reply = &Reply{Stream: m.Query}
+		reply = &Reply{Stream: m.Query, VersionsDigest: t.versions.Digest()}
 		if origin, ok := t.records.get(m.Query, now); ok {
 			reply.Origin = &origin
 		}
@@ -335,13 +377,8 @@
 }
 
 func (t *Tracker) applyReply(from string, r Reply) {
+	digest := t.versions.Digest()
 	for _, q := range t.queries[r.Stream] {
-		delete(q.waiting, from)
-		if r.Origin != nil {
-			q.origin = r.Origin
-		}
-		if q.origin != nil || len(q.waiting) == 0 {
-			q.finish()
-		}
+		q.add(from, r, digest)
 	}
 }
