Let one odd registration leave the others in use

What operators of another system saw: one odd entry among those of the endpoints, nested deeply, with a number too large or with a port out of range, and processes that ended or stopped following.

Can it happen here: yes. 20,000 nested brackets, or a name or revision of another type, made the whole list and each watch fail as long as the entry stood; slots of 2^63-1, a start at 1e300 and a port of 99999 were taken. Cause: a page was decoded as one value, and what could be decoded was taken to be in range.

--- a/cicadagateway/cicadafollow/follow.go
+++ b/cicadagateway/cicadafollow/follow.go
@@ -157,6 +157,7 @@
 		if after == "" {
 			version = page.Version()
 		}
+		f.reportUnreadable(page)
 		all = append(all, page.Objects()...)
 		if !page.More() || len(page.Objects()) == 0 {
 			break
@@ -168,6 +169,13 @@
 	return version, nil
 }
 
+// reportUnreadable logs objects that were left out of a page.
+func (f *Follower) reportUnreadable(page cicadaplatform.Page) {
+	if n := page.Unreadable(); n > 0 {
+		f.log.Warn("objects without a readable name ignored", "prefix", f.prefix, "objects", n, "version", page.Version())
+	}
+}
+
 func (f *Follower) watch(ctx context.Context, version int64) {
 	backoff := minBackoff
 	lastSuccess := time.Now()
@@ -190,6 +198,7 @@
 		lastSuccess, backoff = time.Now(), minBackoff
 		version = max(version, page.Version())
 		f.asOf.Store(version)
+		f.reportUnreadable(page)
 		if len(page.Objects()) > 0 {
 			f.apply(Change{objects: page.Objects()})
 			cicadaretry.Sleep(ctx, f.coalesceDelay)
--- a/cicadagateway/cicadaprocess/directory.go
+++ b/cicadagateway/cicadaprocess/directory.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/hashicorp/go-hclog"
 
 	"cicadalink.example/cicadagateway/cicadafollow"
@@ -129,8 +130,8 @@
 			delete(d.registrations, obj.Name())
 			continue
 		}
-		var m cicadapeer.Member
-		if err := json.Unmarshal(obj.Value(), &m); err != nil {
+		m, err := decodeMember(obj)
+		if err != nil {
 			d.log.Warn("invalid peer registration ignored", "name", strings.TrimPrefix(obj.Name(), peersPrefix), "error", err)
 			continue
 		}
@@ -147,6 +148,18 @@
 	return members
 }
 
+// decodeMember decodes a registration. One whose name is not that of its object is damaged.
+func decodeMember(obj cicadaplatform.Object) (cicadapeer.Member, error) {
+	var m cicadapeer.Member
+	if err := json.Unmarshal(obj.Value(), &m); err != nil {
+		return m, merry.Errorf("decode registration: %w", err)
+	}
+	if peersPrefix+m.Name != obj.Name() {
+		return m, merry.Errorf("registration of %q under another name", m.Name)
+	}
+	return m, nil
+}
+
 func (d *directory) signalRemoved() {
 	select {
 	case d.removed <- struct{}{}:
--- a/cicadakernel/cicadaplatform/store.go
+++ b/cicadakernel/cicadaplatform/store.go
@@ -68,9 +68,10 @@
 // A Page is a result of List or Watch: objects and the store version at the time of
 // the call, which is the version to pass to the next Watch.
 type Page struct {
-	objects []Object
-	version int64
-	more    bool
+	objects    []Object
+	version    int64
+	more       bool
+	unreadable int
 }
 
 // NewPage returns a page. It is for implementations of Backend.
@@ -88,6 +89,17 @@
 // More reports whether List stopped at its limit and more objects follow.
 func (p Page) More() bool { return p.more }
 
+// WithUnreadable returns the page with the number of objects that were left out because their
+// names could not be read.
+func (p Page) WithUnreadable(n int) Page {
+	p.unreadable = n
+	return p
+}
+
+// Unreadable returns the number of objects that were left out because their names could not be
+// read.
+func (p Page) Unreadable() int { return p.unreadable }
+
 // A VMState is the state of a VM in the VM list.
 type VMState string
 
