Store jobs that are too large for one object in parts

Change: the items of such a job are stored in parts, and the job's object is written last and accepts the job. Until then nothing is accepted, so that a refusal is true whatever became of the parts; a repeat finds them. An owner that takes the job over reads the parts with the results. They are deleted after the job. An item that is too large for an object by itself is refused with 413 as before.

Test: TestJobLargerThanAnObjectIsRun fails on (413 in place of 202). TestLargeJobIsNotAcceptedInPart: 503 while the store refuses, and nothing runs.

--- a/cicadagateway/cicadabatch/job.go
+++ b/cicadagateway/cicadabatch/job.go
@@ -67,6 +67,7 @@
 	writing        bool               // a chunk is being written
 	maxChunkLength int                // results in the next chunk, after one was too large; 0 for no limit
 	loaded         bool               // results were read from the store since the job moved
+	bodiesMissing  bool               // items are stored in parts that were not read
 	loading        bool               // results are being read
 	ended          bool               // by a CallEndJob
 	owned          bool               // this process runs the job
@@ -93,6 +94,7 @@
 	Total       int            `json:"total"`
 	Ended       bool           `json:"ended"`
 	SubmittedBy string         `json:"submitted-by"`
+	Parts       int            `json:"parts,omitempty"` // objects that hold the items, see storeJob
 	Items       []adapter.Item `json:"items"`
 }
 
--- a/cicadagateway/cicadabatch/load.go
+++ b/cicadagateway/cicadabatch/load.go
@@ -50,8 +50,8 @@
 	b.until = now.Add(b.backoff/2 + rand.N(b.backoff))
 }
 
-// loadResults starts to read the chunks from the store that are not in memory yet. It reports
-// false if the store must not be asked now.
+// loadResults starts to read the chunks, and the items, from the store that are not in memory
+// yet. It reports false if the store must not be asked now.
 func (o *Owner) loadResults(j *job, now time.Time) bool {
 	if j.loading {
 		return true
@@ -60,10 +60,17 @@
 		return false
 	}
 	j.loading = true
-	from := j.chunkCount
+	from, parts := j.chunkCount, 0
+	if j.bodiesMissing {
+		parts = j.record.Parts
+	}
 	o.wg.Go(func() {
 		var chunks []chunk
-		var err error
+		items, err := readParts(o.ctx, o.store, j.id, parts)
+		if err != nil {
+			o.enqueue(func() { o.resultsLoaded(j, from, nil, err) })
+			return
+		}
 		for n := from; ; n++ {
 			c, found, readErr := readChunk(o.ctx, o.store, j.id, n)
 			if readErr != nil || !found {
@@ -72,7 +79,12 @@
 			}
 			chunks = append(chunks, c)
 		}
-		o.enqueue(func() { o.resultsLoaded(j, from, chunks, err) })
+		o.enqueue(func() {
+			if parts > 0 && err == nil {
+				err = j.setBodies(items)
+			}
+			o.resultsLoaded(j, from, chunks, err)
+		})
 	})
 	return true
 }
--- a/cicadagateway/cicadabatch/owner.go
+++ b/cicadagateway/cicadabatch/owner.go
@@ -251,6 +251,7 @@
 func (o *Owner) addJob(id string, r jobRecord, acceptedAt time.Time) *job {
 	j := newJob(id, r, acceptedAt)
 	j.owned = ownerOf(id, o.assignedOwners) == o.name
+	j.bodiesMissing = r.Parts > 0 && !r.Ended
 	o.jobs[id] = j
 	o.restoreRecovered(j)
 	o.log.Info("job known", "job", id, "items", r.Total, "mine", j.owned, "ended", r.Ended, "age", time.Since(acceptedAt).String())
@@ -337,7 +338,7 @@
 	if !j.owned {
 		return
 	}
-	id, version, versions := j.id, j.version, j.chunkVersions
+	id, version, versions, parts := j.id, j.version, j.chunkVersions, j.record.Parts
 	o.wg.Go(func() {
 		// Delete the job first: results without a job are never read, but a job
 		// without its results would be run again.
@@ -350,6 +351,9 @@
 				o.log.Warn("failed to delete expired results", "job", id, "error", err)
 			}
 		}
+		if err := deleteParts(o.ctx, o.store, id, parts); err != nil {
+			o.log.Warn("failed to delete expired items", "job", id, "error", err)
+		}
 	})
 }
 
--- a/cicadagateway/cicadabatch/submit.go
+++ b/cicadagateway/cicadabatch/submit.go
@@ -51,13 +51,7 @@
 		Host: c.Host, Path: c.Path, AcceptedMs: now.UnixMilli(), DueMs: c.Due.Milliseconds(), GiveUpMs: c.GiveUp.Milliseconds(),
 		Total: len(items), SubmittedBy: o.name, Items: items,
 	}
-	value, err := cicadaplatform.EncodeJSON(r)
-	if err != nil {
-		o.releaseTokens(c.Host, c.Path, c.Job)
-		o.log.Error("failed to encode submission", "job", c.Job, "error", err)
-		return Response{Status: http.StatusInternalServerError}
-	}
-	obj, err := o.store.Create(ctx, cicadaplatform.ClassClaim, JobsPrefix+c.Job, value)
+	obj, parts, err := storeJob(ctx, o.store, c.Job, r)
 	if err != nil && !errors.Is(err, cicadaplatform.ErrExists) {
 		return o.submitError(c, err)
 	}
@@ -68,6 +62,7 @@
 				j := o.addJob(c.Job, r, now)
 				j.version = obj.Version()
 				j.loaded = true // a new job has no results to load
+				j.record.Parts = parts
 			}
 			o.Wake()
 		})
