--- a/cicadasoak/caller.go
+++ b/cicadasoak/caller.go
@@ -13,6 +13,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"cicadalink.example/cicadakernel/cicadaretry"
 )
 
 const (
@@ -158,7 +160,7 @@
 			c.checks.count("streams whole")
 			return
 		}
-		if ctx.Err() != nil || !pause(ctx, retryDelay) {
+		if ctx.Err() != nil || !cicadaretry.Sleep(ctx, retryDelay) {
 			return
 		}
 	}
@@ -188,7 +190,7 @@
 	c.checks.count("jobs accepted")
 	known := make(map[int]jobResult)
 	for end := time.Now().Add(jobTimeout); time.Now().Before(end) && len(known) < jobItems; {
-		if !pause(ctx, readInterval) {
+		if !cicadaretry.Sleep(ctx, readInterval) {
 			return
 		}
 		after := c.intN(len(known) + 1)
@@ -222,7 +224,7 @@
 		if err == nil && res == http.StatusAccepted {
 			return true
 		}
-		pause(ctx, retryDelay)
+		cicadaretry.Sleep(ctx, retryDelay)
 	}
 	return false
 }
@@ -257,7 +259,7 @@
 // which must not go back while the process runs.
 func (c *caller) watchConfig(ctx context.Context, p *process, newest func() int) {
 	reached, lifetime := 0, 0
-	for pause(ctx, 100*time.Millisecond) {
+	for cicadaretry.Sleep(ctx, 100*time.Millisecond) {
 		if now := p.started(); now != lifetime {
 			reached, lifetime = 0, now
 		}
--- a/cicadasoak/process.go
+++ b/cicadasoak/process.go
@@ -16,6 +16,8 @@
 
 	"github.com/ansel1/merry/v2"
 	"github.com/hashicorp/go-hclog"
+
+	"cicadalink.example/cicadakernel/cicadaretry"
 )
 
 // Ports of each process, at an address of its own.
@@ -224,12 +226,12 @@
 	defer cancel()
 	for _, p := range d.entries {
 		for !p.ready(ctx) {
-			if !pause(ctx, 50*time.Millisecond) {
+			if !cicadaretry.Sleep(ctx, 50*time.Millisecond) {
 				return merry.Errorf("%s is not ready after %s", p.name, startTimeout)
 			}
 		}
 	}
-	pause(ctx, settleTime)
+	cicadaretry.Sleep(ctx, settleTime)
 	return nil
 }
 
@@ -287,15 +289,3 @@
 	}
 	_ = os.RemoveAll(d.dir)
 }
-
-// pause waits for t, and reports false if ctx is done before.
-func pause(ctx context.Context, t time.Duration) bool {
-	timer := time.NewTimer(t)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/cicadasoak/scenario.go
+++ b/cicadasoak/scenario.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+
+	"cicadalink.example/cicadakernel/cicadaretry"
 )
 
 // A soak is one run of a scenario.
@@ -46,12 +48,12 @@
 	stopped, others := s.entries[0], s.entries[1:]
 	c := newCaller(others, s.checks, newRandom(s.random.Uint64()))
 	stopped.signal(syscall.SIGSTOP)
-	pause(ctx, 500*time.Millisecond)
+	cicadaretry.Sleep(ctx, 500*time.Millisecond)
 	if err := s.release("v2", len(s.endpoints)); err != nil {
 		s.log.Error("failed to release", "error", err)
 		return
 	}
-	pause(ctx, 700*time.Millisecond)
+	cicadaretry.Sleep(ctx, 700*time.Millisecond)
 	wake := time.Now().Add(stopBeforeWake - 700*time.Millisecond)
 	var callers sync.WaitGroup
 	for i := range releaseStreams {
@@ -69,7 +71,7 @@
 				return
 			}
 			for range maxResumes {
-				if pause(ctx, 2*retryDelay); c.receive(ctx, c.anyEntry(), st, nil) {
+				if cicadaretry.Sleep(ctx, 2*retryDelay); c.receive(ctx, c.anyEntry(), st, nil) {
 					s.checks.count("went on elsewhere")
 					return
 				}
@@ -77,7 +79,7 @@
 			s.checks.count("streams given up")
 		})
 	}
-	pause(ctx, time.Until(wake))
+	cicadaretry.Sleep(ctx, time.Until(wake))
 	stopped.signal(syscall.SIGCONT)
 	callers.Wait()
 }
@@ -102,7 +104,7 @@
 		callers.Go(func() {
 			for callersCtx.Err() == nil {
 				c.streamFrom(callersCtx, c.intN(2) == 0)
-				pause(callersCtx, retryDelay)
+				cicadaretry.Sleep(callersCtx, retryDelay)
 			}
 		})
 	}
@@ -110,19 +112,19 @@
 		callers.Go(func() { c.watchConfig(callersCtx, p, func() int { return int(s.config.Load()) }) })
 	}
 	callers.Go(func() {
-		for pause(callersCtx, jobInterval) {
+		for cicadaretry.Sleep(callersCtx, jobInterval) {
 			callers.Go(func() { c.runJob(callersCtx) })
 		}
 	})
 	s.injectFaults(ctx)
-	pause(ctx, calmTime)
+	cicadaretry.Sleep(ctx, calmTime)
 	stop()
 	callers.Wait()
 }
 
 // injectFaults injects faults for the duration and waits until they are over.
 func (s *soak) injectFaults(ctx context.Context) {
-	for end := time.Now().Add(s.duration); time.Now().Before(end) && pause(ctx, time.Duration(s.random.Int64N(int64(2*faultInterval)))); {
+	for end := time.Now().Add(s.duration); time.Now().Before(end) && cicadaretry.Sleep(ctx, time.Duration(s.random.Int64N(int64(2*faultInterval)))); {
 		f := faults[s.random.IntN(len(faults))]
 		length := 300*time.Millisecond + time.Duration(s.random.Int64N(int64(3700*time.Millisecond)))
 		s.log.Info("fault", "kind", f.kind, "for", length.String())
@@ -161,7 +163,7 @@
 func (s *soak) suspend(ctx context.Context, p *process, length time.Duration) {
 	p.signal(syscall.SIGSTOP)
 	s.faults.Go(func() {
-		pause(ctx, length)
+		cicadaretry.Sleep(ctx, length)
 		p.signal(syscall.SIGCONT)
 	})
 }
@@ -171,7 +173,7 @@
 		p.front.refusing.Store(true)
 	}
 	s.faults.Go(func() {
-		pause(ctx, length)
+		cicadaretry.Sleep(ctx, length)
 		for _, p := range to {
 			p.front.refusing.Store(false)
 		}
@@ -185,7 +187,7 @@
 	s.mu.Unlock()
 	e.crash()
 	s.faults.Go(func() {
-		pause(ctx, length)
+		cicadaretry.Sleep(ctx, length)
 		if err := e.listen(); err != nil {
 			s.log.Error("failed to start endpoint again", "endpoint", e.id, "error", err)
 		}
@@ -213,7 +215,7 @@
 		s.store.put("servers", e.id, e.registration("draining"))
 	}
 	s.faults.Go(func() {
-		pause(ctx, drainTime)
+		cicadaretry.Sleep(ctx, drainTime)
 		for _, e := range leaving {
 			s.store.remove("servers", e.id)
 			e.crash()
