Ignore the end of an older run of an item

Change: the end of a run that is not the item's current one is ignored; its slot was freed when it was abandoned.

Test: TestEndOfOlderRunKeepsSlot fails before ("the later run lost its slot").

--- a/cicadagateway/cicadabatch/abandon_test.go
+++ b/cicadagateway/cicadabatch/abandon_test.go
@@ -33,3 +33,27 @@
 		assert.Equal(t, results[0].State, adapter.StateFailed)
 	})
 }
+
+// TestEndOfOlderRunKeepsSlot guards against the end of a run that was abandoned which frees the
+// slot, and takes the output, of a later run of its item.
+func TestEndOfOlderRunKeepsSlot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newTestDeployment()
+		o := d.startOwner("o1", fixedOwners("o1"))
+		defer o.stop()
+		time.Sleep(time.Second)
+		o.call(t, submitCall("j", manyEvents))
+		time.Sleep(time.Second)
+		ran, kept, lastEvent := false, false, 0
+		o.enqueueAndWait(func() {
+			it := o.jobs["j"].items[0]
+			grant := it.grant
+			ran = grant != nil
+			o.endRun(it, &run{lastEvent: 3 * manyEvents}, grant, runBroken, nil)
+			kept, lastEvent = it.grant == grant && it.state == itemRunning, it.lastEvent
+		})
+		assert.Assert(t, ran, "the item does not run")
+		assert.Assert(t, kept, "the later run lost its slot")
+		assert.Equal(t, lastEvent, 0)
+	})
+}
--- a/cicadagateway/cicadabatch/chunk_test.go
+++ b/cicadagateway/cicadabatch/chunk_test.go
@@ -28,7 +28,7 @@
 }
 
 // manyEvents is the number of events of an item that does not finish during a test.
-const manyEvents = 10000
+const manyEvents = 399
 
 // finishDuringOutage submits a job whose items finish with the given output while the store
 // refuses writes, and returns the results that are listed some seconds after the outage.
--- a/cicadagateway/cicadabatch/parts.go
+++ b/cicadagateway/cicadabatch/parts.go
@@ -63,8 +63,8 @@
 	return len(parts), nil
 }
 
-// notAccepted returns the error of a write before that of the job's object: whatever became of it,
-// the job is not accepted.
+// notAccepted returns the error of a write before that of the job's object. Whatever became of
+// the write, the job is not accepted, so that the error is never ErrInDoubt.
 func notAccepted(err error) error {
 	if errors.Is(err, cicadaplatform.ErrInDoubt) {
 		return merry.Errorf("%w: %v", cicadaplatform.ErrUnavailable, err)
--- a/cicadagateway/cicadabatch/schedule.go
+++ b/cicadagateway/cicadabatch/schedule.go
@@ -224,8 +224,11 @@
 
 // endRun applies the outcome of a run to its item.
 func (o *Owner) endRun(it *item, r *run, grant *cicadaplace.Grant, result outcome, err error) {
+	if it.run != r {
+		return // abandoned in the meantime, and runs again
+	}
 	o.release(it)
-	if it.state != itemRunning || it.run != r {
+	if it.state != itemRunning {
 		return // listed or abandoned in the meantime
 	}
 	now := time.Now()
--- a/cicadasoak/process.go
+++ b/cicadasoak/process.go
@@ -185,6 +185,11 @@
 
 // start starts a process, and starts it again whenever it has ended.
 func (d *deployment) start(p *process) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.stopped {
+		return nil
+	}
 	settings := filepath.Join(d.dir, p.name+".yaml")
 	if err := os.WriteFile(settings, []byte(d.settings(p)), 0o600); err != nil {
 		return merry.Errorf("write settings: %w", err)
@@ -200,11 +205,6 @@
 	cmd := exec.Command(d.cfg.gateway, "--config", settings)
 	cmd.Stdout, cmd.Stderr = output, output
 	done := make(chan struct{})
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.stopped {
-		return nil
-	}
 	if err := cmd.Start(); err != nil {
 		return merry.Errorf("start process: %w", err)
 	}
