--- a/cicadasoak/main.go
+++ b/cicadasoak/main.go
@@ -42,7 +42,7 @@
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "gateway", Value: "target/cicadagateway", Usage: "program to run"},
 			&cli.StringFlag{Name: "settings", Value: "deploy/settings.yaml", Usage: "template of its settings"},
-			&cli.Uint64Flag{Name: "seed", Value: 1},
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "determines which faults come when"},
 			&cli.DurationFlag{Name: "duration", Value: 40 * time.Second, Usage: "time with faults, of the random scenario"},
 			&cli.StringFlag{Name: "scenario", Value: "random", Usage: "random, or release-beside-stopped-entry"},
 			&cli.StringFlag{Name: "logs", Usage: "keep the logs of the processes in this `FOLDER`"},
--- a/cicadasoak/scenario.go
+++ b/cicadasoak/scenario.go
@@ -151,10 +151,10 @@
 	}},
 	{"configuration", func(_ context.Context, s *soak, _ time.Duration) { s.setConfig(int(s.config.Add(1))) }},
 	{"endpoint crash", func(ctx context.Context, s *soak, length time.Duration) { s.crashEndpoint(ctx, length) }},
-	{"release", func(ctx context.Context, s *soak, length time.Duration) { s.replaceEndpoints(ctx, length) }},
+	{"release", func(ctx context.Context, s *soak, _ time.Duration) { s.replaceEndpoints(ctx) }},
 	{"release beside a stopped entry", func(ctx context.Context, s *soak, length time.Duration) {
 		s.suspend(ctx, s.pick(s.entries), length)
-		s.replaceEndpoints(ctx, length)
+		s.replaceEndpoints(ctx)
 	}},
 }
 
@@ -199,7 +199,7 @@
 
 // replaceEndpoints starts endpoints of a new version, and lets the oldest version leave if more
 // than maxVersions serve.
-func (s *soak) replaceEndpoints(ctx context.Context, _ time.Duration) {
+func (s *soak) replaceEndpoints(ctx context.Context) {
 	s.releases++
 	if err := s.release(fmt.Sprint("v", s.releases), s.cfg.endpoints); err != nil {
 		s.log.Error("failed to release", "error", err)
