Log what a read of results rests on, and pauses of an owner

New: a line per job when the source of its answers changes (complete, store, owner), with how long the job has been owned and when the store was last read; a line and a counter for pauses of the event loop; counters of reads by source.

--- a/cicadagateway/cicadabatch/job.go
+++ b/cicadagateway/cicadabatch/job.go
@@ -73,6 +73,7 @@
 	owned          bool               // this process runs the job
 	ownedSince     time.Time          // when it moved here; zero if it was accepted here
 	refreshedAt    time.Time          // when results were last read from the store
+	lastSource     resultSource       // of the latest answer to a reader
 	noRouteSince   time.Time          // when the configuration was first found to have no route for the job
 	waiters        []func()           // called once when results change
 	cancelWrite    context.CancelFunc // cancels the chunk write in progress
--- a/cicadagateway/cicadabatch/metrics.go
+++ b/cicadagateway/cicadabatch/metrics.go
@@ -26,6 +26,8 @@
 	checkpointsWritten tally.Counter
 	checkpointsFailed  tally.Counter
 	jobsRefused        tally.Counter // beyond the limit of their route
+	reads              [len(resultSourceNames)]tally.Counter
+	pauses             tally.Counter // of the event loop
 	tooLarge           tally.Counter // items that failed because their result does not fit in an object
 }
 
@@ -34,7 +36,10 @@
 		runTime: scope.Histogram("item_run_time", runTimeBuckets), timeLeft: scope.Histogram("result_time_left", timeLeftBuckets),
 		preempted: scope.Counter("items_put_aside"), restarted: scope.Counter("items_restarted"), checkpointsWritten: scope.Counter("checkpoints_written"),
 		checkpointsFailed: scope.Counter("checkpoints_failed"), jobsRefused: scope.Counter("jobs_refused"),
-		tooLarge: scope.Counter("results_too_large"),
+		tooLarge: scope.Counter("results_too_large"), pauses: scope.Counter("event_loop_pauses"),
+	}
+	for source, name := range resultSourceNames {
+		m.reads[source] = scope.Tagged(map[string]string{"source": name}).Counter("result_reads")
 	}
 	for o, name := range outcomeNames {
 		m.runs[o] = scope.Tagged(map[string]string{"outcome": name}).Counter("item_runs")
--- a/cicadagateway/cicadabatch/owner.go
+++ b/cicadagateway/cicadabatch/owner.go
@@ -42,6 +42,9 @@
 	// startDelay gives a new owner time to discover its peers before it runs jobs.
 	startDelay   = 900 * time.Millisecond
 	tickInterval = 100 * time.Millisecond
+	// minPause is the time between two ticks from which on the event loop is said to have
+	// been paused.
+	minPause = time.Second
 	// flushDelay is how long a result waits for others of its job to be stored in the
 	// same chunk. urgentFlushDelay applies instead if the job is due within
 	// urgentFlushWindow.
@@ -88,6 +91,7 @@
 	estimate        runEstimate
 	running         map[string][]*item // by endpoint
 	assignedOwners  []string           // from which job.owned was last computed
+	lastTick        time.Time          // when the event loop last did its periodic work
 	lastScan        time.Time          // when the waiting items were last scanned
 	waitingServices map[string]bool    // services with waiting items at the last scan; true if some can run at any version
 
@@ -287,6 +291,7 @@
 // deletes expired jobs, loads and stores results and abandons overdue items.
 func (o *Owner) runMaintenance() {
 	now := time.Now()
+	o.recordPause(now)
 	if now.Sub(o.startedAt) < startDelay {
 		return
 	}
@@ -307,6 +312,16 @@
 	}
 }
 
+// recordPause records that the event loop did not run for at least minPause, as after the
+// process was suspended.
+func (o *Owner) recordPause(now time.Time) {
+	if pause := now.Sub(o.lastTick); !o.lastTick.IsZero() && pause >= minPause {
+		o.metrics.pauses.Inc(1)
+		o.log.Warn("event loop paused", "for", pause.String(), "jobs", len(o.jobs))
+	}
+	o.lastTick = now
+}
+
 // reassignJobs recomputes which jobs this owner runs if the set of owners has changed.
 func (o *Owner) reassignJobs() {
 	owners := o.owners()
--- a/cicadagateway/cicadabatch/reading.go
+++ b/cicadagateway/cicadabatch/reading.go
@@ -28,7 +28,7 @@
 	current := false
 	lookup := func() {
 		j = o.jobs[id]
-		current = j != nil && j.resultsCurrent(time.Now())
+		current = j != nil && j.resultsSource(time.Now()) != sourceNone
 	}
 	o.enqueueAndWait(lookup)
 	if current {
@@ -74,13 +74,56 @@
 	}
 }
 
-// resultsCurrent reports whether the results in memory include every result that any
-// owner may have returned to a reader.
-func (j *job) resultsCurrent(now time.Time) bool {
-	if !j.loaded {
-		return false
+// A resultSource is why the results of a job in memory may be returned to a reader.
+type resultSource int
+
+const (
+	sourceNone     resultSource = iota // they may not, the store must be read first
+	sourceComplete                     // every result is listed
+	sourceStore                        // they were read from the store within resultCacheTTL
+	sourceOwner                        // only this owner lists results of the job
+)
+
+var resultSourceNames = [...]string{sourceNone: "none", sourceComplete: "complete", sourceStore: "store", sourceOwner: "owner"}
+
+// String returns the name of a source, as it is logged.
+func (s resultSource) String() string { return resultSourceNames[s] }
+
+// resultsSource returns why the results in memory include every result that any owner may
+// have returned to a reader, or sourceNone if some may be missing.
+func (j *job) resultsSource(now time.Time) resultSource {
+	switch {
+	case !j.loaded:
+		return sourceNone
+	case j.allListed():
+		return sourceComplete
+	case now.Sub(j.refreshedAt) < resultCacheTTL:
+		return sourceStore
+	case j.owned && now.Sub(j.ownedSince) > lateWriteWindow:
+		return sourceOwner
+	}
+	return sourceNone
+}
+
+// recordRead counts the source of an answer to a reader. It logs the first answer of a job
+// and each later one with another source.
+func (o *Owner) recordRead(j *job, now time.Time) {
+	source := j.resultsSource(now)
+	o.metrics.reads[source].Inc(1)
+	if source == j.lastSource {
+		return
+	}
+	o.log.Info("source of results", "job", j.id, "from", j.lastSource.String(), "to", source.String(), "listed", len(j.results),
+		"items", j.record.Total, "mine", j.owned, "owned-for", durationSince(j.ownedSince, now), "store-age", durationSince(j.refreshedAt, now))
+	j.lastSource = source
+}
+
+// durationSince formats the time since t, which may be zero.
+func durationSince(t, now time.Time) string {
+	if t.IsZero() {
+		return "none"
 	}
-	return j.allListed() || j.owned && now.Sub(j.ownedSince) > lateWriteWindow || now.Sub(j.refreshedAt) < resultCacheTTL
+	return now.Sub(t).String()
 }
 
 // fetchJob reads a job that is not in memory from the store. It returns an error
@@ -110,6 +153,7 @@
 		total := 0
 		changed := make(chan struct{})
 		o.enqueueAndWait(func() {
+			o.recordRead(j, time.Now())
 			page = append(page, j.resultsPage(c.After)...)
 			total = j.record.Total
 			if len(page) == 0 && !j.allListed() && !j.ended && time.Now().Before(deadline) {
