Let owners confirm each other's view of the owners

Cause: an owner took its memory for complete when its own list of owners named it as the owner of the job. That list is the same before and after a suspension, a cut from all others may pass between two looks at it, and an owner that hears the others but is not heard sees no change at all. Meanwhile another owner ran the job and listed results.

Change: each owner reports its roster, the owners among which it divides jobs, and in it the newest message that it has of each. So an owner knows until when another surely keeps it in its roster (the time at which it sent the message that the other echoes, and the failure timeout), whether that is so now, and by a number in the entry whether the other may have stored results of its jobs while it was not in the roster. Only while all others confirm does it answer from memory; else it reads the store, as after a job has moved. If the number or the incarnation differs, all its unfinished jobs are read again, and for the window of late writes after that. An owner that finds its number of a group taken reads that job again too.

Related paths, same cause: a reader that waited for a result got what was known when it began to wait, so a wake during the wait answered old; it is now checked when it returns, and 503 if that fails. The age of results counted from the end of a read of the store and now counts from its beginning.

While an owner is dead or cut off, and for a minute after, the others read the store for each read of a caller of an unfinished job.

--- a/cicadagateway/cicadabatch/job.go
+++ b/cicadagateway/cicadabatch/job.go
@@ -72,7 +72,8 @@
 	ended          bool               // by a CallEndJob
 	owned          bool               // this process runs the job
 	ownedSince     time.Time          // when it moved here; zero if it was accepted here
-	refreshedAt    time.Time          // when results were last read from the store
+	loadStarted    time.Time          // when the latest read of results was begun
+	refreshedAt    time.Time          // when the latest read of results that succeeded was begun
 	lastSource     resultSource       // of the latest answer to a reader
 	noRouteSince   time.Time          // when the configuration was first found to have no route for the job
 	waiters        []func()           // called once when results change
--- a/cicadagateway/cicadabatch/listing.go
+++ b/cicadagateway/cicadabatch/listing.go
@@ -20,6 +20,9 @@
 		return
 	}
 	j.writing = true
+	if o.roster.recordWrite(j.id) {
+		o.publishRoster()
+	}
 	number := j.chunkCount
 	length := fitChunk(j.pending, o.store.ValueSize)
 	if j.maxChunkLength > 0 {
@@ -74,6 +77,7 @@
 	j.maxChunkLength = 0
 	if written.Writer != o.name {
 		o.log.Warn("another owner wrote results", "job", j.id, "chunk", number, "owner", written.Writer)
+		j.renew(time.Now())
 	}
 	if j.chunkCount == number {
 		o.appendChunk(j, written)
--- a/cicadagateway/cicadabatch/load.go
+++ b/cicadagateway/cicadabatch/load.go
@@ -59,7 +59,7 @@
 	if !o.loads.allow(now) {
 		return false
 	}
-	j.loading = true
+	j.loading, j.loadStarted = true, now
 	from, parts := j.chunkCount, 0
 	if j.bodiesMissing {
 		parts = j.record.Parts
@@ -101,7 +101,7 @@
 		o.log.Warn("failed to read results", "job", j.id, "chunks", j.chunkCount, "error", err)
 	} else {
 		j.loaded = true
-		j.refreshedAt = time.Now()
+		j.refreshedAt = j.loadStarted
 		o.log.Info("job loaded", "job", j.id, "chunks", j.chunkCount, "listed", len(j.results), "items", j.record.Total)
 	}
 	o.notifyWaiters(j)
--- a/cicadagateway/cicadabatch/metrics.go
+++ b/cicadagateway/cicadabatch/metrics.go
@@ -28,6 +28,7 @@
 	jobsRefused        tally.Counter // beyond the limit of their route
 	reads              [len(resultSourceNames)]tally.Counter
 	pauses             tally.Counter // of the event loop
+	renewals           tally.Counter // of the ownership of all jobs, after others may have run them
 	tooLarge           tally.Counter // items that failed because their result does not fit in an object
 }
 
@@ -37,6 +38,7 @@
 		preempted: scope.Counter("items_put_aside"), restarted: scope.Counter("items_restarted"), checkpointsWritten: scope.Counter("checkpoints_written"),
 		checkpointsFailed: scope.Counter("checkpoints_failed"), jobsRefused: scope.Counter("jobs_refused"),
 		tooLarge: scope.Counter("results_too_large"), pauses: scope.Counter("event_loop_pauses"),
+		renewals: scope.Counter("ownership_renewals"),
 	}
 	for source, name := range resultSourceNames {
 		m.reads[source] = scope.Tagged(map[string]string{"source": name}).Counter("result_reads")
--- a/cicadagateway/cicadabatch/owner.go
+++ b/cicadagateway/cicadabatch/owner.go
@@ -21,8 +21,8 @@
 
 import (
 	"context"
-	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -31,6 +31,7 @@
 
 	"cicadalink.example/cicadagateway/cicadaexchange"
 	"cicadalink.example/cicadagateway/cicadafollow"
+	"cicadalink.example/cicadagateway/cicadapeer"
 	"cicadalink.example/cicadagateway/cicadaplace"
 	"cicadalink.example/cicadagateway/cicadareservation"
 	"cicadalink.example/cicadakernel/cicadaplatform"
@@ -71,6 +72,8 @@
 	client         *cicadaexchange.Client
 	config         func() *cicadaview.Config
 	owners         func() []string
+	peers          func() []cicadapeer.OwnerView
+	onRoster       func()
 	sendHandOver   func(ctx context.Context, job string, p []Progress) error
 	sendCheckpoint func(ctx context.Context, p Checkpoint) error
 	sendWaiting    func(ctx context.Context, reports []WaitingTokens)
@@ -84,16 +87,19 @@
 	wakeup         chan struct{}
 	ctx            context.Context
 	startedAt      time.Time
+	published      atomic.Pointer[[]cicadapeer.RosterEntry] // the roster, see Roster
 	wg             cicadatask.Group
 
 	// The fields below are accessed only by the event loop.
 	jobs            map[string]*job
 	estimate        runEstimate
 	running         map[string][]*item // by endpoint
-	assignedOwners  []string           // from which job.owned was last computed
-	lastTick        time.Time          // when the event loop last did its periodic work
-	lastScan        time.Time          // when the waiting items were last scanned
-	waitingServices map[string]bool    // services with waiting items at the last scan; true if some can run at any version
+	roster          *roster            // from which job.owned was last computed
+	tenure          tenure
+	unconfirmed     string          // names of the owners that did not confirm at the last check
+	lastTick        time.Time       // when the event loop last did its periodic work
+	lastScan        time.Time       // when the waiting items were last scanned
+	waitingServices map[string]bool // services with waiting items at the last scan; true if some can run at any version
 
 	lastCheckpoint time.Time
 	saving         bool                                 // a checkpoint is being written
@@ -139,6 +145,13 @@
 	return func(o *Owner) { o.checkpointFile, o.recovered = file, file.recovered }
 }
 
+// WithPeers sets the function that returns what the other owners report, by which the owner
+// knows whether they leave its jobs to it, and the function that is called when the owner's own
+// Roster has changed and should be reported. Without it, the owner trusts its own view.
+func WithPeers(peers func() []cicadapeer.OwnerView, onRoster func()) Option {
+	return func(o *Owner) { o.peers, o.onRoster = peers, onRoster }
+}
+
 // WithScope sets the scope for the owner's metrics.
 func WithScope(scope tally.Scope) Option {
 	return func(o *Owner) { o.metrics = newMetrics(scope) }
@@ -155,8 +168,11 @@
 		jobs: make(map[string]*job), running: make(map[string][]*item), waitingServices: make(map[string]bool),
 		sendHandOver:   func(context.Context, string, []Progress) error { return nil },
 		sendCheckpoint: func(context.Context, Checkpoint) error { return nil },
+		peers:          func() []cicadapeer.OwnerView { return nil },
+		onRoster:       func() {},
 		absentJobs:     make(map[string]time.Time),
-		retention:      defaultRetention, saveFull: true, metrics: newMetrics(tally.NoopScope),
+		roster:         newRoster(name), tenure: tenure{terms: make(map[string]term)},
+		retention: defaultRetention, saveFull: true, metrics: newMetrics(tally.NoopScope),
 	}
 	for _, opt := range opts {
 		opt(o)
@@ -254,7 +270,7 @@
 
 func (o *Owner) addJob(id string, r jobRecord, acceptedAt time.Time) *job {
 	j := newJob(id, r, acceptedAt)
-	j.owned = ownerOf(id, o.assignedOwners) == o.name
+	j.owned = o.roster.ownerOf(id) == o.name
 	j.bodiesMissing = r.Parts > 0 && !r.Ended
 	o.jobs[id] = j
 	o.restoreRecovered(j)
@@ -296,6 +312,7 @@
 		return
 	}
 	o.reassignJobs()
+	o.checkTenure(now)
 	o.forgetAbsentJobs(now)
 	o.handOverRecovered()
 	o.checkpoint(now)
@@ -322,16 +339,30 @@
 	o.lastTick = now
 }
 
+// Roster returns the owners among which this owner divides the jobs.
+func (o *Owner) Roster() []cicadapeer.RosterEntry {
+	if entries := o.published.Load(); entries != nil {
+		return *entries
+	}
+	return nil
+}
+
+func (o *Owner) publishRoster() {
+	entries := o.roster.entries()
+	o.published.Store(&entries)
+	o.onRoster()
+}
+
 // reassignJobs recomputes which jobs this owner runs if the set of owners has changed.
 func (o *Owner) reassignJobs() {
-	owners := o.owners()
-	if slices.Equal(owners, o.assignedOwners) {
+	before := o.roster.names
+	if !o.roster.set(o.owners()) {
 		return
 	}
-	o.log.Info("owners changed", "from", strings.Join(o.assignedOwners, " "), "to", strings.Join(owners, " "))
-	o.assignedOwners = owners
+	o.log.Info("owners changed", "from", strings.Join(before, " "), "to", strings.Join(o.roster.names, " "))
+	o.publishRoster()
 	for _, j := range o.jobs {
-		owned := ownerOf(j.id, owners) == o.name
+		owned := o.roster.ownerOf(j.id) == o.name
 		if owned == j.owned {
 			continue
 		}
--- a/cicadagateway/cicadabatch/reading.go
+++ b/cicadagateway/cicadabatch/reading.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"cicadalink.example/cicadakernel/cicadaplatform"
@@ -21,55 +22,48 @@
 	readTimeout     = 2 * time.Second // limit on reading a job and its results
 )
 
-// loadedJob returns a job with up-to-date results, which it reads from the store if
-// needed. On failure it returns an error response instead.
-func (o *Owner) loadedJob(ctx context.Context, id string) (*job, *Response) {
-	var j *job
-	current := false
-	lookup := func() {
-		j = o.jobs[id]
-		current = j != nil && j.resultsSource(time.Now()) != sourceNone
-	}
-	o.enqueueAndWait(lookup)
-	if current {
-		return j, nil
-	}
+// readJob runs f in the event loop with a job whose results in memory include every result that
+// any owner may have returned to a reader before the call, and with the reason why they do. It
+// reads them from the store first if needed. If that fails, it returns an error response instead.
+func (o *Owner) readJob(ctx context.Context, id string, f func(j *job, source resultSource)) *Response {
+	called := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	if j == nil {
-		if resp := o.fetchJob(ctx, id); resp != nil {
-			return nil, resp
-		}
-	}
-	for {
-		loaded, loading := make(chan struct{}), true
+	for fetched := false; ; {
+		known, loading := false, (chan struct{})(nil)
+		done := false
 		o.enqueueAndWait(func() {
-			lookup()
-			if j == nil || current {
-				close(loaded)
+			j := o.jobs[id]
+			if known = j != nil; !known {
 				return
 			}
-			if loading = o.loadResults(j, time.Now()); loading {
-				j.waiters = append(j.waiters, func() { close(loaded) })
+			now := time.Now()
+			if source := o.resultsSource(j, now, called); source != sourceNone {
+				f(j, source)
+				done = true
+			} else if o.loadResults(j, now) {
+				loading = make(chan struct{})
+				j.waiters = append(j.waiters, func() { close(loading) })
 			}
 		})
-		if !loading {
+		switch {
+		case done:
+			return nil
+		case !known && !fetched:
+			if resp := o.fetchJob(ctx, id); resp != nil {
+				return resp
+			}
+			fetched = true
+			continue
+		case loading == nil:
 			resp := unavailable()
-			return nil, &resp
+			return &resp
 		}
 		select {
-		case <-loaded:
+		case <-loading:
 		case <-ctx.Done():
 			resp := unavailable()
-			return nil, &resp
-		}
-		o.enqueueAndWait(lookup)
-		if current {
-			return j, nil
-		}
-		if j == nil || ctx.Err() != nil {
-			resp := unavailable()
-			return nil, &resp
+			return &resp
 		}
 	}
 }
@@ -89,32 +83,33 @@
 // String returns the name of a source, as it is logged.
 func (s resultSource) String() string { return resultSourceNames[s] }
 
-// resultsSource returns why the results in memory include every result that any owner may
-// have returned to a reader, or sourceNone if some may be missing.
-func (j *job) resultsSource(now time.Time) resultSource {
+// resultsSource returns why the results of a job in memory include every result that any owner may
+// have returned to a reader before called, or sourceNone if some may be missing.
+func (o *Owner) resultsSource(j *job, now, called time.Time) resultSource {
 	switch {
 	case !j.loaded:
 		return sourceNone
 	case j.allListed():
 		return sourceComplete
-	case now.Sub(j.refreshedAt) < resultCacheTTL:
+	case now.Sub(j.refreshedAt) < resultCacheTTL || !j.refreshedAt.Before(called):
 		return sourceStore
-	case j.owned && now.Sub(j.ownedSince) > lateWriteWindow:
-		return sourceOwner
+	case j.owned && o.checkTenure(now) && now.Sub(j.ownedSince) > lateWriteWindow:
+		return sourceOwner // checkTenure may have changed ownedSince
 	}
 	return sourceNone
 }
 
 // recordRead counts the source of an answer to a reader. It logs the first answer of a job
 // and each later one with another source.
-func (o *Owner) recordRead(j *job, now time.Time) {
-	source := j.resultsSource(now)
+func (o *Owner) recordRead(j *job, source resultSource) {
 	o.metrics.reads[source].Inc(1)
 	if source == j.lastSource {
 		return
 	}
+	now := time.Now()
 	o.log.Info("source of results", "job", j.id, "from", j.lastSource.String(), "to", source.String(), "listed", len(j.results),
-		"items", j.record.Total, "mine", j.owned, "owned-for", durationSince(j.ownedSince, now), "store-age", durationSince(j.refreshedAt, now))
+		"items", j.record.Total, "mine", j.owned, "unconfirmed", o.unconfirmed,
+		"owned-for", durationSince(j.ownedSince, now), "store-age", durationSince(j.refreshedAt, now))
 	j.lastSource = source
 }
 
@@ -142,70 +137,62 @@
 	return nil
 }
 
+// readResults returns the results from a position on. If there are none, it waits for one. What it
+// returns is up to date when it returns, not only when it began to wait.
 func (o *Owner) readResults(ctx context.Context, c *Call) Response {
 	deadline := time.Now().Add(c.Wait)
-	for {
-		j, errResp := o.loadedJob(ctx, c.Job)
-		if errResp != nil {
-			return *errResp
-		}
+	for ctx.Err() == nil {
 		var page []adapter.Result
+		var changed chan struct{}
 		total := 0
-		changed := make(chan struct{})
-		o.enqueueAndWait(func() {
-			o.recordRead(j, time.Now())
-			page = append(page, j.resultsPage(c.After)...)
-			total = j.record.Total
+		errResp := o.readJob(ctx, c.Job, func(j *job, source resultSource) {
+			o.recordRead(j, source)
+			page, total = slices.Clone(j.resultsPage(c.After)), j.record.Total
 			if len(page) == 0 && !j.allListed() && !j.ended && time.Now().Before(deadline) {
+				changed = make(chan struct{})
 				j.waiters = append(j.waiters, func() { close(changed) })
-			} else {
-				close(changed)
 			}
 		})
-		if len(page) > 0 || !waitForChange(ctx, changed, deadline) {
-			return o.resultsResponse(j, total, c.After, page)
+		if errResp != nil {
+			return *errResp
 		}
+		if changed == nil {
+			return o.resultsResponse(c, total, page)
+		}
+		waitForChange(ctx, changed, deadline)
 	}
+	return unavailable()
 }
 
 // waitForChange waits until changed is closed, the deadline has passed or ctx is done.
-// It reports whether changed was closed before the deadline.
-func waitForChange(ctx context.Context, changed chan struct{}, deadline time.Time) bool {
-	remaining := time.Until(deadline)
-	if remaining <= 0 {
-		return false
-	}
-	timer := time.NewTimer(remaining)
+func waitForChange(ctx context.Context, changed chan struct{}, deadline time.Time) {
+	timer := time.NewTimer(time.Until(deadline))
 	defer timer.Stop()
 	select {
 	case <-changed:
-		return time.Now().Before(deadline)
 	case <-timer.C:
-		return false
 	case <-ctx.Done():
-		return false
 	}
 }
 
-func (o *Owner) resultsResponse(j *job, total, after int, page []adapter.Result) Response {
-	body, err := adapter.EncodeResults(total, max(after, 0)+len(page), page)
+func (o *Owner) resultsResponse(c *Call, total int, page []adapter.Result) Response {
+	body, err := adapter.EncodeResults(total, max(c.After, 0)+len(page), page)
 	if err != nil {
-		o.log.Error("failed to encode results", "job", j.id, "error", err)
+		o.log.Error("failed to encode results", "job", c.Job, "error", err)
 		return Response{Status: http.StatusInternalServerError}
 	}
 	return Response{Status: http.StatusOK, Body: body, JSON: true}
 }
 
 func (o *Owner) itemBody(ctx context.Context, c *Call) Response {
-	j, errResp := o.loadedJob(ctx, c.Job)
-	if errResp != nil {
-		return *errResp
-	}
 	resp := Response{Status: http.StatusNotFound}
-	o.enqueueAndWait(func() {
+	errResp := o.readJob(ctx, c.Job, func(j *job, _ resultSource) {
 		if it := j.itemsByID[c.Item]; it != nil && it.state != itemListed && !j.ended {
 			resp = Response{Status: http.StatusOK, Body: it.Body}
 		}
 	})
+	if errResp != nil {
+		return *errResp
+	}
 	return resp
 }
--- a/cicadagateway/cicadapeer/peer.go
+++ b/cicadagateway/cicadapeer/peer.go
@@ -96,6 +96,7 @@
 	conn         *net.UDPConn
 	self         Member
 	incarnation  int64
+	startedAt    time.Time // of this incarnation
 	sequence     uint64
 	addresses    map[string]memberAddress
 	members      map[string]*memberState
@@ -139,8 +140,9 @@
 	if err != nil {
 		return nil, merry.Errorf("listen for peers: %w", err)
 	}
+	startedAt := time.Now()
 	g := &Group{
-		conn: conn, self: self, incarnation: time.Now().UnixNano(),
+		conn: conn, self: self, incarnation: startedAt.UnixNano(), startedAt: startedAt,
 		addresses: make(map[string]memberAddress), members: make(map[string]*memberState), missedBy: make(map[string]int),
 		localState: localState, onState: onState, onMembership: onMembership, log: log, notify: make(chan struct{}, 1),
 		metrics: newMetrics(tally.NoopScope), onMessage: func([]byte) {},
@@ -238,9 +240,7 @@
 		state.SendDelay = uint16(min(max(time.Now().UnixNano()-notifiedAt, 0)/int64(time.Millisecond), math.MaxUint16))
 	}
 	g.mu.Lock()
-	g.sequence++
-	state.Member, state.Incarnation, state.Sequence = g.self, g.incarnation, g.sequence
-	state.NotReceived, state.Relayed = g.relayState(time.Now())
+	state = g.stamp(state, time.Now())
 	addresses := make([]*net.UDPAddr, 0, len(g.addresses))
 	for _, a := range g.addresses {
 		addresses = append(addresses, a.udp)
@@ -263,6 +263,16 @@
 	return len(addresses)
 }
 
+// stamp adds to a state what identifies it and what this member knows of the others. The caller
+// must hold g.mu.
+func (g *Group) stamp(state State, now time.Time) State {
+	g.sequence++
+	state.Member, state.Incarnation, state.Sequence, state.SentAt = g.self, g.incarnation, g.sequence, g.sinceStart(now)
+	state.NotReceived, state.Relayed = g.relayState(now)
+	state.Roster = g.stampRoster(state.Roster)
+	return state
+}
+
 func (g *Group) receive() {
 	buf := make([]byte, maxDatagramSize)
 	for {
--- a/cicadagateway/cicadapeer/peer_test.go
+++ b/cicadagateway/cicadapeer/peer_test.go
@@ -20,16 +20,17 @@
 type testNetwork struct {
 	groups     map[string]*Group
 	blocked    map[[2]string]bool
+	suspended  map[string]bool
 	batchLoads map[string]map[string]int // batch load of each other member, as last received by a member
 }
 
 func newTestNetwork(names ...string) *testNetwork {
-	n := &testNetwork{groups: make(map[string]*Group), blocked: make(map[[2]string]bool), batchLoads: make(map[string]map[string]int)}
+	n := &testNetwork{groups: make(map[string]*Group), blocked: make(map[[2]string]bool), suspended: make(map[string]bool), batchLoads: make(map[string]map[string]int)}
 	for _, name := range names {
 		batchLoads := make(map[string]int)
 		n.batchLoads[name] = batchLoads
 		n.groups[name] = &Group{
-			self: Member{Name: name, Role: RoleOwner, Address: "127.0.0.1:1"}, incarnation: 1, members: make(map[string]*memberState),
+			self: Member{Name: name, Role: RoleOwner, Address: "127.0.0.1:1"}, incarnation: 1, startedAt: time.Now(), members: make(map[string]*memberState),
 			addresses: make(map[string]memberAddress), missedBy: make(map[string]int), log: hclog.NewNullLogger(), onMembership: func() {},
 			onState: func(s State) {
 				if len(s.InFlight) > 0 {
@@ -45,16 +46,14 @@
 // heartbeatInterval.
 func (n *testNetwork) exchange(batch uint16) {
 	for _, name := range slices.Sorted(maps.Keys(n.groups)) {
+		if n.suspended[name] {
+			continue
+		}
 		g := n.groups[name]
 		g.expire()
-		g.sequence++
-		state := State{
-			Member: g.self, Incarnation: g.incarnation, Sequence: g.sequence, StoreUp: true,
-			InFlight: []InFlight{{Endpoint: "e", Batch: batch}},
-		}
-		state.NotReceived, state.Relayed = g.relayState(time.Now())
+		state := g.stamp(State{StoreUp: true, InFlight: []InFlight{{Endpoint: "e", Batch: batch}}, Roster: n.roster(name)}, time.Now())
 		for other, receiver := range n.groups {
-			if other == name || n.blocked[[2]string{name, other}] {
+			if other == name || n.suspended[other] || n.blocked[[2]string{name, other}] {
 				continue
 			}
 			receiver.applyState(state, true)
@@ -66,6 +65,15 @@
 	time.Sleep(heartbeatInterval)
 }
 
+// roster returns the live members in the view of one of them, and itself.
+func (n *testNetwork) roster(name string) []RosterEntry {
+	entries := []RosterEntry{{Name: name, Since: 1}}
+	for _, other := range n.live(name) {
+		entries = append(entries, RosterEntry{Name: other, Since: 1})
+	}
+	return entries
+}
+
 func (n *testNetwork) live(name string) []string {
 	var names []string
 	for _, s := range n.groups[name].Live(RoleOwner) {
--- a/cicadagateway/cicadapeer/state.go
+++ b/cicadagateway/cicadapeer/state.go
@@ -70,6 +70,11 @@
 	// SoundParts those that the member has lately found sound.
 	PartQuarantines []PartQuarantine
 	SoundParts      []uint64
+	// SentAt is when the member sent the state, in milliseconds since its incarnation began, by
+	// its monotonic clock.
+	SentAt uint64
+	// Roster lists the owners among which the member, if it is an owner, divides the jobs.
+	Roster []RosterEntry
 }
 
 // A CrashReport reports a run of a request during which the endpoint's connection broke.
--- a/cicadagateway/cicadaprocess/jobs.go
+++ b/cicadagateway/cicadaprocess/jobs.go
@@ -115,7 +115,7 @@
 	peers := cicadabatch.NewClient(cicadawire.NewPool(), n.ownerPeers)
 	limiter := cicadareservation.New(n.cfg.Name, n.store, n.log, cicadareservation.WithShrink(peers.Shrink))
 	opts := append(n.openCheckpoints(), cicadabatch.WithLimiter(limiter, peers.ReportWaiting), cicadabatch.WithHandOver(peers.HandOver), cicadabatch.WithReplication(peers.Replicate),
-		cicadabatch.WithScope(n.process.Scope()),
+		cicadabatch.WithPeers(n.group.OwnerViews, n.notifyPeers), cicadabatch.WithScope(n.process.Scope()),
 		cicadabatch.WithRetention(n.cfg.KeepJobs.Or(defaultKeepJobs)+jobRetentionMargin))
 	owner := cicadabatch.NewOwner(workCtx, n.cfg.Name, n.store, n.table, n.client, n.config.Load, n.eligibleOwners, n.log, opts...)
 	n.owner.Store(owner)
--- a/cicadagateway/cicadaprocess/process.go
+++ b/cicadagateway/cicadaprocess/process.go
@@ -182,6 +182,9 @@
 	if n.followersStarted.Load() && n.storeUp.Load() {
 		s.EndpointsAsOf, s.EndpointsDigest = n.endpointFollower.AsOf(), n.registry.Digest()
 	}
+	if o := n.owner.Load(); o != nil {
+		s.Roster = o.Roster()
+	}
 	n.crashes.addTo(&s, time.Now())
 	s.Refusals = n.refusals.next(time.Now())
 	for id, count := range n.table.LocalInFlight() {
