Let only the owner of a job store results of it

What is finished here is handed over with the job in any case.

flush now does nothing for a job that is owned elsewhere. TestFormerOwnerStoresNoResults failed before ("the former owner has stored results").

--- a/cicadagateway/cicadabatch/listing.go
+++ b/cicadagateway/cicadabatch/listing.go
@@ -10,10 +10,10 @@
 	adapter "cicadalink.example/platform"
 )
 
-// flush starts to store the pending results of a job in a chunk if the job is finished
-// or the flush delay has passed.
+// flush starts to store the pending results of a job of this owner in a chunk if the job is
+// finished or the flush delay has passed.
 func (o *Owner) flush(j *job, now time.Time) {
-	if len(j.pending) == 0 || j.writing || !j.loaded {
+	if len(j.pending) == 0 || j.writing || !j.loaded || !j.owned {
 		return
 	}
 	if !j.finished() && now.Sub(j.oldestPending) < j.flushDelay(now) {
--- a/cicadagateway/cicadabatch/owner_test.go
+++ b/cicadagateway/cicadabatch/owner_test.go
@@ -421,6 +421,43 @@
 	})
 }
 
+// TestFormerOwnerStoresNoResults guards against results that the owner of a job does not know of,
+// because a former owner stored them when a run ended after the job had moved and been read.
+func TestFormerOwnerStoresNoResults(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newTestDeployment()
+		var owner atomic.Value
+		owner.Store("o1")
+		o1 := d.startOwner("o1", func() []string { return []string{owner.Load().(string)} })
+		defer o1.stop()
+		time.Sleep(time.Second)
+		o1.call(t, submitCall("j", 10, 300))
+		waitForPending(t, o1, "j")
+		owner.Store("o2")
+		time.Sleep(2 * tickInterval)
+		assert.Equal(t, len(o1.results(t, "j", 0).Results), 0)
+		o1.enqueueAndWait(func() { o1.flush(o1.jobs["j"], time.Now().Add(flushDelay)) })
+		synctest.Wait()
+		_, found, err := readChunk(t.Context(), o1.store, "j", 0)
+		assert.NilError(t, err)
+		assert.Assert(t, !found, "the former owner has stored results")
+	})
+}
+
+// waitForPending waits until an owner has a result of a job that is not stored yet.
+func waitForPending(t *testing.T, o *testOwner, job string) {
+	t.Helper()
+	for range 100 {
+		pending := 0
+		o.enqueueAndWait(func() { pending = len(o.jobs[job].pending) })
+		if pending > 0 {
+			return
+		}
+		time.Sleep(tickInterval / 2)
+	}
+	t.Fatal("no item has finished")
+}
+
 func TestMovedJobKeepsProgress(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d := newTestDeployment()
