Check in the soak that results once read stay

The soak checked the order of streams, outputs, results and configurations, but not that a result that was read at a position is there when it is read again, nor that an accepted job is found. Readers left a job as soon as they had all its results, so that an owner which had lost sight of them was never asked.

New: both checks (a test shows that they can fail), readers go on for 8 s after a job is whole, and a scenario stopped-owners, which stops owners in turn for 4 s while streams give way and others can run their items.

--- a/cicadasoak/caller.go
+++ b/cicadasoak/caller.go
@@ -24,6 +24,7 @@
 	jobItems     = 6
 	jobTimeout   = 30 * time.Second
 	readInterval = 400 * time.Millisecond
+	rereadTime   = 8 * time.Second
 )
 
 // A caller sends requests to entries, each on a connection of its own.
@@ -174,8 +175,49 @@
 	Results     []jobResult
 }
 
-// runJob submits a job and reads it from any entry until all its results are listed. A result
-// that has been read at a position must stay the same.
+// settleDelay is how long after a result was read it may still be missing elsewhere.
+const settleDelay = time.Second
+
+// jobReads is what a caller has read of a job.
+type jobReads struct {
+	job       string
+	results   []jobResult
+	firstRead []time.Time // by position
+}
+
+// add checks a page of results against those read before: a result that was read at a position
+// must be there, and the same, whatever entry is asked. sent is when the page was asked for.
+func (r *jobReads) add(c *checks, after int, page []jobResult, sent time.Time) {
+	for i, result := range page {
+		position := after + i
+		switch {
+		case position < len(r.results) && r.results[position] != result:
+			c.violate("another result at a position", r.job, fmt.Sprintf("position %d: %s, then %s", position, r.results[position].ID, result.ID))
+		case position < len(r.results):
+		case result.State == "complete":
+			c.checkOutput(result.ID, result.Output)
+		default:
+			c.count("items failed")
+		}
+		if position >= len(r.results) {
+			r.results, r.firstRead = append(r.results, result), append(r.firstRead, time.Now())
+		}
+	}
+	for position := after + len(page); position < len(r.results); position++ {
+		if age := sent.Sub(r.firstRead[position]); age > settleDelay {
+			c.violate(missingResults, r.job, fmt.Sprintf("position %d was read %v before", position, age))
+			return
+		}
+	}
+}
+
+// wholeFor reports whether all results were read at least d ago.
+func (r *jobReads) wholeFor(d time.Duration) bool {
+	return len(r.results) == jobItems && time.Since(r.firstRead[jobItems-1]) >= d
+}
+
+// runJob submits a job and reads it from any entry until all its results are listed, and for
+// rereadTime after that.
 func (c *caller) runJob(ctx context.Context) {
 	job := c.id()
 	var items []map[string]any
@@ -188,36 +230,23 @@
 		return
 	}
 	c.checks.count("jobs accepted")
-	known := make(map[int]jobResult)
-	for end := time.Now().Add(jobTimeout); time.Now().Before(end) && len(known) < jobItems; {
+	reads := &jobReads{job: job}
+	for end := time.Now().Add(jobTimeout); time.Now().Before(end) && !reads.wholeFor(rereadTime); {
 		if !cicadaretry.Sleep(ctx, readInterval) {
 			return
 		}
-		after := c.intN(len(known) + 1)
-		for i, r := range c.read(ctx, job, after).Results {
-			c.checkResult(job, known, after+i, r)
+		after, sent := c.intN(len(reads.results)+1), time.Now()
+		if page, ok := c.read(ctx, job, after); ok {
+			reads.add(c.checks, after, page.Results, sent)
 		}
 	}
-	if len(known) == jobItems {
+	if len(reads.results) == jobItems {
 		c.checks.count("jobs whole")
 	} else {
 		c.checks.count("jobs not whole in time")
 	}
 }
 
-func (c *caller) checkResult(job string, known map[int]jobResult, position int, r jobResult) {
-	old, seen := known[position]
-	known[position] = r
-	switch {
-	case seen && old != r:
-		c.checks.violate("another result at a position", job, fmt.Sprintf("position %d: %s, then %s", position, old.ID, r.ID))
-	case !seen && r.State == "complete":
-		c.checks.checkOutput(r.ID, r.Output)
-	case !seen:
-		c.checks.count("items failed")
-	}
-}
-
 func (c *caller) submit(ctx context.Context, job string, body []byte) bool {
 	for range 3 {
 		res, err := c.call(ctx, http.MethodPost, batchPrefix+job, map[string]string{"X-Request-Id": job}, body)
@@ -240,19 +269,24 @@
 	return res.StatusCode, res.Body.Close()
 }
 
-func (c *caller) read(ctx context.Context, job string, after int) resultsPage {
+// read reads the results of a job from a position on at any entry. It reports false if there is no
+// answer, or one that promises nothing.
+func (c *caller) read(ctx context.Context, job string, after int) (page resultsPage, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, deadline)
 	defer cancel()
-	var page resultsPage
 	res, err := c.do(ctx, c.anyEntry(), http.MethodGet, fmt.Sprintf("/cicadalink/lots/%s?After=%d", job, after), nil, nil)
 	if err != nil {
-		return page
+		return page, false
 	}
 	defer res.Body.Close()
-	if res.StatusCode == http.StatusOK {
-		_ = json.NewDecoder(res.Body).Decode(&page)
+	switch res.StatusCode {
+	case http.StatusNotFound, http.StatusGone:
+		c.checks.violate("accepted job not found", job, res.Status)
+		return page, false
+	case http.StatusOK:
+		return page, json.NewDecoder(res.Body).Decode(&page) == nil
 	}
-	return page
+	return page, false
 }
 
 // watchConfig asks one entry for the newest version of the configuration that it has in force,
--- a/cicadasoak/check.go
+++ b/cicadasoak/check.go
@@ -39,7 +39,11 @@
 	c.log.Error("out of order", "rule", rule, "subject", subject, "detail", detail)
 }
 
-const mixedVersions = "two versions in one stream"
+// Rules that are named more than once.
+const (
+	mixedVersions  = "two versions in one stream"
+	missingResults = "results that were read are missing"
+)
 
 // broken reports whether a rule was broken.
 func (c *checks) broken() bool {
--- a/cicadasoak/check_test.go
+++ b/cicadasoak/check_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"gotest.tools/v3/assert"
@@ -37,3 +38,28 @@
 	tr.add(c, 3, eventData("s", "v1", 3))
 	assert.Assert(t, c.violations["event missing or doubled"] == 1 && c.broken())
 }
+
+// TestMissingResultsAreFound shows that the check of results that were read can fail.
+func TestMissingResultsAreFound(t *testing.T) {
+	first, second := jobResult{ID: "a", State: "errored"}, jobResult{ID: "b", State: "errored"}
+	for name, c := range map[string]struct {
+		after int
+		page  []jobResult
+		sent  time.Duration // after the first read
+		want  string
+	}{
+		"same":              {0, []jobResult{first, second}, time.Minute, ""},
+		"rest":              {1, []jobResult{second}, time.Minute, ""},
+		"not settled":       {0, nil, settleDelay / 2, ""},
+		"missing":           {0, []jobResult{first}, 2 * settleDelay, missingResults},
+		"missing after one": {1, nil, 2 * settleDelay, missingResults},
+		"replaced":          {0, []jobResult{second, first}, time.Minute, "another result at a position"},
+	} {
+		checks := newChecks(hclog.NewNullLogger())
+		reads := &jobReads{job: "j"}
+		reads.add(checks, 0, []jobResult{first, second}, time.Now())
+		reads.add(checks, c.after, c.page, time.Now().Add(c.sent))
+		assert.Equal(t, checks.broken(), c.want != "", name)
+		assert.Equal(t, checks.violations[c.want] > 0, c.want != "", name)
+	}
+}
--- a/cicadasoak/main.go
+++ b/cicadasoak/main.go
@@ -1,11 +1,12 @@
 // Command cicadasoak runs the gateway's programs as separate processes on loopback addresses,
 // plays the platform's store, the endpoints and the callers itself, injects faults from outside
-// the processes, and checks from what callers see that nothing comes out of order.
+// the processes, and checks from what callers see that nothing comes out of order and no result is lost.
 //
 // # Usage
 //
 //	go build -trimpath -ldflags=-linkmode=external -o target/ ./cicadagateway
 //	go run ./cicadasoak --seed 7 --duration 40s
+//	go run ./cicadasoak --scenario stopped-owners --seed 1
 //	go run ./cicadasoak --scenario release-beside-stopped-entry --seed 1
 //
 // It prints a line for each violation and a summary, and exits with 1 if a rule was broken and
@@ -44,7 +45,7 @@
 			&cli.StringFlag{Name: "settings", Value: "deploy/settings.yaml", Usage: "template of its settings"},
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "determines which faults come when"},
 			&cli.DurationFlag{Name: "duration", Value: 40 * time.Second, Usage: "time with faults, of the random scenario"},
-			&cli.StringFlag{Name: "scenario", Value: "random", Usage: "random, or release-beside-stopped-entry"},
+			&cli.StringFlag{Name: "scenario", Value: "random", Usage: "random, stopped-owners or release-beside-stopped-entry"},
 			&cli.StringFlag{Name: "logs", Usage: "keep the logs of the processes in this `FOLDER`"},
 		},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
--- a/cicadasoak/scenario.go
+++ b/cicadasoak/scenario.go
@@ -24,12 +24,15 @@
 	releases int          // of endpoints, including the first
 	config   atomic.Int64 // newest version of the configuration
 	faults   sync.WaitGroup
+	// noStreams keeps callers from sending new streams.
+	noStreams atomic.Bool
 }
 
 func newRandom(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, seed)) }
 
 var scenarios = map[string]func(context.Context, *soak){
 	"random":                       func(ctx context.Context, s *soak) { s.playRandom(ctx) },
+	"stopped-owners":               func(ctx context.Context, s *soak) { s.playStoppedOwners(ctx) },
 	"release-beside-stopped-entry": func(ctx context.Context, s *soak) { s.playRelease(ctx) },
 }
 
@@ -84,6 +87,38 @@
 	callers.Wait()
 }
 
+const (
+	ownerStop = 4 * time.Second
+	// ownerPause is the time between the end of one stop and the next.
+	ownerPause = 4 * time.Second
+	// peakMargin is how long the peak of streams goes on after an owner was stopped, and how long
+	// before the owner goes on the next one begins.
+	peakMargin = 300 * time.Millisecond
+	// peakCallers are more than all slots, so that items wait during a peak.
+	peakCallers = 2 * streamCallers
+)
+
+// playStoppedOwners stops the owners one after the other while callers read their jobs. Streams
+// take all slots, but not while an owner is stopped: other owners run its items then, and it runs
+// none itself when it goes on, so that only others tell it what has become of its jobs.
+func (s *soak) playStoppedOwners(ctx context.Context) {
+	stop := s.startCallers(ctx, peakCallers)
+	for end := time.Now().Add(s.duration); time.Now().Before(end) && cicadaretry.Sleep(ctx, ownerPause); {
+		p := s.pick(s.owners)
+		s.log.Info("owner stopped", "owner", p.name)
+		p.signal(syscall.SIGSTOP)
+		cicadaretry.Sleep(ctx, peakMargin)
+		s.noStreams.Store(true)
+		cicadaretry.Sleep(ctx, ownerStop-2*peakMargin)
+		s.noStreams.Store(false)
+		cicadaretry.Sleep(ctx, peakMargin)
+		p.signal(syscall.SIGCONT)
+		s.checks.count("owners stopped")
+	}
+	cicadaretry.Sleep(ctx, calmTime)
+	stop()
+}
+
 const (
 	streamCallers = 40
 	jobInterval   = 700 * time.Millisecond
@@ -95,31 +130,42 @@
 
 // playRandom keeps callers of all kinds busy while random faults overlap.
 func (s *soak) playRandom(ctx context.Context) {
+	stop := s.startCallers(ctx, streamCallers)
+	s.injectFaults(ctx)
+	cicadaretry.Sleep(ctx, calmTime)
+	stop()
+}
+
+// startCallers starts callers of all kinds, so many of them for streams. The returned function stops
+// them and waits for them.
+func (s *soak) startCallers(ctx context.Context, streams int) (stop func()) {
 	s.releases = 1
 	s.config.Store(1)
 	c := newCaller(s.entries, s.checks, newRandom(s.random.Uint64()))
-	callersCtx, stop := context.WithCancel(ctx)
+	ctx, cancel := context.WithCancel(ctx)
 	var callers sync.WaitGroup
-	for range streamCallers {
+	for range streams {
 		callers.Go(func() {
-			for callersCtx.Err() == nil {
-				c.streamFrom(callersCtx, c.intN(2) == 0)
-				cicadaretry.Sleep(callersCtx, retryDelay)
+			for ctx.Err() == nil {
+				if !s.noStreams.Load() {
+					c.streamFrom(ctx, c.intN(2) == 0)
+				}
+				cicadaretry.Sleep(ctx, retryDelay)
 			}
 		})
 	}
 	for _, p := range s.entries {
-		callers.Go(func() { c.watchConfig(callersCtx, p, func() int { return int(s.config.Load()) }) })
+		callers.Go(func() { c.watchConfig(ctx, p, func() int { return int(s.config.Load()) }) })
 	}
 	callers.Go(func() {
-		for cicadaretry.Sleep(callersCtx, jobInterval) {
-			callers.Go(func() { c.runJob(callersCtx) })
+		for cicadaretry.Sleep(ctx, jobInterval) {
+			callers.Go(func() { c.runJob(ctx) })
 		}
 	})
-	s.injectFaults(ctx)
-	cicadaretry.Sleep(ctx, calmTime)
-	stop()
-	callers.Wait()
+	return func() {
+		cancel()
+		callers.Wait()
+	}
 }
 
 // injectFaults injects faults for the duration and waits until they are over.
