--- a/cicadagateway/cicadabatch/roster.go
+++ b/cicadagateway/cicadabatch/roster.go
@@ -1,6 +1,7 @@
 package cicadabatch
 
 import (
+	"maps"
 	"slices"
 
 	"cicadalink.example/cicadagateway/cicadapeer"
@@ -47,6 +48,12 @@
 	return changed
 }
 
+// forget forgets the owners that have left the roster and are not known any more. One that returns
+// gets a new number.
+func (r *roster) forget(known func(name string) bool) {
+	maps.DeleteFunc(r.since, func(name string, _ uint64) bool { return !slices.Contains(r.names, name) && !known(name) })
+}
+
 func (r *roster) renumber(name string) {
 	r.changes++
 	r.since[name] = r.changes
--- a/cicadagateway/cicadabatch/tenure.go
+++ b/cicadagateway/cicadabatch/tenure.go
@@ -1,6 +1,7 @@
 package cicadabatch
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -60,6 +61,11 @@
 	return state
 }
 
+// forget forgets the owners that are not known any more. One that returns interrupts the tenure.
+func (t *tenure) forget(known func(name string) bool) {
+	maps.DeleteFunc(t.terms, func(name string, _ term) bool { return !known(name) })
+}
+
 // yields reports whether an owner leaves to this one the jobs that this one owns according to its
 // own roster.
 func yields(v cicadapeer.OwnerView, names []string) bool {
@@ -69,7 +75,13 @@
 // checkTenure reports whether no other owner runs this owner's jobs. If another may have run them
 // in the meantime, the results of these jobs are read again.
 func (o *Owner) checkTenure(now time.Time) bool {
-	state := o.tenure.update(now, o.roster.names, o.peers())
+	views := o.peers()
+	known := func(name string) bool {
+		return slices.ContainsFunc(views, func(v cicadapeer.OwnerView) bool { return v.Owner == name })
+	}
+	o.roster.forget(known)
+	o.tenure.forget(known)
+	state := o.tenure.update(now, o.roster.names, views)
 	if unconfirmed := strings.Join(state.unconfirmed, " "); unconfirmed != o.unconfirmed {
 		o.log.Info("owners that do not confirm changed", "from", o.unconfirmed, "to", unconfirmed)
 		o.unconfirmed = unconfirmed
