Distrust reports from before a suspension that the monotonic clock missed

The wall clock does go on; if it gains more than 100 ms on the monotonic one, only reports count that echo a message sent since.

TestSuspensionWithoutMonotonicTime; it fails without the check.

--- a/cicadagateway/cicadapeer/peer.go
+++ b/cicadagateway/cicadapeer/peer.go
@@ -92,25 +92,28 @@
 
 // A Group is one member's view of all members.
 type Group struct {
-	mu           sync.Mutex
-	conn         *net.UDPConn
-	self         Member
-	incarnation  int64
-	startedAt    time.Time // of this incarnation
-	sequence     uint64
-	addresses    map[string]memberAddress
-	members      map[string]*memberState
-	missedBy     map[string]int // live members that do not receive the named member directly
-	localState   func() State
-	onState      func(State)
-	onMembership func()
-	onMessage    func([]byte)
-	log          hclog.Logger
-	metrics      metrics
-	notify       chan struct{}
-	notifiedAt   atomic.Int64  // Unix nanoseconds of the first change not sent yet, or 0
-	staleness    time.Duration // moving average, see Staleness
-	wg           cicadatask.Group
+	mu          sync.Mutex
+	conn        *net.UDPConn
+	self        Member
+	incarnation int64
+	startedAt   time.Time     // of this incarnation
+	clockLead   time.Duration // of the wall clock on the monotonic clock since startedAt
+	// confirmedFrom is the earliest SentAt of this member that confirms anything, see checkClocks.
+	confirmedFrom uint64
+	sequence      uint64
+	addresses     map[string]memberAddress
+	members       map[string]*memberState
+	missedBy      map[string]int // live members that do not receive the named member directly
+	localState    func() State
+	onState       func(State)
+	onMembership  func()
+	onMessage     func([]byte)
+	log           hclog.Logger
+	metrics       metrics
+	notify        chan struct{}
+	notifiedAt    atomic.Int64  // Unix nanoseconds of the first change not sent yet, or 0
+	staleness     time.Duration // moving average, see Staleness
+	wg            cicadatask.Group
 }
 
 // An Option configures a Group.
--- a/cicadagateway/cicadapeer/roster.go
+++ b/cicadagateway/cicadapeer/roster.go
@@ -54,11 +54,28 @@
 	return uint64(max(now.Sub(g.startedAt).Milliseconds(), 0))
 }
 
+// maxClockDrift is how much the wall clock may gain on the monotonic clock between two looks at
+// them. It gains more if the VM was suspended, since the monotonic clock then stands still.
+const maxClockDrift = 100 * time.Millisecond
+
+// checkClocks notices a suspension that the monotonic clock has missed. What others have heard of
+// this member before says nothing about the time since. A step of the wall clock is taken for a
+// suspension too. The caller must hold g.mu.
+func (g *Group) checkClocks(now time.Time) {
+	lead := now.Round(0).Sub(g.startedAt.Round(0)) - now.Sub(g.startedAt) // Round removes the monotonic reading
+	if lead-g.clockLead > maxClockDrift {
+		g.log.Warn("wall clock gained on the monotonic clock", "by", (lead - g.clockLead).String())
+		g.confirmedFrom = g.sinceStart(now) + 1
+	}
+	g.clockLead = lead
+}
+
 // OwnerViews returns the views of the other owners that have lately been heard of, live or not,
 // sorted by name. An owner that only others have heard of has a view that confirms nothing.
 func (g *Group) OwnerViews() []OwnerView {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.checkClocks(time.Now())
 	var views []OwnerView
 	unheard := make(map[string]bool)
 	for name, s := range g.members {
@@ -87,7 +104,7 @@
 			v.RunsJobs = true
 		case g.self.Name:
 			v.Since = e.Since
-			if e.Incarnation == g.incarnation {
+			if e.Incarnation == g.incarnation && e.HeardAt >= g.confirmedFrom {
 				v.ValidUntil = g.startedAt.Add(time.Duration(e.HeardAt)*time.Millisecond + failureTimeout)
 			}
 		}
--- a/cicadagateway/cicadapeer/roster_test.go
+++ b/cicadagateway/cicadapeer/roster_test.go
@@ -113,3 +113,20 @@
 		assert.DeepEqual(t, unheard, []OwnerView{{Owner: "c", RunsJobs: true}})
 	})
 }
+
+// TestSuspensionWithoutMonotonicTime guards against a member that trusts what others told it before
+// its VM was suspended, because its monotonic clock stood still meanwhile.
+func TestSuspensionWithoutMonotonicTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newTestNetwork("a", "b")
+		for range 8 {
+			n.exchange(1)
+		}
+		assert.DeepEqual(t, n.confirming("a"), []string{"b"})
+		n.groups["a"].clockLead -= 4 * time.Second
+		assert.Equal(t, len(n.confirming("a")), 0)
+		n.exchange(1)
+		n.exchange(1)
+		assert.DeepEqual(t, n.confirming("a"), []string{"b"})
+	})
+}
