--- a/cicadagateway/cicadabatch/engine_test.go
+++ b/cicadagateway/cicadabatch/engine_test.go
@@ -232,7 +232,7 @@
 	var owner *Owner
 	table := cicadaplace.NewTable(name)
 	table.SetEndpoints([]cicadaview.Endpoint{
-		{ID: "e1", Service: "s", Address: "e1", Slots: 4}, {ID: "e2", Service: "s", Address: "e2", Slots: 4},
+		{ID: "e1", Service: "s", Address: "e1", Slots: testSlots}, {ID: "e2", Service: "s", Address: "e2", Slots: testSlots},
 	})
 	client := cicadaexchange.NewClient(cicadaexchange.WithDial(d.dial))
 	owner = NewOwner(ctx, name, store, table, client, func() *cicadaview.Config { return d.config }, owners, log, opts...)
