Log the start of the endpoint's process that a registration describes

Cause: the logs name the version of an endpoint, but not of which of its processes, so that a version from before a restart cannot be told from one that was read late or joined wrongly. Nor do they say what the origin of a resumed stream rests on. A registration with a new start is logged even if nothing else differs.

--- a/cicadagateway/cicadafollow/registry.go
+++ b/cicadagateway/cicadafollow/registry.go
@@ -113,9 +113,10 @@
 		delete(g.retained, id)
 		return
 	}
-	if old, ok := g.endpoints[id]; !ok || old.Draining != endpoint.Draining || old.Address != endpoint.Address || old.SoftwareVersion != endpoint.SoftwareVersion {
+	if old, ok := g.endpoints[id]; !ok || old.Draining != endpoint.Draining || old.Address != endpoint.Address ||
+		old.SoftwareVersion != endpoint.SoftwareVersion || old.StartedMs != endpoint.StartedMs {
 		g.log.Info("endpoint registration updated", "endpoint", id, "service", endpoint.Service, "address", endpoint.Address,
-			"software-version", endpoint.SoftwareVersion, "draining", endpoint.Draining, "version", obj.Version())
+			"software-version", endpoint.SoftwareVersion, "registered-start", endpoint.StartedMs, "draining", endpoint.Draining, "version", obj.Version())
 	}
 	g.endpoints[id] = endpoint
 	delete(g.retained, id)
--- a/cicadagateway/cicadaorigin/tracker.go
+++ b/cicadagateway/cicadaorigin/tracker.go
@@ -33,6 +33,7 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"github.com/hashicorp/go-hclog"
 	"github.com/uber-go/tally/v4"
 )
 
@@ -99,6 +100,7 @@
 	self     string
 	versions *Versions
 	send     func(member string, m Message)
+	log      hclog.Logger
 	metrics  metrics
 
 	mu      sync.Mutex
@@ -127,10 +129,15 @@
 	return func(t *Tracker) { t.metrics = newMetrics(scope) }
 }
 
+// WithLog sets the log of what lookups rest on.
+func WithLog(log hclog.Logger) Option {
+	return func(t *Tracker) { t.log = log }
+}
+
 // NewTracker returns a Tracker without records for the named member.
 func NewTracker(self string, versions *Versions, opts ...Option) *Tracker {
 	t := &Tracker{
-		self: self, versions: versions, send: func(string, Message) {}, metrics: newMetrics(tally.NoopScope),
+		self: self, versions: versions, send: func(string, Message) {}, log: hclog.NewNullLogger(), metrics: newMetrics(tally.NoopScope),
 		running: make(map[string]*runningStream), queries: make(map[string][]*query),
 	}
 	t.records.byStream = make(map[string]storedRecord)
@@ -204,23 +211,24 @@
 // replies in time knows the stream.
 func (t *Tracker) Find(ctx context.Context, stream string, services []string) (Origin, error) {
 	if origin, ok := t.known(stream); ok {
-		return t.found(origin, "own-record")
+		return t.found(stream, origin, "own-record")
 	}
 	a := t.ask(ctx, stream)
 	if a.origin != nil {
-		return t.found(*a.origin, "record-of-member")
+		return t.found(stream, *a.origin, "record-of-member")
 	}
 	if len(services) == 1 && a.versionsConfirmed {
 		if version, ok := t.versions.Single(services[0]); ok {
-			return t.found(Origin{Service: services[0], Version: version}, "single-version")
+			return t.found(stream, Origin{Service: services[0], Version: version}, "single-version")
 		}
 	}
 	t.metrics.countLookup("unknown")
 	return Origin{}, ErrUnknown
 }
 
-func (t *Tracker) found(origin Origin, how string) (Origin, error) {
+func (t *Tracker) found(stream string, origin Origin, how string) (Origin, error) {
 	t.metrics.countLookup(how)
+	t.log.Info("origin found", "stream", stream, "by", how, "service", origin.Service, "software-version", origin.Version)
 	return origin, nil
 }
 
--- a/cicadagateway/cicadaprocess/process.go
+++ b/cicadagateway/cicadaprocess/process.go
@@ -115,7 +115,8 @@
 	n.refusals = newRefusals()
 	n.crashes = newCrashEvidence(cfg.Name, n.log, p.Scope(), n.notifyPeers)
 	n.versions = cicadaorigin.NewVersions()
-	n.origins = cicadaorigin.NewTracker(cfg.Name, n.versions, cicadaorigin.WithSend(n.sendOriginMessage), cicadaorigin.WithScope(p.Scope()))
+	n.origins = cicadaorigin.NewTracker(cfg.Name, n.versions, cicadaorigin.WithSend(n.sendOriginMessage),
+		cicadaorigin.WithScope(p.Scope()), cicadaorigin.WithLog(p.Log()))
 	connectionsOpened := p.Scope().Counter("endpoint_connections")
 	n.client = cicadaexchange.NewClient(cicadaexchange.WithOnConnect(func() { connectionsOpened.Inc(1) }))
 	return n, nil
--- a/cicadagateway/cicadarelay/exchange.go
+++ b/cicadagateway/cicadarelay/exchange.go
@@ -331,7 +331,7 @@
 	x.relay.scope.Tagged(map[string]string{"kind": x.route.Kind.String()}).Counter("answered").Inc(1)
 	x.relay.metrics.recordCompleted(x.route.Kind, grant.WaitTime(), x.events.timeToFirst(x.start), now.Sub(x.start))
 	x.relay.log.Info("request completed", "id", x.id, "route", x.route.Name, "kind", x.route.Kind.String(), "status", res.StatusCode,
-		"endpoint", grant.Endpoint().ID, "software-version", grant.Endpoint().SoftwareVersion, "resumes", x.r.Header.Get(adapter.HeaderResumes),
+		"endpoint", grant.Endpoint().ID, "software-version", grant.Endpoint().SoftwareVersion, "registered-start", grant.Endpoint().StartedMs, "resumes", x.r.Header.Get(adapter.HeaderResumes),
 		"resumed-after", x.r.Header.Get(adapter.HeaderLastEventID), "rate-limit", res.Header.Get(adapter.HeaderRateLimit),
 		"load", grant.Load(), "waited", grant.WaitTime().String(), "sends", x.sends, "runs", x.runs,
 		"sent-after", sent.Sub(x.start).String(), "first-event", x.events.timeToFirst(x.start).String(), "took", now.Sub(x.start).String())
@@ -342,7 +342,7 @@
 func (x *exchange) logFailedAttempt(grant *cicadaplace.Grant, sent time.Time, outcome string, err error) {
 	x.relay.scope.Tagged(map[string]string{"outcome": outcome}).Counter("attempts_failed").Inc(1)
 	x.relay.log.Info("attempt failed", "id", x.id, "route", x.route.Name, "outcome", outcome, "endpoint", grant.Endpoint().ID,
-		"software-version", grant.Endpoint().SoftwareVersion, "address", grant.Endpoint().Address,
+		"software-version", grant.Endpoint().SoftwareVersion, "registered-start", grant.Endpoint().StartedMs, "address", grant.Endpoint().Address,
 		"load", grant.Load(), "sends", x.sends, "runs", x.runs, "last-event", x.events.lastID,
 		"fingerprint", strconv.FormatUint(x.fingerprint, 16), "prompt", loggedPrompt(x.r.Header),
 		"sent-for", time.Since(sent).String(), "error", err)
