Play endpoints that are upgraded in place under their id

Cause: no scenario starts an endpoint again with another version under the id and the address that it had. Endpoints of the soak neither registered their start nor answered for their report, and crashed ones came back without a new registration. Change: an endpoint has incarnations; nothing but the id and the address outlives one. It states its start in registrations and reports, or not (--born=false). In every scenario each fourth caller of streams keeps its connections, and a crashed endpoint registers its new start. Outputs of two versions are counted besides.

--- a/cicadasoak/caller.go
+++ b/cicadasoak/caller.go
@@ -9,6 +9,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"strings"
 	"sync"
@@ -27,7 +28,7 @@
 	rereadTime   = 8 * time.Second
 )
 
-// A caller sends requests to entries, each on a connection of its own.
+// A caller sends requests to entries, each on a connection of its own unless it keeps connections.
 type caller struct {
 	entries []*process
 	checks  *checks
@@ -45,6 +46,19 @@
 	}
 }
 
+// keepConnections lets the caller use its connections for many requests.
+func (c *caller) keepConnections() *caller {
+	c.client.Transport = &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: streamCallers}
+	return c
+}
+
+// countReused counts the requests that are sent on a connection that was in use before.
+func (c *caller) countReused(conn httptrace.GotConnInfo) {
+	if conn.Reused {
+		c.checks.count("connections reused")
+	}
+}
+
 // id returns a new request id.
 func (c *caller) id() string {
 	c.mu.Lock()
@@ -67,6 +81,7 @@
 
 // do sends a request; close the body of its response.
 func (c *caller) do(ctx context.Context, p *process, method, path string, header map[string]string, body []byte) (*http.Response, error) {
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: c.countReused})
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+p.callers()+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, err
--- a/cicadasoak/check.go
+++ b/cicadasoak/check.go
@@ -110,4 +110,7 @@
 		t.add(c, i+1, line)
 	}
 	t.end(c)
+	if t.mixed {
+		c.count("outputs of two versions")
+	}
 }
--- a/cicadasoak/endpoint.go
+++ b/cicadasoak/endpoint.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -9,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -17,66 +19,116 @@
 	endpointSlots = 16
 	eventInterval = 40 * time.Millisecond
 	streamEvents  = 40
+	reportPath    = "/cicadalink/report"
 )
 
-// An endpoint is a stand-in of a model worker, of one version of its software.
+// An endpoint is a stand-in of a model worker. It keeps its id and its address when it starts
+// again, and nothing else.
 type endpoint struct {
+	id          string
+	statesStart bool // whether registrations and reports have the start
+
+	mu      sync.Mutex
+	address string
+	current *incarnation
+}
+
+// An incarnation is one lifetime of an endpoint, of one version of its software.
+type incarnation struct {
 	id, address, version string
+	statesStart          bool
+	started              time.Time
 	slots                chan struct{}
-	mu                   sync.Mutex
+	heartbeats           atomic.Int64
+	listener             net.Listener
 	server               *http.Server
+	running              context.Context // done after a crash
+	cancel               context.CancelFunc
 }
 
-// startEndpoint starts an endpoint at an address, or at a new one if that is empty.
-func startEndpoint(id, address, version string) (*endpoint, error) {
-	e := &endpoint{id: id, address: address, version: version, slots: make(chan struct{}, endpointSlots)}
-	return e, e.listen()
+// startEndpoint starts an endpoint of a version at a new address.
+func startEndpoint(id, version string, statesStart bool) (*endpoint, error) {
+	e := &endpoint{id: id, address: "127.0.0.1:0", statesStart: statesStart}
+	return e, e.start(version)
 }
 
-func (e *endpoint) listen() error {
-	address := e.address
-	if address == "" {
-		address = "127.0.0.1:0"
-	}
-	ln, err := net.Listen("tcp", address)
+// start starts an incarnation of a version at the endpoint's address.
+func (e *endpoint) start(version string) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	ln, err := net.Listen("tcp", e.address)
 	if err != nil {
 		return err
 	}
+	e.address = ln.Addr().String()
+	i := &incarnation{
+		id: e.id, address: e.address, version: version, statesStart: e.statesStart,
+		started: time.Now(), slots: make(chan struct{}, endpointSlots), listener: ln,
+	}
+	i.running, i.cancel = context.WithCancel(context.Background())
+	i.server = &http.Server{Handler: i}
+	e.current = i
+	go func() { _ = i.server.Serve(ln) }() // ends with crash
+	return nil
+}
+
+// incarnation returns the newest incarnation.
+func (e *endpoint) incarnation() *incarnation {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.address, e.server = ln.Addr().String(), &http.Server{Handler: e}
-	server := e.server
-	go func() { _ = server.Serve(ln) }() // ends with crash
-	return nil
+	return e.current
 }
 
 // crash closes the endpoint's connections and its listener.
 func (e *endpoint) crash() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	_ = e.server.Close()
+	i := e.incarnation()
+	i.cancel()
+	_ = i.listener.Close() // the server may not know it yet
+	_ = i.server.Close()
 }
 
-// registration returns the endpoint's entry in the store.
-func (e *endpoint) registration(state string) map[string]any {
-	return map[string]any{
-		"Service": service, "Addr": e.address, "Zone": "z-a", "Version": e.version, "Slots": endpointSlots, "State": state,
-		"ColdLeftMs": 0, "Seq": 1,
+// stated adds the start to what the incarnation says of itself, if it states its start.
+func (i *incarnation) stated(fields map[string]any) map[string]any {
+	if i.statesStart {
+		fields["born"] = i.started.UnixMilli()
 	}
+	return fields
+}
+
+// registration returns the next entry of the incarnation in the store.
+func (i *incarnation) registration(state string) map[string]any {
+	return i.stated(map[string]any{
+		"Service": service, "Addr": i.address, "Zone": "z-a", "Version": i.version, "Slots": endpointSlots, "State": state,
+		"ColdLeftMs": 0, "Seq": i.heartbeats.Add(1),
+	})
 }
 
-// ServeHTTP runs a request. The data of each event names the stream, the version and the event.
-func (e *endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+// report returns the incarnation's report of its load.
+func (i *incarnation) report() map[string]any {
+	return i.stated(map[string]any{
+		"Stage": "both", "Models": []any{map[string]any{"Name": "m", "Version": 1, "Adapters": []any{}}},
+		"Busy": false, "Seq": 0, "Waiting": 0, "Running": len(i.slots), "KvUsed": 0, "KvTotal": 90000, "Handles": 0,
+		"Pinned": 0, "held": 0, "State": "ready", "Next": 0, "Runs": []any{},
+	})
+}
+
+// ServeHTTP runs a request, or answers with the report, which needs no slot. The data of each event names the stream, the version and the event.
+func (i *incarnation) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	_, _ = io.Copy(io.Discard, r.Body)
 	h := w.Header()
 	h.Set("X-Request-Id", r.Header.Get("X-Request-Id"))
-	if want := r.Header.Get("X-Expect-Instance"); want != "" && want != e.id {
+	if want := r.Header.Get("X-Expect-Instance"); want != "" && want != i.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if r.URL.Path == reportPath {
+		h.Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(i.report())
+		return
+	}
 	select {
-	case e.slots <- struct{}{}:
-		defer func() { <-e.slots }()
+	case i.slots <- struct{}{}:
+		defer func() { <-i.slots }()
 	case <-time.After(time.Second):
 		h.Set("X-Not-Run", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -88,17 +140,17 @@
 	if resumes := r.Header.Get("Resumes"); resumes != "" {
 		stream = resumes
 	}
-	h.Set("X-Server-Stamp", "stamp."+e.id+"."+r.Header.Get("X-Request-Id"))
+	h.Set("X-Server-Stamp", "stamp."+i.id+"."+r.Header.Get("X-Request-Id"))
 	if strings.HasPrefix(r.URL.Path, markerPrefix) {
 		_, _ = io.WriteString(w, "ok")
 		return
 	}
 	h.Set("Content-Type", "text/event-stream")
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	e.sendEvents(r.Context(), w, stream, last)
+	i.sendEvents(r.Context(), w, stream, last)
 }
 
-func (e *endpoint) sendEvents(ctx context.Context, w http.ResponseWriter, stream string, last int) {
+func (i *incarnation) sendEvents(ctx context.Context, w http.ResponseWriter, stream string, last int) {
 	control := http.NewResponseController(w)
 	for n := last + 1; n <= streamEvents; n++ {
 		select {
@@ -106,7 +158,7 @@
 		case <-ctx.Done():
 			return
 		}
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, eventData(stream, e.version, n)); err != nil || control.Flush() != nil {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, eventData(stream, i.version, n)); err != nil || control.Flush() != nil {
 			return
 		}
 	}
--- a/cicadasoak/main.go
+++ b/cicadasoak/main.go
@@ -8,6 +8,7 @@
 //	go run ./cicadasoak --seed 7 --duration 40s
 //	go run ./cicadasoak --scenario stopped-owners --seed 1
 //	go run ./cicadasoak --scenario release-beside-stopped-entry --seed 1
+//	go run ./cicadasoak --scenario upgrades-in-place --seed 1 --duration 15s --report-delay 1s
 //
 // It prints a line for each violation and a summary, and exits with 1 if a rule was broken and
 // with 2 if it could not run. The seed determines which faults come when; the processes run in
@@ -44,8 +45,10 @@
 			&cli.StringFlag{Name: "gateway", Value: "target/cicadagateway", Usage: "program to run"},
 			&cli.StringFlag{Name: "settings", Value: "deploy/settings.yaml", Usage: "template of its settings"},
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "determines which faults come when"},
-			&cli.DurationFlag{Name: "duration", Value: 40 * time.Second, Usage: "time with faults, of the random scenario"},
-			&cli.StringFlag{Name: "scenario", Value: "random", Usage: "random, stopped-owners or release-beside-stopped-entry"},
+			&cli.DurationFlag{Name: "duration", Value: 40 * time.Second, Usage: "time with faults, or of the upgrades"},
+			&cli.StringFlag{Name: "scenario", Value: "random", Usage: "random, stopped-owners, release-beside-stopped-entry or upgrades-in-place"},
+			&cli.DurationFlag{Name: "report-delay", Value: time.Second, Usage: "time from the start of an upgraded endpoint to its first report"},
+			&cli.BoolFlag{Name: "born", Value: true, Usage: "endpoints state their start in registrations and reports"},
 			&cli.StringFlag{Name: "logs", Usage: "keep the logs of the processes in this `FOLDER`"},
 		},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
@@ -73,14 +76,14 @@
 	checks := newChecks(log)
 	d, err := startDeployment(ctx, deploymentConfig{
 		gateway: cmd.String("gateway"), template: cmd.String("settings"), logs: cmd.String("logs"),
-		entries: 5, owners: 3, endpoints: 4,
+		entries: 5, owners: 3, endpoints: 4, statesStart: cmd.Bool("born"),
 	}, log)
 	if err != nil {
 		return err
 	}
 	defer d.stop()
 	play(ctx, &soak{
-		deployment: d, checks: checks, log: log, duration: cmd.Duration("duration"), random: newRandom(cmd.Uint64("seed")),
+		deployment: d, checks: checks, log: log, duration: cmd.Duration("duration"), reportDelay: cmd.Duration("report-delay"), random: newRandom(cmd.Uint64("seed")),
 	})
 	fmt.Printf("seed %d: %s\n", cmd.Uint64("seed"), checks.summary())
 	if checks.broken() {
--- a/cicadasoak/process.go
+++ b/cicadasoak/process.go
@@ -82,6 +82,7 @@
 type deploymentConfig struct {
 	gateway, template, logs    string
 	entries, owners, endpoints int
+	statesStart                bool // of the endpoints
 }
 
 // A deployment is the processes of the gateway and what surrounds them.
@@ -96,6 +97,8 @@
 	mu        sync.Mutex // guards endpoints and servers
 	endpoints []*endpoint
 	servers   []*http.Server
+	// heartbeats end with the incarnations that send them.
+	heartbeats sync.WaitGroup
 }
 
 // startDeployment starts a store, endpoints and processes, and waits until the entries are
@@ -252,18 +255,23 @@
 // release starts n endpoints of a version and registers them.
 func (d *deployment) release(version string, n int) error {
 	for i := range n {
-		e, err := startEndpoint(fmt.Sprintf("%s-%d", version, i), "", version)
+		e, err := startEndpoint(fmt.Sprintf("%s-%d", version, i), version, d.cfg.statesStart)
 		if err != nil {
 			return merry.Errorf("start endpoint: %w", err)
 		}
 		d.mu.Lock()
 		d.endpoints = append(d.endpoints, e)
 		d.mu.Unlock()
-		d.store.put("servers", e.id, e.registration("ready"))
+		d.register(e.incarnation(), "ready")
 	}
 	return nil
 }
 
+// register writes what an incarnation of an endpoint reports to the store.
+func (d *deployment) register(i *incarnation, state string) {
+	d.store.put("servers", i.id, i.registration(state))
+}
+
 // stop ends all processes that the deployment has started, and keeps their logs if wanted.
 func (d *deployment) stop() {
 	for _, p := range d.processes() {
@@ -282,6 +290,7 @@
 	for _, e := range d.endpoints {
 		e.crash()
 	}
+	d.heartbeats.Wait()
 	if d.cfg.logs != "" {
 		if err := os.CopyFS(filepath.Join(d.cfg.logs, filepath.Base(d.dir)), os.DirFS(d.dir)); err != nil {
 			d.log.Error("failed to keep logs", "error", err)
--- a/cicadasoak/scenario.go
+++ b/cicadasoak/scenario.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -21,9 +22,11 @@
 	log      hclog.Logger
 	random   *rand.Rand // of the faults; callers have one of their own
 	duration time.Duration
-	releases int          // of endpoints, including the first
-	config   atomic.Int64 // newest version of the configuration
-	faults   sync.WaitGroup
+	// reportDelay is the time from the start of an upgraded endpoint to its first report.
+	reportDelay time.Duration
+	releases    int          // of endpoints, including the first
+	config      atomic.Int64 // newest version of the configuration
+	faults      sync.WaitGroup
 	// noStreams keeps callers from sending new streams.
 	noStreams atomic.Bool
 }
@@ -33,6 +36,7 @@
 var scenarios = map[string]func(context.Context, *soak){
 	"random":                       func(ctx context.Context, s *soak) { s.playRandom(ctx) },
 	"stopped-owners":               func(ctx context.Context, s *soak) { s.playStoppedOwners(ctx) },
+	"upgrades-in-place":            func(ctx context.Context, s *soak) { s.playUpgrades(ctx) },
 	"release-beside-stopped-entry": func(ctx context.Context, s *soak) { s.playRelease(ctx) },
 }
 
@@ -126,6 +130,8 @@
 	// calmTime is the time without faults at the end.
 	calmTime    = 8 * time.Second
 	maxVersions = 2 // of endpoints that serve side by side
+	// keptShare is how many callers there are for each that keeps its connections.
+	keptShare = 4
 )
 
 // playRandom keeps callers of all kinds busy while random faults overlap.
@@ -142,9 +148,14 @@
 	s.releases = 1
 	s.config.Store(1)
 	c := newCaller(s.entries, s.checks, newRandom(s.random.Uint64()))
+	kept := newCaller(s.entries, s.checks, newRandom(s.random.Uint64())).keepConnections()
 	ctx, cancel := context.WithCancel(ctx)
 	var callers sync.WaitGroup
-	for range streams {
+	for i := range streams {
+		c := c
+		if i%keptShare == 0 {
+			c = kept
+		}
 		callers.Go(func() {
 			for ctx.Err() == nil {
 				if !s.noStreams.Load() {
@@ -234,8 +245,14 @@
 	e.crash()
 	s.faults.Go(func() {
 		cicadaretry.Sleep(ctx, length)
-		if err := e.listen(); err != nil {
+		if err := e.start(e.incarnation().version); err != nil {
 			s.log.Error("failed to start endpoint again", "endpoint", e.id, "error", err)
+			return
+		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if slices.Contains(s.endpoints, e) {
+			s.register(e.incarnation(), "ready")
 		}
 	})
 }
@@ -258,7 +275,7 @@
 	}
 	s.mu.Unlock()
 	for _, e := range leaving {
-		s.store.put("servers", e.id, e.registration("draining"))
+		s.register(e.incarnation(), "draining")
 	}
 	s.faults.Go(func() {
 		cicadaretry.Sleep(ctx, drainTime)
