Let each run of the soak claim its network

Cause: a run took the loopback network of its process id modulo 250, so that two runs at once, or a run and processes that a killed one left over, could have the same addresses. A caller of one then meets the other's deployment; 404 for accepted jobs was seen once beside another run, which this can explain but which was not traced. Change: a run listens at a claim port of its network until its end. It takes the next network if that port, or a port of one of its processes, is in use, and refuses to run if none is free.

--- a/cicadasoak/process.go
+++ b/cicadasoak/process.go
@@ -90,6 +90,7 @@
 	cfg       deploymentConfig
 	log       hclog.Logger
 	dir       string
+	network   network
 	template  string
 	store     *store
 	entries   []*process
@@ -125,9 +126,12 @@
 	if err := d.release("v1", d.cfg.endpoints); err != nil {
 		return err
 	}
-	network := os.Getpid()%250 + 1
+	var err error
+	if d.network, err = claimNetwork(os.Getpid(), d.cfg.entries+d.cfg.owners, listenTCP); err != nil {
+		return err
+	}
 	for i := range d.cfg.entries + d.cfg.owners {
-		p := &process{name: fmt.Sprintf("entry-%d", i+1), ip: fmt.Sprintf("127.1.%d.%d", network, i+1), entry: i < d.cfg.entries, front: &storeFront{store: d.store}}
+		p := &process{name: fmt.Sprintf("entry-%d", i+1), ip: d.network.ip(i + 1), entry: i < d.cfg.entries, front: &storeFront{store: d.store}}
 		if p.entry {
 			d.entries = append(d.entries, p)
 		} else {
@@ -284,6 +288,7 @@
 			<-done
 		}
 	}
+	d.network.release()
 	for _, server := range d.servers {
 		_ = server.Close()
 	}
