Tie the version of an endpoint to the incarnation that answers

Cause: the version of an endpoint was taken from its registration alone, which describes a process that may be gone. X-Expect-Instance names the id, which is still right. So an output could be continued at an endpoint of another version, begin with the origin of the former process, and, at the first endpoint of a new version, pass for one of the only version that all members know.

Change: a connection stays with the process that accepted it. On a new connection the endpoint is asked once for its report, which states the start that its registration states (born). What continues an output is sent only to the incarnation whose registration names the version (cicadaexchange.ErrOtherIncarnation: not sent, another endpoint is tried). What begins at an incarnation that is not registered has an origin without a version, recorded at members in any case, until its registration arrives; items look up their origin when their run ends or is checkpointed. Where registrations state no start nothing changes.

--- a/cicadagateway/cicadabatch/engine_test.go
+++ b/cicadagateway/cicadabatch/engine_test.go
@@ -45,6 +45,7 @@
 	leaving      string              // address of an engine that states that it is leaving
 	runsAt       map[string]int      // by address
 	beforeDial   func()              // called for each connection, if set
+	startedMs    map[string]int64    // start that an engine reports, by address
 }
 
 func newFakeEngines() *fakeEngines {
@@ -85,6 +86,11 @@
 	defer conn.Close()
 	r := bufio.NewReader(conn)
 	req, err := http.ReadRequest(r)
+	if err == nil && req.URL.Path == adapter.ReportPath {
+		report := fmt.Sprintf(`{"born":%d}`, e.startedMs[address])
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(report), report)
+		req, err = http.ReadRequest(r)
+	}
 	if err != nil {
 		return
 	}
@@ -234,7 +240,8 @@
 	table.SetEndpoints([]cicadaview.Endpoint{
 		{ID: "e1", Service: "s", Address: "e1", Slots: testSlots}, {ID: "e2", Service: "s", Address: "e2", Slots: testSlots},
 	})
-	client := cicadaexchange.NewClient(cicadaexchange.WithDial(d.dial))
+	client := cicadaexchange.NewClient(cicadaexchange.WithDial(d.dial),
+		cicadaexchange.WithIdentification(cicadaexchange.Identification{Target: adapter.ReportPath, Decode: adapter.DecodeReportedStart}))
 	owner = NewOwner(ctx, name, store, table, client, func() *cicadaview.Config { return d.config }, owners, log, opts...)
 	f := cicadafollow.New(ctx, store, JobsPrefix, cicadafollow.NewLink(log, nil), log, owner.Apply)
 	m := &testOwner{Owner: owner, table: table}
@@ -242,6 +249,9 @@
 		cancel()
 		f.Wait()
 		owner.wg.Wait()
+		for _, address := range []string{"e1", "e2", "e3", "e4"} {
+			client.CloseIdle(address)
+		}
 	}
 	return m
 }
--- a/cicadagateway/cicadabatch/progress.go
+++ b/cicadagateway/cicadabatch/progress.go
@@ -73,6 +73,7 @@
 // collectRun adds the events that the current run has received to the item's output.
 func (it *item) collectRun() {
 	output, last := it.run.snapshot()
+	it.origin = it.originOfRun()
 	it.output.WriteString(output)
 	it.lastEvent = last
 }
@@ -95,13 +96,14 @@
 	case since.state >= itemFinished:
 		return Progress{}, since, false
 	}
-	text := it.output.String()
+	text, origin := it.output.String(), it.origin
 	if it.state == itemRunning {
+		origin = it.originOfRun()
 		runOutput, last := it.run.snapshot()
 		text += runOutput
 		next.event, next.outputLen = last, len(text)
 	}
-	p = Progress{Item: it.ID, From: since.event, Origin: it.origin, Last: next.event, Text: text[since.outputLen:], Failures: it.failures}
+	p = Progress{Item: it.ID, From: since.event, Origin: origin, Last: next.event, Text: text[since.outputLen:], Failures: it.failures}
 	if since.event > 0 {
 		p.Base = xxhash.Sum64String(text[:since.outputLen])
 	}
--- a/cicadagateway/cicadabatch/run.go
+++ b/cicadagateway/cicadabatch/run.go
@@ -15,6 +15,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"cicadalink.example/cicadagateway/cicadaexchange"
+	"cicadalink.example/cicadagateway/cicadaplace"
 	"cicadalink.example/cicadakernel/cicadaplatform"
 	"cicadalink.example/cicadakernel/cicadaview"
 	adapter "cicadalink.example/platform"
@@ -50,10 +51,12 @@
 // A run is one attempt to run an item at an endpoint. If it resumes the item after an
 // event, it collects only the output after that event.
 type run struct {
-	mu         sync.Mutex // guards output and lastEvent during the run
+	mu         sync.Mutex // guards output, lastEvent and startedMs during the run
 	output     strings.Builder
 	firstEvent int // the id after which the run resumes the item, or 0
 	lastEvent  int
+	startedMs  int64 // start that the endpoint has stated, or 0
+	grant      *cicadaplace.Grant
 	headerTime time.Duration // from the start to the response header
 	status     int
 	rateLimit  float64 // that the endpoint states, see onRateLimit
@@ -77,6 +80,7 @@
 	}
 	defer resp.Close()
 	r.status = resp.StatusCode
+	r.setStart(resp.StartedMs())
 	if limit, ok := adapter.StatedRateLimit(resp.StatusCode, resp.Header); ok && r.onRateLimit != nil {
 		r.rateLimit = limit
 		r.onRateLimit(limit)
@@ -99,6 +103,12 @@
 	return r.classifyError(ctx, err)
 }
 
+func (r *run) setStart(startedMs int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.startedMs = startedMs
+}
+
 var errStalled = merry.Sentinel("cicadabatch: no event from the endpoint")
 
 // classifyError returns the outcome of a run that ended with an error.
--- a/cicadagateway/cicadabatch/schedule.go
+++ b/cicadagateway/cicadabatch/schedule.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"slices"
 	"strconv"
@@ -10,6 +11,7 @@
 	"cicadalink.example/cicadagateway/cicadaexchange"
 	"cicadalink.example/cicadagateway/cicadaplace"
 	"cicadalink.example/cicadakernel/cicadatask"
+	"cicadalink.example/cicadakernel/cicadaview"
 	adapter "cicadalink.example/platform"
 )
 
@@ -188,11 +190,11 @@
 	endpoint := grant.Endpoint()
 	ctx, cancel := context.WithCancel(o.ctx)
 	it.state, it.grant, it.stop, it.startedAt, it.pinned = itemRunning, grant, cancel, time.Now(), false
-	it.begin(endpoint)
+	it.versionBusySince = time.Time{}
 	o.running[endpoint.ID] = append(o.running[endpoint.ID], it)
-	r := &run{firstEvent: it.lastEvent, lastEvent: it.lastEvent, onRateLimit: grant.RecordRateLimit, onLeaving: grant.RecordLeaving}
+	r := &run{firstEvent: it.lastEvent, lastEvent: it.lastEvent, grant: grant, onRateLimit: grant.RecordRateLimit, onLeaving: grant.RecordLeaving}
 	it.run = r
-	req := o.runRequest(it, endpoint.ID)
+	req := o.runRequest(it, endpoint)
 	o.wg.Go(func() {
 		defer cancel()
 		result, err := runBroken, error(nil)
@@ -204,22 +206,24 @@
 	})
 }
 
-func (o *Owner) runRequest(it *item, endpoint string) cicadaexchange.Request {
+func (o *Owner) runRequest(it *item, endpoint cicadaview.Endpoint) cicadaexchange.Request {
 	header := make(http.Header, len(it.Headers)+4)
 	for name, value := range it.Headers {
 		header.Set(name, value)
 	}
 	header.Set(adapter.HeaderRequestID, it.ID)
-	header.Set(adapter.HeaderExpectInstance, endpoint)
+	header.Set(adapter.HeaderExpectInstance, endpoint.ID)
 	timeLeft := max(time.Until(it.job.giveUpAt()), time.Second)
 	header.Set(adapter.HeaderDeadline, strconv.FormatInt(timeLeft.Milliseconds(), 10))
-	if it.lastEvent > 0 {
-		header.Set(adapter.HeaderLastEventID, strconv.Itoa(it.lastEvent))
-	}
-	return cicadaexchange.Request{
+	req := cicadaexchange.Request{
 		Method: http.MethodPost, Target: it.Path, Host: it.job.record.Host, Header: header, Body: it.Body,
-		EchoHeader: adapter.HeaderRequestID,
+		EchoHeader: adapter.HeaderRequestID, Identify: endpoint.StartedMs != 0,
+	}
+	if it.continues() {
+		header.Set(adapter.HeaderLastEventID, strconv.Itoa(it.lastEvent))
+		req.StartedMs = endpoint.StartedMs
 	}
+	return req
 }
 
 // endRun applies the outcome of a run to its item.
@@ -245,7 +249,7 @@
 		}
 	}
 	o.log.Info("run ended", "item", it.ID, "job", it.job.id, "outcome", result.String(), "endpoint", grant.Endpoint().ID,
-		"software-version", grant.Endpoint().SoftwareVersion, "registered-start", grant.Endpoint().StartedMs, "from-event", r.firstEvent, "event", it.lastEvent,
+		"software-version", grant.Endpoint().SoftwareVersion, "registered-start", grant.Endpoint().StartedMs, "start", r.startedMs, "from-event", r.firstEvent, "event", it.lastEvent,
 		"status", r.status, "rate-limit", r.rateLimit, "failures", it.failures, "took", now.Sub(it.startedAt).String(),
 		"slack", o.estimate.slack(it, now).String(), "error", err)
 	o.metrics.runs[result].Inc(1)
@@ -271,9 +275,12 @@
 		}
 		o.backOff(it, grant, now)
 	case runBroken, runNotStarted:
-		if cicadaexchange.RefusedConnection(err) {
+		switch {
+		case errors.Is(err, cicadaexchange.ErrOtherIncarnation):
+			grant.RecordOtherIncarnation()
+		case cicadaexchange.RefusedConnection(err):
 			grant.RecordRefusal()
-		} else {
+		default:
 			grant.RecordFailure()
 		}
 		o.backOff(it, grant, now)
--- a/cicadagateway/cicadabatch/version.go
+++ b/cicadagateway/cicadabatch/version.go
@@ -71,10 +71,21 @@
 	it.versionBusySince, it.emptyRests = time.Time{}, 0
 }
 
-// begin records where an item's output begins, when a run starts it.
-func (it *item) begin(endpoint cicadaview.Endpoint) {
-	it.versionBusySince = time.Time{}
-	if !it.continues() {
-		it.origin = cicadaorigin.Origin{Service: endpoint.Service, Version: endpoint.SoftwareVersion}
+// originOfRun returns where the output of the item's current run began: where the output of the
+// item did, unless the run has started it.
+func (it *item) originOfRun() cicadaorigin.Origin {
+	if it.run.firstEvent > 0 || it.run.grant == nil {
+		return it.origin
 	}
+	return it.run.origin()
+}
+
+// origin returns the service and the version of the incarnation that runs the item. The version is
+// empty while that incarnation is not registered, so that the output cannot be continued.
+func (r *run) origin() cicadaorigin.Origin {
+	r.mu.Lock()
+	startedMs := r.startedMs
+	r.mu.Unlock()
+	version, _ := r.grant.Version(startedMs)
+	return cicadaorigin.Origin{Service: r.grant.Endpoint().Service, Version: version}
 }
--- a/cicadagateway/cicadaexchange/client.go
+++ b/cicadagateway/cicadaexchange/client.go
@@ -13,6 +13,9 @@
 //	if errors.Is(err, cicadaexchange.ErrNotSent) { ... it can be sent to another endpoint ... }
 //	defer res.Close()
 //
+// An endpoint may start anew under its address. A request may ask which incarnation responds, and
+// may be meant for one of them, see Identification.
+//
 // A connection returns to the pool once its response was read completely and no
 // further bytes follow.
 package cicadaexchange
@@ -70,6 +73,13 @@
 	// EchoHeader is the name of a header that the endpoint repeats in its response.
 	// A response with another value belongs to another request.
 	EchoHeader string
+	// Identify makes Do find out which incarnation of the endpoint responds, see
+	// Response.StartedMs.
+	Identify bool
+	// StartedMs, if not 0, is the start of the only incarnation that may get the request. An
+	// endpoint that states another start does not get it, and Do fails with ErrOtherIncarnation.
+	// It requires Identify.
+	StartedMs int64
 }
 
 // id returns the value that identifies the request's response, or "".
@@ -87,6 +97,8 @@
 	idle      map[string][]*conn // by address, the most recently used last
 	dial      func(ctx context.Context, address string) (net.Conn, error)
 	onConnect func()
+
+	identification Identification
 }
 
 // An Option configures a Client.
@@ -134,7 +146,7 @@
 // Do sends a request and returns its response once the header was read. When ctx
 // ends, the connection is closed, which cancels the request at the endpoint.
 func (c *Client) Do(ctx context.Context, address string, req Request) (*Response, error) {
-	cn, err := c.getConn(ctx, address, req.id())
+	cn, err := c.connect(ctx, address, req)
 	if err != nil {
 		return nil, err
 	}
@@ -156,6 +168,14 @@
 	}, nil
 }
 
+// connect returns a connection for a request.
+func (c *Client) connect(ctx context.Context, address string, req Request) (*conn, error) {
+	if req.Identify && c.identification.Decode != nil {
+		return c.getIdentifiedConn(ctx, address, req)
+	}
+	return c.getConn(ctx, address, req.id())
+}
+
 // encode returns the request in wire format.
 func (r Request) encode() []byte {
 	size := 256 + len(r.Body)
@@ -248,6 +268,10 @@
 // long one, Close closes the connection.
 func (r *Response) Discard() { _, _ = io.CopyN(io.Discard, r, maxDiscardedBytes) }
 
+// StartedMs returns the start of the incarnation of the endpoint that sent the response, in Unix
+// milliseconds. It is 0 if the request does not ask for it or the endpoint has not stated it.
+func (r *Response) StartedMs() int64 { return r.conn.startedMs }
+
 // Framed reports whether the response has a Content-Length or a transfer encoding.
 // If not, its body ends when the connection is closed.
 func (r *Response) Framed() bool { return r.framed }
--- /dev/null
+++ b/cicadagateway/cicadaexchange/incarnation.go
@@ -0,0 +1,122 @@
+package cicadaexchange
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// ErrOtherIncarnation reports that another incarnation of the endpoint than the request asks for
+// has accepted the connection. The request was not sent.
+var ErrOtherIncarnation = merry.Sentinel("cicadaexchange: other incarnation of the endpoint")
+
+const (
+	// identifyTimeout limits the time in which an endpoint states its start on a new connection.
+	identifyTimeout = defaultDialTimeout
+	maxReportBytes  = 64 << 10
+	// maxIdentified limits the connections that are opened for one request because endpoints close
+	// them after they have stated their start.
+	maxIdentified = 2
+)
+
+// An Identification says how an endpoint is asked for the start of its incarnation. A connection
+// stays with the incarnation that has accepted it, so that each connection is asked once.
+type Identification struct {
+	// Target is the path of a GET request that needs no slot.
+	Target string
+	// Decode returns the start in Unix milliseconds from the body of a response with status 200,
+	// or 0 if it states none.
+	Decode func(body []byte) (startedMs int64)
+}
+
+// WithIdentification sets how endpoints are asked for the start of their incarnation. Without it
+// none is asked.
+func WithIdentification(i Identification) Option {
+	return func(c *Client) { c.identification = i }
+}
+
+// getIdentifiedConn returns a connection for a request that asks which incarnation responds: one on
+// which the endpoint has stated its start, or will not do so.
+func (c *Client) getIdentifiedConn(ctx context.Context, address string, req Request) (*conn, error) {
+	for opened := 0; ; {
+		cn, err := c.getConn(ctx, address, req.id())
+		if err != nil {
+			return nil, err
+		}
+		fresh := !cn.reused
+		if fresh {
+			opened++
+		}
+		if opened > maxIdentified {
+			cn.identified = true // the endpoint closes the connection after it has stated its start
+		}
+		if err := c.identify(ctx, cn, req.EchoHeader); err != nil {
+			_ = cn.Close()
+			return nil, err
+		}
+		matches := req.StartedMs == 0 || cn.startedMs == 0 || cn.startedMs == req.StartedMs
+		switch {
+		case matches && !cn.ended:
+			return cn, nil
+		case !matches && fresh:
+			c.keepOrClose(cn)
+			return nil, merry.Errorf("%s was started at %d, not at %d: %w: %w", address, cn.startedMs, req.StartedMs, ErrOtherIncarnation, ErrNotSent)
+		default:
+			_ = cn.Close() // by the endpoint, or it is of an incarnation that may have ended
+		}
+	}
+}
+
+// keepOrClose returns a connection to the pool unless the endpoint has closed it.
+func (c *Client) keepOrClose(cn *conn) {
+	if cn.ended {
+		_ = cn.Close()
+		return
+	}
+	c.putIdle(cn, defaultIdleTimeout)
+}
+
+// identify asks the endpoint on a connection for the start of its incarnation, unless it has been
+// asked.
+func (c *Client) identify(ctx context.Context, cn *conn, echoHeader string) error {
+	if cn.identified {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, identifyTimeout)
+	defer cancel()
+	stopCancel := context.AfterFunc(ctx, func() { _ = cn.Close() })
+	err := c.readReport(cn, echoHeader)
+	if !stopCancel() && err == nil {
+		err = ctx.Err()
+	}
+	if err != nil {
+		return merry.Errorf("identify %s: %w: %w", cn.address, ErrNotSent, err)
+	}
+	cn.identified, cn.reused = true, true
+	return nil
+}
+
+// readReport requests the report of the endpoint and sets the start that it states.
+func (c *Client) readReport(cn *conn, echoHeader string) error {
+	req := Request{Method: http.MethodGet, Target: c.identification.Target, Host: cn.address}
+	if _, err := cn.Write(req.encode()); err != nil {
+		return merry.Errorf("request report: %w", err)
+	}
+	raw, err := cn.readResponse(req)
+	if err != nil {
+		return err
+	}
+	if id := raw.Header.Get(echoHeader); id != "" {
+		return merry.Errorf("response belongs to request %s: %w", id, ErrInvalidResponse)
+	}
+	body, err := (&Response{Response: raw}).ReadAll(maxReportBytes)
+	if err != nil {
+		return merry.Errorf("read report: %w", err)
+	}
+	if raw.StatusCode == http.StatusOK {
+		cn.startedMs = c.identification.Decode(body)
+	}
+	cn.ended = raw.Close || cn.r.Buffered() > 0
+	return nil
+}
--- a/cicadagateway/cicadaexchange/pool.go
+++ b/cicadagateway/cicadaexchange/pool.go
@@ -28,6 +28,11 @@
 	// a success. An endpoint may send such a response once more, and the same request may be
 	// sent to it again.
 	failedIDs []string
+	// startedMs is the start of the incarnation that accepted the connection, in Unix
+	// milliseconds, or 0 if the endpoint has not stated it; see Identification.
+	startedMs  int64
+	identified bool // whether the endpoint has been asked for its start
+	ended      bool // whether the endpoint has closed the connection after it stated its start
 }
 
 // A headerLimit limits the bytes that are read from a connection for one response header,
--- a/cicadagateway/cicadaorigin/metrics.go
+++ b/cicadagateway/cicadaorigin/metrics.go
@@ -7,6 +7,7 @@
 	scope           tally.Scope
 	recordsSent     tally.Counter
 	recordsReceived tally.Counter
+	unregistered    tally.Counter // streams that began at an incarnation which was not registered yet
 }
 
 func newMetrics(scope tally.Scope) metrics {
@@ -14,6 +15,7 @@
 		scope:           scope,
 		recordsSent:     scope.Counter("stream_records_sent"),
 		recordsReceived: scope.Counter("stream_records_received"),
+		unregistered:    scope.Counter("streams_begun_unregistered"),
 	}
 }
 
--- a/cicadagateway/cicadaorigin/records.go
+++ b/cicadagateway/cicadaorigin/records.go
@@ -23,8 +23,11 @@
 	addedAt time.Time
 }
 
-// add adds a record, or renews it.
+// add adds a record, or renews it. One without a version does not replace one that has it.
 func (s *recordSet) add(r Record, now time.Time) {
+	if known, ok := s.get(r.Stream, now); ok && r.Origin.Version == "" && known.Service == r.Origin.Service {
+		r.Origin = known
+	}
 	s.byStream[r.Stream] = storedRecord{origin: r.Origin, addedAt: now}
 	s.queue = append(s.queue, queuedRecord{stream: r.Stream, addedAt: now})
 	for len(s.queue) > 0 && (len(s.queue) > maxRecords || now.Sub(s.queue[0].addedAt) > Lifetime) {
--- a/cicadagateway/cicadaorigin/tracker.go
+++ b/cicadagateway/cicadaorigin/tracker.go
@@ -11,6 +11,10 @@
 // the same: what it knows of the versions may be old without its knowledge, as after it was
 // suspended or cut off, and counts only if a member confirms it after the caller's return.
 //
+// The version of an endpoint is that of the incarnation which serves the stream, see
+// Incarnation. One that has not registered yet has a version that nobody knows, and a record
+// without a version says so until it has.
+//
 // # Usage
 //
 //	versions := cicadaorigin.NewVersions()
@@ -107,7 +111,9 @@
 	members []memberHash
 	records recordSet
 	running map[string]*runningStream
-	queries map[string][]*query // by stream
+	// unregistered holds the streams whose versions are not known yet.
+	unregistered map[string]unregisteredStream
+	queries      map[string][]*query // by stream
 }
 
 // A runningStream is a stream that this process serves.
@@ -116,6 +122,13 @@
 	recorded bool // at other members
 }
 
+// An unregisteredStream is a stream that began at an incarnation which was not registered then.
+type unregisteredStream struct {
+	service string
+	at      Incarnation
+	since   time.Time
+}
+
 // An Option configures a Tracker.
 type Option func(*Tracker)
 
@@ -138,7 +151,7 @@
 func NewTracker(self string, versions *Versions, opts ...Option) *Tracker {
 	t := &Tracker{
 		self: self, versions: versions, send: func(string, Message) {}, log: hclog.NewNullLogger(), metrics: newMetrics(tally.NoopScope),
-		running: make(map[string]*runningStream), queries: make(map[string][]*query),
+		running: make(map[string]*runningStream), unregistered: make(map[string]unregisteredStream), queries: make(map[string][]*query),
 	}
 	t.records.byStream = make(map[string]storedRecord)
 	for _, opt := range opts {
@@ -156,24 +169,73 @@
 
 // Begin records that a stream has begun or goes on in this process. It must be called
 // before the caller gets the first event. If shared is set, the stream's route has other
-// services too, so that its origin is recorded at other members in any case. Sending does not
-// block.
+// services too, so that its origin is recorded at other members in any case, as is that of a
+// version which is not registered. Sending does not block.
 func (t *Tracker) Begin(stream string, origin Origin, shared bool) {
-	recorded := shared || t.versions.Recorded(origin.Service)
+	recorded := shared || t.versions.Recorded(origin.Service) || !t.versions.registered(origin)
 	t.mu.Lock()
 	t.records.add(Record{Stream: stream, Origin: origin}, time.Now())
 	t.running[stream] = &runningStream{origin: origin, recorded: recorded}
-	var to []string
+	t.mu.Unlock()
 	if recorded {
-		to = rank(stream, t.members, holders)
+		t.sendRecord(Record{Stream: stream, Origin: origin})
 	}
+}
+
+// BeginUnregistered records that a stream has begun at an incarnation of an endpoint that is not
+// registered yet. Until it is, the stream has an origin without a version, which no other
+// endpoint can continue.
+func (t *Tracker) BeginUnregistered(stream, service string, at Incarnation) {
+	t.metrics.unregistered.Inc(1)
+	t.mu.Lock()
+	t.unregistered[stream] = unregisteredStream{service: service, at: at, since: time.Now()}
+	t.mu.Unlock()
+	t.Begin(stream, Origin{Service: service}, true)
+	t.updateUnregistered()
+}
+
+// sendRecord sends a record to the members that are to hold it.
+func (t *Tracker) sendRecord(r Record) {
+	t.mu.Lock()
+	to := rank(r.Stream, t.members, holders)
 	t.mu.Unlock()
 	t.metrics.recordsSent.Inc(int64(len(to)))
 	for _, member := range to {
-		t.send(member, Message{Records: []Record{{Stream: stream, Origin: origin}}})
+		t.send(member, Message{Records: []Record{r}})
+	}
+}
+
+// updateUnregistered records the versions of streams whose incarnations have been registered since
+// the streams began.
+func (t *Tracker) updateUnregistered() {
+	now := time.Now()
+	var found []Record
+	t.mu.Lock()
+	for stream, u := range t.unregistered {
+		version, ok := t.versions.VersionOf(u.at)
+		if ok || now.Sub(u.since) > Lifetime {
+			delete(t.unregistered, stream)
+		}
+		if !ok {
+			continue
+		}
+		r := Record{Stream: stream, Origin: Origin{Service: u.service, Version: version}}
+		t.records.add(r, now)
+		if s := t.running[stream]; s != nil {
+			s.origin = r.Origin
+		}
+		found = append(found, r)
+	}
+	t.mu.Unlock()
+	for _, r := range found {
+		t.log.Info("version of stream found", "stream", r.Stream, "software-version", r.Origin.Version)
+		t.sendRecord(r)
 	}
 }
 
+// Origin returns the origin of a stream that this process has served, as far as it is known by now.
+func (t *Tracker) Origin(stream string) (Origin, bool) { return t.known(stream) }
+
 // End records that this process no longer serves a stream. Its origin is still known.
 func (t *Tracker) End(stream string) {
 	t.mu.Lock()
@@ -184,6 +246,7 @@
 // Update records the origins of the running streams of services for which this has become
 // necessary. It must be called after versions has changed.
 func (t *Tracker) Update() {
+	t.updateUnregistered()
 	t.mu.Lock()
 	batches := make(map[string][]Record)
 	for stream, s := range t.running {
--- a/cicadagateway/cicadaorigin/versions.go
+++ b/cicadagateway/cicadaorigin/versions.go
@@ -27,15 +27,31 @@
 	current   map[Origin]bool                 // registered now
 	digest    uint64
 	digestAt  time.Time
-	peers     map[string]uint64 // digests of live members
-	disagree  int               // members whose digest differs
-	isolated  bool
+	// incarnations holds those of endpoints that are or were registered in the last Lifetime.
+	incarnations map[Incarnation]registeredVersion
+	peers        map[string]uint64 // digests of live members
+	disagree     int               // members whose digest differs
+	isolated     bool
+}
+
+// An Incarnation is one process of an endpoint.
+type Incarnation struct {
+	Endpoint  string // ID
+	StartedMs int64  // Unix milliseconds
+}
+
+// A registeredVersion is the software version of an incarnation.
+type registeredVersion struct {
+	version string
+	current bool      // registered now
+	at      time.Time // when it was last registered, unless it is now
 }
 
 // NewVersions returns Versions without a version.
 func NewVersions() *Versions {
 	return &Versions{
-		startedAt: time.Now(), services: make(map[string]map[string]time.Time), current: make(map[Origin]bool), peers: make(map[string]uint64),
+		startedAt: time.Now(), services: make(map[string]map[string]time.Time), current: make(map[Origin]bool),
+		incarnations: make(map[Incarnation]registeredVersion), peers: make(map[string]uint64),
 	}
 }
 
@@ -59,10 +75,44 @@
 		}
 		v.services[o.Service][o.Version] = now
 	}
+	v.setIncarnations(all, now)
 	v.updateDigest(now)
 	return added
 }
 
+func (v *Versions) setIncarnations(all []cicadaview.Endpoint, now time.Time) {
+	for i, r := range v.incarnations {
+		switch {
+		case r.current:
+			v.incarnations[i] = registeredVersion{version: r.version, at: now}
+		case now.Sub(r.at) > Lifetime:
+			delete(v.incarnations, i)
+		}
+	}
+	for _, e := range all {
+		if e.StartedMs != 0 {
+			v.incarnations[Incarnation{Endpoint: e.ID, StartedMs: e.StartedMs}] = registeredVersion{version: e.SoftwareVersion, current: true}
+		}
+	}
+}
+
+// VersionOf returns the software version of an incarnation of an endpoint. It reports false if
+// that incarnation has not been registered lately.
+func (v *Versions) VersionOf(i Incarnation) (version string, ok bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	r, ok := v.incarnations[i]
+	return r.version, ok
+}
+
+// registered reports whether a version is, or was lately, that of a service.
+func (v *Versions) registered(o Origin) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	_, ok := v.services[o.Service][o.Version]
+	return ok
+}
+
 // lastRegistered returns when a version was last registered.
 func (v *Versions) lastRegistered(o Origin, at, now time.Time) time.Time {
 	if v.current[o] {
--- a/cicadagateway/cicadaplace/batch.go
+++ b/cicadagateway/cicadaplace/batch.go
@@ -44,7 +44,7 @@
 		return nil
 	}
 	svc.batchGrants = append(svc.batchGrants, now)
-	g := &Grant{table: t, state: best, endpoint: best.grantedEndpoint(now), batch: true, grantedAt: now, load: best.total()}
+	g := &Grant{table: t, state: best, endpoint: best.grantedEndpoint(now), registered: best.Endpoint, batch: true, grantedAt: now, load: best.total()}
 	best.local.Batch++
 	best.limit.take(now)
 	t.mu.Unlock()
--- a/cicadagateway/cicadaplace/grant.go
+++ b/cicadagateway/cicadaplace/grant.go
@@ -8,19 +8,38 @@
 
 // A Grant is a slot held at an endpoint until Release is called.
 type Grant struct {
-	table     *Table
-	state     *endpointState
-	endpoint  cicadaview.Endpoint
-	batch     bool
-	grantedAt time.Time
-	waited    time.Duration
-	load      int
-	released  bool
+	table    *Table
+	state    *endpointState
+	endpoint cicadaview.Endpoint
+	// registered is endpoint with its software version, even if that is in doubt.
+	registered cicadaview.Endpoint
+	batch      bool
+	grantedAt  time.Time
+	waited     time.Duration
+	load       int
+	released   bool
 }
 
 // Endpoint returns the endpoint as it was when the slot was granted.
 func (g *Grant) Endpoint() cicadaview.Endpoint { return g.endpoint }
 
+// Version returns the software version of the incarnation of the endpoint that has stated a start
+// in Unix milliseconds, or 0 if it has stated none. It reports false if that incarnation is not
+// registered: what is registered then belongs to another one.
+func (g *Grant) Version(startedMs int64) (version string, ok bool) {
+	if startedMs == 0 || g.endpoint.StartedMs == 0 {
+		return g.endpoint.SoftwareVersion, true
+	}
+	g.table.mu.Lock()
+	defer g.table.mu.Unlock()
+	for _, e := range []cicadaview.Endpoint{g.registered, g.state.Endpoint} {
+		if e.StartedMs == startedMs {
+			return e.SoftwareVersion, true
+		}
+	}
+	return "", false
+}
+
 // WaitTime returns how long the request waited for the slot.
 func (g *Grant) WaitTime() time.Duration { return g.waited }
 
@@ -30,7 +49,7 @@
 
 func (t *Table) grantOnline(e *endpointState, since time.Time) *Grant {
 	now := time.Now()
-	g := &Grant{table: t, state: e, endpoint: e.grantedEndpoint(now), grantedAt: now, waited: now.Sub(since), load: e.total()}
+	g := &Grant{table: t, state: e, endpoint: e.grantedEndpoint(now), registered: e.Endpoint, grantedAt: now, waited: now.Sub(since), load: e.total()}
 	e.local.Online++
 	e.limit.take(now)
 	return g
@@ -105,6 +124,16 @@
 	}
 }
 
+// RecordOtherIncarnation records that the endpoint has stated another start than the registered
+// one. Its registered software version is in doubt until it has registered again.
+func (g *Grant) RecordOtherIncarnation() {
+	g.table.mu.Lock()
+	defer g.table.mu.Unlock()
+	if g.state.StartedMs == g.endpoint.StartedMs {
+		g.state.versionDoubtUntil = time.Now().Add(versionDoubtTime)
+	}
+}
+
 // versionDoubtTime is how long after a refused connection the registered software version of
 // an endpoint is in doubt. Its process has ended, and the next one may register late.
 const versionDoubtTime = 5 * time.Second
--- a/cicadagateway/cicadaprocess/origins.go
+++ b/cicadagateway/cicadaprocess/origins.go
@@ -31,9 +31,9 @@
 // setEndpoints passes on the registered endpoints.
 func (n *Node) setEndpoints(all []cicadaview.Endpoint) {
 	if n.versions.SetEndpoints(all) {
-		n.origins.Update()
 		n.notifyPeers()
 	}
+	n.origins.Update()
 	n.table.SetEndpoints(all)
 }
 
--- a/cicadagateway/cicadarelay/exchange.go
+++ b/cicadagateway/cicadarelay/exchange.go
@@ -139,7 +139,7 @@
 		x.avoid = append(x.avoid, endpoint.ID)
 		return true
 	}
-	err = x.forwardResponse(res, endpoint)
+	err = x.forwardResponse(res, grant)
 	if errors.Is(err, errNotTheRest) {
 		return x.handleNotTheRest(ctx, grant, sent, err)
 	}
@@ -167,10 +167,14 @@
 	if x.events.lastID != "" {
 		h.Set(adapter.HeaderLastEventID, x.events.lastID)
 	}
-	return cicadaexchange.Request{
+	req := cicadaexchange.Request{
 		Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Header: h, Body: x.body,
-		EchoHeader: adapter.HeaderRequestID,
+		EchoHeader: adapter.HeaderRequestID, Identify: x.route.Kind == cicadaview.Stream && x.route.Resumable && endpoint.StartedMs != 0,
 	}
+	if x.continues {
+		req.StartedMs = endpoint.StartedMs
+	}
+	return req
 }
 
 // mayRunAgain reports whether a request that may have run may be sent to another
@@ -193,9 +197,12 @@
 		x.fail(ctx, err)
 		return false
 	}
-	if cicadaexchange.RefusedConnection(err) {
+	switch {
+	case errors.Is(err, cicadaexchange.ErrOtherIncarnation):
+		grant.RecordOtherIncarnation()
+	case cicadaexchange.RefusedConnection(err):
 		grant.RecordRefusal()
-	} else {
+	default:
 		grant.RecordFailure()
 	}
 	x.logFailedAttempt(grant, sent, "not-sent", err)
@@ -331,7 +338,7 @@
 	x.relay.scope.Tagged(map[string]string{"kind": x.route.Kind.String()}).Counter("answered").Inc(1)
 	x.relay.metrics.recordCompleted(x.route.Kind, grant.WaitTime(), x.events.timeToFirst(x.start), now.Sub(x.start))
 	x.relay.log.Info("request completed", "id", x.id, "route", x.route.Name, "kind", x.route.Kind.String(), "status", res.StatusCode,
-		"endpoint", grant.Endpoint().ID, "software-version", grant.Endpoint().SoftwareVersion, "registered-start", grant.Endpoint().StartedMs, "resumes", x.r.Header.Get(adapter.HeaderResumes),
+		"endpoint", grant.Endpoint().ID, "software-version", grant.Endpoint().SoftwareVersion, "registered-start", grant.Endpoint().StartedMs, "start", res.StartedMs(), "resumes", x.r.Header.Get(adapter.HeaderResumes),
 		"resumed-after", x.r.Header.Get(adapter.HeaderLastEventID), "rate-limit", res.Header.Get(adapter.HeaderRateLimit),
 		"load", grant.Load(), "waited", grant.WaitTime().String(), "sends", x.sends, "runs", x.runs,
 		"sent-after", sent.Sub(x.start).String(), "first-event", x.events.timeToFirst(x.start).String(), "took", now.Sub(x.start).String())
--- a/cicadagateway/cicadarelay/forward.go
+++ b/cicadagateway/cicadarelay/forward.go
@@ -10,6 +10,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"cicadalink.example/cicadagateway/cicadaexchange"
+	"cicadalink.example/cicadagateway/cicadaplace"
 	"cicadalink.example/cicadakernel/cicadaview"
 )
 
@@ -19,9 +20,9 @@
 var copyBuffers = sync.Pool{New: func() any { b := make([]byte, 16<<10); return &b }}
 
 // forwardResponse sends the response of an endpoint to the caller.
-func (x *exchange) forwardResponse(res *cicadaexchange.Response, endpoint cicadaview.Endpoint) error {
+func (x *exchange) forwardResponse(res *cicadaexchange.Response, grant *cicadaplace.Grant) error {
 	if x.route.Kind == cicadaview.Stream && res.StatusCode == http.StatusOK {
-		return x.forwardStream(res, endpoint)
+		return x.forwardStream(res, grant)
 	}
 	return x.forwardBuffered(res)
 }
@@ -66,7 +67,7 @@
 
 // forwardStream sends events as they arrive. It sends only complete events, so that
 // a broken stream can be resumed after the last one.
-func (x *exchange) forwardStream(res *cicadaexchange.Response, endpoint cicadaview.Endpoint) error {
+func (x *exchange) forwardStream(res *cicadaexchange.Response, grant *cicadaplace.Grant) error {
 	control := http.NewResponseController(x.w)
 	buffer := copyBuffers.Get().(*[]byte)
 	defer copyBuffers.Put(buffer)
@@ -80,7 +81,7 @@
 			}
 			if len(events) > 0 {
 				if !x.answered {
-					x.recordOrigin(endpoint)
+					x.recordOrigin(grant, res.StartedMs())
 				}
 				x.recordAnswer()
 				x.stopTimer()
--- a/cicadagateway/cicadarelay/resume.go
+++ b/cicadagateway/cicadarelay/resume.go
@@ -87,6 +87,9 @@
 	if !x.continuable() {
 		return nil, cicadaplace.ErrNoEndpoint
 	}
+	if origin, ok := x.relay.origins.Origin(x.stream); ok && x.continues {
+		x.origin = origin // the endpoint may have been registered since
+	}
 	grant, err := x.relay.table.Acquire(ctx, x.slotRequest())
 	if errors.Is(err, cicadaplace.ErrNoEndpoint) && x.continues && len(x.avoid) > 0 && !x.avoidCleared {
 		x.avoid, x.avoidCleared = nil, true
@@ -96,15 +99,15 @@
 }
 
 // recordOrigin records where a stream that can be resumed has begun, or goes on, before its
-// next events are sent to the caller.
-func (x *exchange) recordOrigin(endpoint cicadaview.Endpoint) {
+// next events are sent to the caller. startedMs is the start that the endpoint has stated, or 0.
+func (x *exchange) recordOrigin(grant *cicadaplace.Grant, startedMs int64) {
 	if x.route.Kind != cicadaview.Stream || !x.route.Resumable {
 		return
 	}
 	switch {
 	case !x.continues:
-		x.stream, x.continues = x.id, true
-		x.origin = cicadaorigin.Origin{Service: endpoint.Service, Version: endpoint.SoftwareVersion}
+		x.begin(grant, startedMs)
+		return
 	case x.resumedByCaller():
 		x.relay.metrics.countResumed(brokenOffByCaller)
 	default:
@@ -116,6 +119,23 @@
 	}
 }
 
+// begin records where a stream has begun.
+func (x *exchange) begin(grant *cicadaplace.Grant, startedMs int64) {
+	x.stream, x.continues, x.tracked = x.id, true, x.id != ""
+	endpoint := grant.Endpoint()
+	version, registered := grant.Version(startedMs)
+	x.origin = cicadaorigin.Origin{Service: endpoint.Service, Version: version}
+	switch {
+	case !x.tracked:
+	case registered:
+		x.relay.origins.Begin(x.stream, x.origin, len(x.route.Targets) > 1)
+	default:
+		x.relay.log.Info("stream begun at an unregistered incarnation", "id", x.id, "endpoint", endpoint.ID,
+			"registered-start", endpoint.StartedMs, "start", startedMs)
+		x.relay.origins.BeginUnregistered(x.stream, endpoint.Service, cicadaorigin.Incarnation{Endpoint: endpoint.ID, StartedMs: startedMs})
+	}
+}
+
 // continuesStream reports whether a response is the rest of a stream that has begun: of the
 // same status and type.
 func (x *exchange) continuesStream(res *cicadaexchange.Response) bool {
