Ascribe what an endpoint says to the incarnation that says it

That an endpoint is leaving, said in a response, was ascribed to the registered incarnation. Said by one that is not registered yet, it was forgotten as soon as that one was registered as ready, and requests went there again (DRAIN). A limit was dropped if the endpoint registered between the grant and the response. Change: a grant knows which incarnation serves the request; versions, leaving marks and limits use its start. Evidence: TestIncarnationThatLeavesBeforeItIsRegisteredGetsNoRequests fails with leaving.go of before.

--- a/cicadagateway/cicadabatch/run.go
+++ b/cicadagateway/cicadabatch/run.go
@@ -51,12 +51,11 @@
 // A run is one attempt to run an item at an endpoint. If it resumes the item after an
 // event, it collects only the output after that event.
 type run struct {
-	mu         sync.Mutex // guards output, lastEvent and startedMs during the run
+	grant      *cicadaplace.Grant
+	mu         sync.Mutex // guards output and lastEvent during the run
 	output     strings.Builder
 	firstEvent int // the id after which the run resumes the item, or 0
 	lastEvent  int
-	startedMs  int64 // start that the endpoint has stated, or 0
-	grant      *cicadaplace.Grant
 	headerTime time.Duration // from the start to the response header
 	status     int
 	rateLimit  float64 // that the endpoint states, see onRateLimit
@@ -80,7 +79,9 @@
 	}
 	defer resp.Close()
 	r.status = resp.StatusCode
-	r.setStart(resp.StartedMs())
+	if r.grant != nil {
+		r.grant.RecordStart(resp.StartedMs())
+	}
 	if limit, ok := adapter.StatedRateLimit(resp.StatusCode, resp.Header); ok && r.onRateLimit != nil {
 		r.rateLimit = limit
 		r.onRateLimit(limit)
@@ -103,12 +104,6 @@
 	return r.classifyError(ctx, err)
 }
 
-func (r *run) setStart(startedMs int64) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.startedMs = startedMs
-}
-
 var errStalled = merry.Sentinel("cicadabatch: no event from the endpoint")
 
 // classifyError returns the outcome of a run that ended with an error.
--- a/cicadagateway/cicadaplace/grant.go
+++ b/cicadagateway/cicadaplace/grant.go
@@ -12,28 +12,52 @@
 	state    *endpointState
 	endpoint cicadaview.Endpoint
 	// registered is endpoint with its software version, even if that is in doubt.
-	registered cicadaview.Endpoint
-	batch      bool
-	grantedAt  time.Time
-	waited     time.Duration
-	load       int
-	released   bool
+	registered  cicadaview.Endpoint
+	statedStart int64 // see RecordStart
+	batch       bool
+	grantedAt   time.Time
+	waited      time.Duration
+	load        int
+	released    bool
 }
 
 // Endpoint returns the endpoint as it was when the slot was granted.
 func (g *Grant) Endpoint() cicadaview.Endpoint { return g.endpoint }
 
-// Version returns the software version of the incarnation of the endpoint that has stated a start
-// in Unix milliseconds, or 0 if it has stated none. It reports false if that incarnation is not
-// registered: what is registered then belongs to another one.
-func (g *Grant) Version(startedMs int64) (version string, ok bool) {
-	if startedMs == 0 || g.endpoint.StartedMs == 0 {
-		return g.endpoint.SoftwareVersion, true
+// RecordStart records which incarnation of the endpoint has accepted the connection of the request,
+// by the start that it has stated in Unix milliseconds, or 0 if it has stated none. What it says
+// later in its response concerns that incarnation, whichever is registered.
+func (g *Grant) RecordStart(startedMs int64) {
+	g.table.mu.Lock()
+	defer g.table.mu.Unlock()
+	g.statedStart = startedMs
+}
+
+// StartedMs returns the start of the incarnation that serves the request, as it has stated it, or
+// else as it was registered when the slot was granted.
+func (g *Grant) StartedMs() int64 {
+	g.table.mu.Lock()
+	defer g.table.mu.Unlock()
+	return g.startedMs()
+}
+
+func (g *Grant) startedMs() int64 {
+	if g.statedStart != 0 {
+		return g.statedStart
 	}
+	return g.endpoint.StartedMs
+}
+
+// Version returns the software version of the incarnation that serves the request. It reports
+// false if that incarnation is not registered: what is registered then belongs to another one.
+func (g *Grant) Version() (version string, ok bool) {
 	g.table.mu.Lock()
 	defer g.table.mu.Unlock()
+	if g.statedStart == 0 || g.endpoint.StartedMs == 0 {
+		return g.endpoint.SoftwareVersion, true
+	}
 	for _, e := range []cicadaview.Endpoint{g.registered, g.state.Endpoint} {
-		if e.StartedMs == startedMs {
+		if e.StartedMs == g.statedStart {
 			return e.SoftwareVersion, true
 		}
 	}
--- a/cicadagateway/cicadaplace/leaving.go
+++ b/cicadagateway/cicadaplace/leaving.go
@@ -22,11 +22,11 @@
 	t := g.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	id := g.endpoint.ID
-	if mark, ok := t.leaving[id]; ok && mark.startedMs >= g.endpoint.StartedMs {
+	id, startedMs := g.endpoint.ID, g.startedMs()
+	if mark, ok := t.leaving[id]; ok && mark.startedMs >= startedMs {
 		return
 	}
-	t.leaving[id] = leavingMark{startedMs: g.endpoint.StartedMs, at: time.Now()}
+	t.leaving[id] = leavingMark{startedMs: startedMs, at: time.Now()}
 	e := t.endpointsByID[id]
 	if e == nil || e.Draining || !t.saidLeaving(e.Endpoint) {
 		return
--- a/cicadagateway/cicadaplace/leaving_test.go
+++ b/cicadagateway/cicadaplace/leaving_test.go
@@ -10,6 +10,29 @@
 	"cicadalink.example/cicadakernel/cicadaview"
 )
 
+// Guards against requests to an endpoint that has said that it is leaving before it was registered,
+// while the list has the former incarnation and then its own as ready.
+func TestIncarnationThatLeavesBeforeItIsRegisteredGetsNoRequests(t *testing.T) {
+	list := func(startedMs int64) []cicadaview.Endpoint {
+		return []cicadaview.Endpoint{{ID: "e", Service: "s", Slots: 4, StartedMs: startedMs}}
+	}
+	for _, next := range []struct {
+		startedMs int64
+		usable    bool
+	}{{100, false}, {200, false}, {300, true}} {
+		table := NewTable("me")
+		table.SetEndpoints(list(100))
+		grant, err := table.Acquire(t.Context(), SlotRequest{Service: "s"})
+		assert.NilError(t, err)
+		grant.RecordStart(200)
+		grant.RecordLeaving()
+		grant.Release()
+		table.SetEndpoints(list(next.startedMs))
+		_, err = table.Acquire(t.Context(), SlotRequest{Service: "s"})
+		assert.Equal(t, err == nil, next.usable, "registered with start %d", next.startedMs)
+	}
+}
+
 // Guards against requests to an endpoint that has said that it is leaving, while the list of
 // endpoints still has it as ready.
 func TestLeavingEndpointGetsNoRequests(t *testing.T) {
--- a/cicadagateway/cicadaplace/limit.go
+++ b/cicadagateway/cicadaplace/limit.go
@@ -158,7 +158,7 @@
 	t := g.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if g.endpoint.StartedMs != g.state.StartedMs {
+	if g.endpoint.StartedMs != g.state.StartedMs && g.startedMs() != g.state.StartedMs {
 		return // the endpoint has restarted since
 	}
 	l, now := &g.state.limit, time.Now()
--- a/cicadagateway/cicadarelay/exchange.go
+++ b/cicadagateway/cicadarelay/exchange.go
@@ -115,6 +115,7 @@
 		return x.handleError(ctx, grant, sent, err)
 	}
 	defer res.Close()
+	grant.RecordStart(res.StartedMs())
 	if limit, ok := adapter.StatedRateLimit(res.StatusCode, res.Header); ok {
 		grant.RecordRateLimit(limit)
 	}
--- a/cicadagateway/cicadarelay/forward.go
+++ b/cicadagateway/cicadarelay/forward.go
@@ -81,7 +81,7 @@
 			}
 			if len(events) > 0 {
 				if !x.answered {
-					x.recordOrigin(grant, res.StartedMs())
+					x.recordOrigin(grant)
 				}
 				x.recordAnswer()
 				x.stopTimer()
--- a/cicadagateway/cicadarelay/resume.go
+++ b/cicadagateway/cicadarelay/resume.go
@@ -99,14 +99,14 @@
 }
 
 // recordOrigin records where a stream that can be resumed has begun, or goes on, before its
-// next events are sent to the caller. startedMs is the start that the endpoint has stated, or 0.
-func (x *exchange) recordOrigin(grant *cicadaplace.Grant, startedMs int64) {
+// next events are sent to the caller.
+func (x *exchange) recordOrigin(grant *cicadaplace.Grant) {
 	if x.route.Kind != cicadaview.Stream || !x.route.Resumable {
 		return
 	}
 	switch {
 	case !x.continues:
-		x.begin(grant, startedMs)
+		x.begin(grant)
 		return
 	case x.resumedByCaller():
 		x.relay.metrics.countResumed(brokenOffByCaller)
@@ -120,10 +120,10 @@
 }
 
 // begin records where a stream has begun.
-func (x *exchange) begin(grant *cicadaplace.Grant, startedMs int64) {
+func (x *exchange) begin(grant *cicadaplace.Grant) {
 	x.stream, x.continues, x.tracked = x.id, true, x.id != ""
 	endpoint := grant.Endpoint()
-	version, registered := grant.Version(startedMs)
+	version, registered := grant.Version()
 	x.origin = cicadaorigin.Origin{Service: endpoint.Service, Version: version}
 	switch {
 	case !x.tracked:
@@ -131,8 +131,8 @@
 		x.relay.origins.Begin(x.stream, x.origin, len(x.route.Targets) > 1)
 	default:
 		x.relay.log.Info("stream begun at an unregistered incarnation", "id", x.id, "endpoint", endpoint.ID,
-			"registered-start", endpoint.StartedMs, "start", startedMs)
-		x.relay.origins.BeginUnregistered(x.stream, endpoint.Service, cicadaorigin.Incarnation{Endpoint: endpoint.ID, StartedMs: startedMs})
+			"registered-start", endpoint.StartedMs, "start", grant.StartedMs())
+		x.relay.origins.BeginUnregistered(x.stream, endpoint.Service, cicadaorigin.Incarnation{Endpoint: endpoint.ID, StartedMs: grant.StartedMs()})
 	}
 }
 
