Doubt the version of an endpoint without a stated start once its connections broke off

Cause: where registrations state no start, the version was in doubt only after a refused connection. An endpoint that is back within 0.1 s refuses hardly any, as it is in backoff then. And the doubt lasted 5 s even if the next version had been registered, so that most streams could not be taken up. The doubt ends with the registration of another version. Endpoints that state their start are not affected.

--- a/cicadagateway/cicadaexchange/client.go
+++ b/cicadagateway/cicadaexchange/client.go
@@ -80,6 +80,10 @@
 	// endpoint that states another start does not get it, and Do fails with ErrOtherIncarnation.
 	// It requires Identify.
 	StartedMs int64
+	// SameProcess is set if the request is meant for the process that had the former connections
+	// of this client, at an endpoint that does not state its start. If that process has closed all
+	// that were idle, Do fails with ErrOtherIncarnation.
+	SameProcess bool
 }
 
 // id returns the value that identifies the request's response, or "".
@@ -97,6 +101,7 @@
 	idle      map[string][]*conn // by address, the most recently used last
 	dial      func(ctx context.Context, address string) (net.Conn, error)
 	onConnect func()
+	onLost    func(address string)
 
 	identification Identification
 }
@@ -122,7 +127,7 @@
 		dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
 		},
-		onConnect: func() {},
+		onConnect: func() {}, onLost: func(string) {},
 	}
 	for _, opt := range opts {
 		opt(c)
@@ -150,16 +155,16 @@
 	if err != nil {
 		return nil, err
 	}
-	stopCancel := context.AfterFunc(ctx, func() { _ = cn.Close() })
+	stopCancel := context.AfterFunc(ctx, cn.cancel)
 	if _, err := cn.Write(req.encode()); err != nil {
 		stopCancel()
-		_ = cn.Close()
+		c.abandon(cn)
 		return nil, merry.Errorf("send request to %s: %w: %w", address, ErrInvalidResponse, err)
 	}
 	res, err := cn.readResponse(req)
 	if err != nil {
 		stopCancel()
-		_ = cn.Close()
+		c.abandon(cn)
 		return nil, merry.Errorf("read response from %s: %w: %w", address, ErrInvalidResponse, err)
 	}
 	return &Response{
@@ -173,7 +178,12 @@
 	if req.Identify && c.identification.Decode != nil {
 		return c.getIdentifiedConn(ctx, address, req)
 	}
-	return c.getConn(ctx, address, req.id())
+	cn, err := c.getConn(ctx, address, req.id())
+	if err == nil && req.SameProcess && cn.replacesLost {
+		c.putIdle(cn, defaultIdleTimeout)
+		return nil, merry.Errorf("%s closed all idle connections: %w: %w", address, ErrOtherIncarnation, ErrNotSent)
+	}
+	return cn, err
 }
 
 // encode returns the request in wire format.
@@ -247,6 +257,7 @@
 		return n, io.EOF
 	}
 	if err != nil {
+		r.client.abandon(r.conn)
 		return n, merry.Errorf("read body: %w: %w", ErrInvalidResponse, err)
 	}
 	return n, nil
--- a/cicadagateway/cicadaexchange/incarnation.go
+++ b/cicadagateway/cicadaexchange/incarnation.go
@@ -52,7 +52,7 @@
 			cn.identified = true // the endpoint closes the connection after it has stated its start
 		}
 		if err := c.identify(ctx, cn, req.EchoHeader); err != nil {
-			_ = cn.Close()
+			c.abandon(cn)
 			return nil, err
 		}
 		matches := req.StartedMs == 0 || cn.startedMs == 0 || cn.startedMs == req.StartedMs
@@ -85,7 +85,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, identifyTimeout)
 	defer cancel()
-	stopCancel := context.AfterFunc(ctx, func() { _ = cn.Close() })
+	stopCancel := context.AfterFunc(ctx, cn.cancel)
 	err := c.readReport(cn, echoHeader)
 	if !stopCancel() && err == nil {
 		err = ctx.Err()
@@ -110,7 +110,7 @@
 	if id := raw.Header.Get(echoHeader); id != "" {
 		return merry.Errorf("response belongs to request %s: %w", id, ErrInvalidResponse)
 	}
-	body, err := (&Response{Response: raw}).ReadAll(maxReportBytes)
+	body, err := (&Response{Response: raw, client: c, conn: cn}).ReadAll(maxReportBytes)
 	if err != nil {
 		return merry.Errorf("read report: %w", err)
 	}
--- a/cicadagateway/cicadaexchange/pool.go
+++ b/cicadagateway/cicadaexchange/pool.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -33,6 +34,16 @@
 	startedMs  int64
 	identified bool // whether the endpoint has been asked for its start
 	ended      bool // whether the endpoint has closed the connection after it stated its start
+	// replacesLost is set if the endpoint had closed all idle connections when this one was opened.
+	replacesLost bool
+	canceled     atomic.Bool // by the end of a request's context
+	abandoned    bool        // see Client.abandon
+}
+
+// cancel closes the connection at the end of a request's context.
+func (cn *conn) cancel() {
+	cn.canceled.Store(true)
+	_ = cn.Close()
 }
 
 // A headerLimit limits the bytes that are read from a connection for one response header,
@@ -103,6 +114,7 @@
 // getConn returns the most recently used idle connection that is reusable for the request
 // with the given id, or a new connection.
 func (c *Client) getConn(ctx context.Context, address, id string) (*conn, error) {
+	lost := false
 	for {
 		cn := c.popIdle(address, id)
 		if cn == nil {
@@ -111,15 +123,19 @@
 		if cn.reusable() {
 			return cn, nil
 		}
+		lost = true
 		_ = cn.Close()
 	}
+	if lost {
+		c.onLost(address)
+	}
 	raw, err := c.dial(ctx, address)
 	if err != nil {
 		return nil, merry.Errorf("connect to %s: %w: %w", address, ErrNotSent, err)
 	}
 	c.onConnect()
 	limit := &headerLimit{Conn: raw}
-	return &conn{Conn: raw, limit: limit, r: bufio.NewReaderSize(limit, readBufferSize), address: address}, nil
+	return &conn{Conn: raw, limit: limit, r: bufio.NewReaderSize(limit, readBufferSize), address: address, replacesLost: lost}, nil
 }
 
 // popIdle takes from the pool the most recently used idle connection on which the request
--- a/cicadagateway/cicadaplace/grant.go
+++ b/cicadagateway/cicadaplace/grant.go
@@ -53,7 +53,10 @@
 func (g *Grant) Version() (version string, ok bool) {
 	g.table.mu.Lock()
 	defer g.table.mu.Unlock()
-	if g.statedStart == 0 || g.endpoint.StartedMs == 0 {
+	switch {
+	case g.endpoint.StartedMs == 0 && time.Now().Before(g.state.versionDoubtUntil):
+		return "", true
+	case g.statedStart == 0 || g.endpoint.StartedMs == 0:
 		return g.endpoint.SoftwareVersion, true
 	}
 	for _, e := range []cicadaview.Endpoint{g.registered, g.state.Endpoint} {
@@ -158,6 +161,18 @@
 	}
 }
 
+// RecordLost records that the process at an address may have ended. If an endpoint there does not
+// state the start of its process, its registered software version is in doubt.
+func (t *Table) RecordLost(address string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range t.endpointsByID {
+		if e.Address == address && e.StartedMs == 0 && e.SoftwareVersion != "" {
+			e.versionDoubtUntil = time.Now().Add(versionDoubtTime)
+		}
+	}
+}
+
 // versionDoubtTime is how long after a refused connection the registered software version of
 // an endpoint is in doubt. Its process has ended, and the next one may register late.
 const versionDoubtTime = 5 * time.Second
--- a/cicadagateway/cicadaplace/refusal_test.go
+++ b/cicadagateway/cicadaplace/refusal_test.go
@@ -184,5 +184,53 @@
 		table.RecordPeerRefusal("e")
 		time.Sleep(versionDoubtTime)
 		assert.NilError(t, continues("v2"), "it would have registered by now")
+		table.RecordPeerRefusal("e")
+		table.SetEndpoints(list(2, "v3"))
+		assert.NilError(t, continues("v3"), "it has registered again without a new start")
+	})
+}
+
+// Guards against streams that begin or go on at the version of a process that has ended, at an
+// endpoint that does not state its start; and against doubts about one that does.
+func TestVersionIsInDoubtAfterConnectionsAreLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := NewTable("me")
+		set := func(version string) {
+			table.SetEndpoints([]cicadaview.Endpoint{
+				{ID: "silent", Service: "s", Address: "a:1", Slots: 4, SoftwareVersion: version},
+				{ID: "stating", Service: "t", Address: "b:1", Slots: 4, SoftwareVersion: version, StartedMs: 1},
+				{ID: "unversioned", Service: "u", Address: "c:1", Slots: 4},
+			})
+		}
+		check := func(service, version string, want error) {
+			t.Helper()
+			begun, err := table.Acquire(t.Context(), SlotRequest{Service: service})
+			assert.NilError(t, err)
+			begun.Release()
+			at, ok := begun.Version()
+			assert.Assert(t, ok && (at == version) == (want == nil), "version %q", at)
+			grant, err := table.Acquire(t.Context(), SlotRequest{Service: service, Continues: true, Version: version})
+			assert.ErrorIs(t, err, want)
+			if err == nil {
+				grant.Release()
+			}
+		}
+		set("v1")
+		before, err := table.Acquire(t.Context(), SlotRequest{Service: "s"})
+		assert.NilError(t, err)
+		for _, address := range []string{"a:1", "b:1", "c:1"} {
+			table.RecordLost(address)
+		}
+		version, _ := before.Version()
+		assert.Equal(t, version, "", "the connection may have been opened after the loss")
+		before.Release()
+		check("s", "v1", ErrNoEndpoint)
+		check("t", "v1", nil)
+		check("u", "", nil)
+		set("v2")
+		check("s", "v2", nil)
+		table.RecordLost("a:1")
+		time.Sleep(versionDoubtTime)
+		check("s", "v2", nil)
 	})
 }
--- a/cicadagateway/cicadaplace/table.go
+++ b/cicadagateway/cicadaplace/table.go
@@ -182,9 +182,12 @@
 			state = &endpointState{}
 		}
 		if state.StartedMs != e.StartedMs {
-			state.backoff, state.backoffUntil, state.versionDoubtUntil = 0, time.Time{}, time.Time{}
+			state.backoff, state.backoffUntil = 0, time.Time{}
 			state.limit = rateLimit{}
 		}
+		if state.StartedMs != e.StartedMs || state.SoftwareVersion != e.SoftwareVersion {
+			state.versionDoubtUntil = time.Time{}
+		}
 		e.Draining = e.Draining || t.saidLeaving(e)
 		state.Endpoint = e
 		byID[e.ID] = state
--- a/cicadagateway/cicadaprocess/process.go
+++ b/cicadagateway/cicadaprocess/process.go
@@ -118,7 +118,7 @@
 	n.origins = cicadaorigin.NewTracker(cfg.Name, n.versions, cicadaorigin.WithSend(n.sendOriginMessage),
 		cicadaorigin.WithScope(p.Scope()), cicadaorigin.WithLog(p.Log()))
 	connectionsOpened := p.Scope().Counter("endpoint_connections")
-	n.client = cicadaexchange.NewClient(cicadaexchange.WithOnConnect(func() { connectionsOpened.Inc(1) }),
+	n.client = cicadaexchange.NewClient(cicadaexchange.WithOnConnect(func() { connectionsOpened.Inc(1) }), cicadaexchange.WithOnLost(n.table.RecordLost),
 		cicadaexchange.WithIdentification(cicadaexchange.Identification{Target: adapter.ReportPath, Decode: adapter.DecodeReportedStart}))
 	return n, nil
 }
--- a/cicadagateway/cicadarelay/exchange.go
+++ b/cicadagateway/cicadarelay/exchange.go
@@ -173,7 +173,7 @@
 		EchoHeader: adapter.HeaderRequestID, Identify: x.route.Kind == cicadaview.Stream && x.route.Resumable && endpoint.StartedMs != 0,
 	}
 	if x.continues {
-		req.StartedMs = endpoint.StartedMs
+		req.StartedMs, req.SameProcess = endpoint.StartedMs, endpoint.StartedMs == 0
 	}
 	return req
 }
