Compute the time that is left when a request is sent

Cause: X-Deadline-Ms was computed before the connection was opened, and now before the endpoint has stated its start, which together may take 0.6 s. Change: the client writes the header when it sends the request. Evidence: TestDeadlineIsThatOfTheTimeOfSending.

--- a/cicadagateway/cicadabatch/schedule.go
+++ b/cicadagateway/cicadabatch/schedule.go
@@ -213,11 +213,11 @@
 	}
 	header.Set(adapter.HeaderRequestID, it.ID)
 	header.Set(adapter.HeaderExpectInstance, endpoint.ID)
-	timeLeft := max(time.Until(it.job.giveUpAt()), time.Second)
-	header.Set(adapter.HeaderDeadline, strconv.FormatInt(timeLeft.Milliseconds(), 10))
+	deadline := time.Now().Add(max(time.Until(it.job.giveUpAt()), time.Second))
 	req := cicadaexchange.Request{
 		Method: http.MethodPost, Target: it.Path, Host: it.job.record.Host, Header: header, Body: it.Body,
-		EchoHeader: adapter.HeaderRequestID, Identify: endpoint.StartedMs != 0,
+		EchoHeader: adapter.HeaderRequestID, DeadlineHeader: adapter.HeaderDeadline, Deadline: deadline,
+		Identify: endpoint.StartedMs != 0,
 	}
 	if it.continues() {
 		header.Set(adapter.HeaderLastEventID, strconv.Itoa(it.lastEvent))
--- a/cicadagateway/cicadaexchange/client.go
+++ b/cicadagateway/cicadaexchange/client.go
@@ -73,6 +73,10 @@
 	// EchoHeader is the name of a header that the endpoint repeats in its response.
 	// A response with another value belongs to another request.
 	EchoHeader string
+	// DeadlineHeader, if set, is the name of a header for the milliseconds that are left until
+	// Deadline when the request is sent.
+	DeadlineHeader string
+	Deadline       time.Time
 	// Identify makes Do find out which incarnation of the endpoint responds, see
 	// Response.StartedMs.
 	Identify bool
@@ -209,6 +213,12 @@
 			b = append(b, "\r\n"...)
 		}
 	}
+	if r.DeadlineHeader != "" {
+		b = append(b, r.DeadlineHeader...)
+		b = append(b, ": "...)
+		b = strconv.AppendInt(b, max(time.Until(r.Deadline).Milliseconds(), 1), 10)
+		b = append(b, "\r\n"...)
+	}
 	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut {
 		b = append(b, "Content-Length: "...)
 		b = strconv.AppendInt(b, int64(len(r.Body)), 10)
--- a/cicadagateway/cicadaexchange/incarnation_test.go
+++ b/cicadagateway/cicadaexchange/incarnation_test.go
@@ -13,6 +13,7 @@
 	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"golang.org/x/tools/txtar"
 	"gotest.tools/v3/assert"
@@ -137,3 +138,32 @@
 		c.CloseIdle("e:1")
 	})
 }
+
+// Guards against an endpoint that is told of more time than is left, because it took long to state
+// its start.
+func TestDeadlineIsThatOfTheTimeOfSending(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		left := ""
+		c := NewClient(WithIdentification(Identification{Target: "/report", Decode: decodeBorn}),
+			WithDial(func(context.Context, string) (net.Conn, error) {
+				client, server := net.Pipe()
+				go func() {
+					r := bufio.NewReader(server)
+					_, _ = http.ReadRequest(r)
+					time.Sleep(200 * time.Millisecond)
+					_, _ = io.WriteString(server, "HTTP/1.1 200 OK\r\nContent-Length: 13\r\n\r\n{\"born\":1000}")
+					req, err := http.ReadRequest(r)
+					if err == nil {
+						left = req.Header.Get("X-Left")
+					}
+					_ = server.Close()
+				}()
+				return client, nil
+			}))
+		req := request("id-1")
+		req.Identify, req.DeadlineHeader, req.Deadline = true, "X-Left", time.Now().Add(time.Second)
+		_, err := c.Do(t.Context(), "e:1", req)
+		assert.Assert(t, errors.Is(err, ErrInvalidResponse))
+		assert.Equal(t, left, "800")
+	})
+}
--- a/cicadagateway/cicadarelay/exchange.go
+++ b/cicadagateway/cicadarelay/exchange.go
@@ -160,17 +160,17 @@
 func (x *exchange) endpointRequest(endpoint cicadaview.Endpoint) cicadaexchange.Request {
 	h := forwardedHeaders(x.r.Header)
 	h.Set(adapter.HeaderExpectInstance, endpoint.ID)
-	remaining := time.Until(x.deadline)
-	if x.route.Kind != cicadaview.Stream && x.route.Timeout > 0 {
-		remaining = min(remaining, x.route.Timeout-time.Since(x.start))
+	deadline := x.deadline
+	if limit := x.start.Add(x.route.Timeout); x.route.Kind != cicadaview.Stream && x.route.Timeout > 0 && limit.Before(deadline) {
+		deadline = limit
 	}
-	h.Set(adapter.HeaderDeadline, strconv.FormatInt(max(remaining.Milliseconds(), 1), 10))
 	if x.events.lastID != "" {
 		h.Set(adapter.HeaderLastEventID, x.events.lastID)
 	}
 	req := cicadaexchange.Request{
 		Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Header: h, Body: x.body,
-		EchoHeader: adapter.HeaderRequestID, Identify: x.route.Kind == cicadaview.Stream && x.route.Resumable && endpoint.StartedMs != 0,
+		EchoHeader: adapter.HeaderRequestID, DeadlineHeader: adapter.HeaderDeadline, Deadline: deadline,
+		Identify: x.route.Kind == cicadaview.Stream && x.route.Resumable && endpoint.StartedMs != 0,
 	}
 	if x.continues {
 		req.StartedMs, req.SameProcess = endpoint.StartedMs, endpoint.StartedMs == 0
