Forward only events whose ids increase

What callers could see: an event twice, or an older one again (ORDER), if an endpoint repeats an event within a stream, or begins anew or one event early where it is to go on. The protocol's endpoints do neither; the relay did not check it, though items are checked. Cause: the relay forwarded complete events as they came, and kept only the id of the last one. Change: events are forwarded as far as their ids, if they are numbers, increase, also after the event from which the caller resumes. What follows is a broken response, and a run that begins with such an event is not the rest of the stream; either goes on elsewhere after the last event that was sent.

--- a/cicadagateway/cicadarelay/exchange.go
+++ b/cicadagateway/cicadarelay/exchange.go
@@ -56,6 +56,7 @@
 func (x *exchange) run(ctx context.Context) {
 	defer x.forgetStream()
 	if x.resumedByCaller() {
+		x.events.resumeAfter(x.r.Header.Get(adapter.HeaderLastEventID))
 		if err := x.findOrigin(ctx); err != nil {
 			x.fail(ctx, err)
 			return
--- a/cicadagateway/cicadarelay/forward.go
+++ b/cicadagateway/cicadarelay/forward.go
@@ -68,7 +68,6 @@
 // forwardStream sends events as they arrive. It sends only complete events, so that
 // a broken stream can be resumed after the last one.
 func (x *exchange) forwardStream(res *cicadaexchange.Response, grant *cicadaplace.Grant) error {
-	control := http.NewResponseController(x.w)
 	buffer := copyBuffers.Get().(*[]byte)
 	defer copyBuffers.Put(buffer)
 	x.events.reset()
@@ -79,21 +78,11 @@
 			if x.events.oversized {
 				return merry.Errorf("event: %w: %w", cicadaexchange.ErrInvalidResponse, cicadaexchange.ErrTooLarge)
 			}
-			if len(events) > 0 {
-				if !x.answered {
-					x.recordOrigin(grant)
-				}
-				x.recordAnswer()
-				x.stopTimer()
-				if !x.headerSent {
-					x.sendHeader(res, -1)
-				}
-				if _, err := x.w.Write(events); err != nil {
-					return merry.Errorf("write events: %w", err)
-				}
-				if err := control.Flush(); err != nil {
-					return merry.Errorf("flush events: %w", err)
-				}
+			if err := x.forwardEvents(events, res, grant); err != nil {
+				return err
+			}
+			if x.events.disordered {
+				return x.disorderError()
 			}
 		}
 		if errors.Is(err, io.EOF) {
@@ -105,6 +94,36 @@
 	}
 }
 
+// forwardEvents sends complete events to the caller.
+func (x *exchange) forwardEvents(events []byte, res *cicadaexchange.Response, grant *cicadaplace.Grant) error {
+	if len(events) == 0 {
+		return nil
+	}
+	if !x.answered {
+		x.recordOrigin(grant)
+	}
+	x.recordAnswer()
+	x.stopTimer()
+	if !x.headerSent {
+		x.sendHeader(res, -1)
+	}
+	if _, err := x.w.Write(events); err != nil {
+		return merry.Errorf("write events: %w", err)
+	}
+	if err := http.NewResponseController(x.w).Flush(); err != nil {
+		return merry.Errorf("flush events: %w", err)
+	}
+	return nil
+}
+
+// disorderError returns the error for an event that does not follow the last one.
+func (x *exchange) disorderError() error {
+	if !x.answered {
+		return merry.Errorf("the events do not follow event %s: %w", x.events.lastID, errNotTheRest)
+	}
+	return merry.Errorf("event after event %s out of order: %w", x.events.lastID, cicadaexchange.ErrInvalidResponse)
+}
+
 // endStream completes a stream whose response was read to its end.
 func (x *exchange) endStream(res *cicadaexchange.Response) error {
 	if len(x.events.partial) > 0 {
