Keep checkpoints whole when the version of an output is found

A checkpoint read the origin of a run before its events, so that the first event could be saved with the version that was registered before the endpoint stated its start (TestCheckpointOfAFirstEventHasTheOriginOfItsRun). And once the version was found, the file dropped all later checkpoints of the item, as their origin was another one (TestCheckpointsContinueWhenTheVersionIsFound). Change: the origin is read after the events; progress of the same output joins if one of the origins has an unknown version, and takes the known one.

--- a/cicadagateway/cicadabatch/progress.go
+++ b/cicadagateway/cicadabatch/progress.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"cicadalink.example/cicadagateway/cicadaorigin"
+	"cicadalink.example/cicadakernel/cicadaview"
 )
 
 // A Progress is the progress of an item, either complete or since an earlier event. It
@@ -46,7 +47,8 @@
 	case p.From == 0:
 		ip.output.Reset()
 		ip.origin = p.Origin
-	case p.From == ip.lastEvent && p.Origin == ip.origin && p.Base == xxhash.Sum64String(ip.output.String()):
+	case p.From == ip.lastEvent && sameOrigin(p.Origin, ip.origin) && p.Base == xxhash.Sum64String(ip.output.String()):
+		ip.origin = p.Origin
 	default:
 		return false
 	}
@@ -55,6 +57,13 @@
 	return true
 }
 
+// sameOrigin reports whether two progresses of the same output may have the origins a and b: the
+// version may be known to one only.
+func sameOrigin(a, b cicadaorigin.Origin) bool {
+	unknown := a.Version == cicadaview.UnknownVersion || b.Version == cicadaview.UnknownVersion
+	return a == b || a.Service == b.Service && unknown
+}
+
 // progress returns the full progress of an item that is not running.
 func (it *item) progress() Progress {
 	return Progress{Item: it.ID, Origin: it.origin, Last: it.lastEvent, Text: it.output.String(), Failures: it.failures}
@@ -98,8 +107,8 @@
 	}
 	text, origin := it.output.String(), it.origin
 	if it.state == itemRunning {
-		origin = it.originOfRun()
 		runOutput, last := it.run.snapshot()
+		origin = it.originOfRun() // after the first event, as the endpoint states its start before
 		text += runOutput
 		next.event, next.outputLen = last, len(text)
 	}
