Start preempted batch items again if their engine was restarted with another version

Cause: an agent continues a preempted item at its engine from the chunks that it holds, whatever process answers by then. What it knew of the engine's version came from a poll each second, and nothing tied the version to the process that runs a call.

Change: the inference adapter proves the version. It reads the load report once on each new connection, which ends with the process that accepted it, and sends calls on connections to one version only; a connection that leads to another one replaces them before anything is sent. Each chunk states the software that sent it. A call may state the version that it needs (origin) and is not sent to another. A preempted item states the version of its chunks; if the engine has another, or if the version of the chunks could not be proved, the item starts again. The new version is reported to the entries at once.

The engines of gate_test, of the histories and of the measures state a proved version now, as they do resume; no check of theirs was changed.

Conclusion: the class is mended within an agent. What an entry continues elsewhere still rests on the last report.

--- a/cicadaagent/cicadaengine/engine.go
+++ b/cicadaagent/cicadaengine/engine.go
@@ -50,14 +50,41 @@
 // Error returns the engine's message.
 func (e *RefusedError) Error() string { return "cicadaengine: engine refused: " + e.Message }
 
+// An OtherVersionError reports that a call continues an output of another software version
+// than the engine's, or that the engine's version could not be proved. The call was not sent.
+type OtherVersionError struct{ Software Software }
+
+// Error describes the engine's version.
+func (e *OtherVersionError) Error() string {
+	if !e.Software.Proved {
+		return "cicadaengine: software version of the engine could not be proved, output not continued"
+	}
+	return "cicadaengine: software version " + e.Software.Version + " of the engine did not begin the output, output not continued"
+}
+
+// Software describes the software of the engine process that runs a call. Version is "" if
+// the engine states none. It holds for that process only if Proved is set.
+type Software struct {
+	Version string
+	Proved  bool
+}
+
+// mayRun reports whether the process may run a call, which may require a version.
+func (s Software) mayRun(call *cicadawire.Call) bool {
+	return call.Origin == nil || (s.Proved && call.GetOrigin() == s.Version)
+}
+
 // A Chunk is a part of a response: the status and headers if Head is set, otherwise
-// data. Extra is a JSON delta of a chat response that holds more than text.
+// data. Extra is a JSON delta of a chat response that holds more than text. Software
+// describes the process that sent the chunk.
 type Chunk struct {
 	Head    bool
 	Status  int
 	Headers []*cicadawire.Header
 	Data    []byte
 	Extra   []byte
+
+	Software Software
 }
 
 // A Result describes a complete response.
@@ -79,7 +106,9 @@
 // An Engine gives access to one engine. Functions that the adapter does not support
 // are nil.
 type Engine struct {
-	// Run sends a call to the engine and passes the chunks of the response to emit.
+	// Run sends a call to the engine and passes the chunks of the response to emit, which
+	// are all from one process. It returns an *OtherVersionError without sending the call
+	// if the call states an origin that is not the process's version.
 	Run func(ctx context.Context, call *cicadawire.Call, emit func(Chunk) error) (Result, error)
 	// Healthy reports whether the engine is up.
 	Healthy func(ctx context.Context) bool
--- a/cicadaagent/cicadaengine/inference.go
+++ b/cicadaagent/cicadaengine/inference.go
@@ -35,10 +35,11 @@
 
 type inferenceEngine struct {
 	engineClient
+	processes *processPool
 }
 
 func openInference(address string) (*Engine, error) {
-	e := inferenceEngine{newEngineClient(address)}
+	e := inferenceEngine{newEngineClient(address), newProcessPool(address)}
 	return &Engine{Run: e.run, Healthy: e.healthy, LoadReport: e.loadReport, Order: e.order, CanResume: true}, nil
 }
 
@@ -71,7 +72,13 @@
 		{Name: "Content-Type", Value: "application/json"},
 		{Name: attemptHeader, Value: call.GetAttempt()},
 	}
-	res, err := e.do(ctx, http.MethodPost, call.GetPath(), headers, body)
+	var software Software
+	res, err := e.processes.send(ctx, func(p *process) (*http.Response, error) {
+		if software = p.software; !software.mayRun(call) {
+			return nil, &OtherVersionError{software}
+		}
+		return p.do(ctx, http.MethodPost, call.GetPath(), headers, body)
+	})
 	if err != nil {
 		return Result{}, err
 	}
@@ -79,7 +86,10 @@
 	if res.StatusCode != http.StatusOK {
 		return Result{}, statusError(res)
 	}
-	return readEvents(ctx, res.Body, call.GetChat(), emit)
+	return readEvents(ctx, res.Body, call.GetChat(), func(c Chunk) error {
+		c.Software = software
+		return emit(c)
+	})
 }
 
 // requestBody returns the call's body, with the resume fields added if the call
@@ -194,25 +204,21 @@
 	return Chunk{Data: []byte(textDelta.Content)}, nil
 }
 
+// loadReport reads the load report of the process to which calls are sent.
 func (e inferenceEngine) loadReport(ctx context.Context) (LoadReport, error) {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
-	res, err := e.do(ctx, http.MethodGet, "/load", nil, nil)
+	if err := e.processes.prove(ctx); err != nil {
+		return LoadReport{}, merry.Errorf("read load report: %w", err)
+	}
+	res, err := e.processes.send(ctx, func(p *process) (*http.Response, error) {
+		return p.do(ctx, http.MethodGet, reportPath, nil, nil)
+	})
 	if err != nil {
 		return LoadReport{}, merry.Errorf("read load report: %w", err)
 	}
 	defer res.Body.Close()
-	var body struct {
-		Running int      `json:"running"`
-		Models  []string `json:"models"`
-		AgeMs   int64    `json:"age_ms"`
-		Version string   `json:"version"`
-	}
-	if err := json.NewDecoder(io.LimitReader(res.Body, maxBodyBytes)).Decode(&body); err != nil {
-		return LoadReport{}, merry.Errorf("decode load report: %w", err)
-	}
-	age := time.Duration(body.AgeMs) * time.Millisecond
-	return LoadReport{Running: body.Running, Models: body.Models, Age: age, SoftwareVersion: body.Version}, nil
+	return decodeReport(res.Body)
 }
 
 func (e inferenceEngine) order(ctx context.Context, order *cicadawire.EngineOrder) error {
--- a/cicadaagent/cicadaengine/plain.go
+++ b/cicadaagent/cicadaengine/plain.go
@@ -92,12 +92,15 @@
 }
 
 // transportError returns the error for a failed request, or for a failure to read its
-// response. It wraps the cause of ctx if ctx has ended, ErrUnreachable if no
+// response. It wraps the cause of ctx if ctx has ended, ErrUnreachable or ErrBusy if no
 // connection could be opened, and otherwise ErrCrashed.
 func transportError(ctx context.Context, err error) error {
 	if ctx.Err() != nil {
 		return merry.Errorf("call engine: %w", context.Cause(ctx))
 	}
+	if errors.Is(err, ErrUnreachable) || errors.Is(err, ErrBusy) {
+		return merry.Errorf("call engine: %w", err)
+	}
 	var opErr *net.OpError
 	if errors.As(err, &opErr) && opErr.Op == "dial" {
 		return merry.Errorf("call engine: %w: %w", ErrUnreachable, err)
--- a/cicadaagent/cicadagate/gate.go
+++ b/cicadaagent/cicadagate/gate.go
@@ -48,6 +48,7 @@
 	CodeRefused           = "refused"
 	CodeStopped           = "stopped"
 	CodeRestarted         = "restarted"
+	CodeOtherVersion      = "other-version"
 )
 
 var (
@@ -175,13 +176,6 @@
 	g.models = models
 }
 
-// SetSoftwareVersion sets the version of the engine's software.
-func (g *Gate) SetSoftwareVersion(version string) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.softwareVersion = version
-}
-
 // Run executes one attempt of a call and sends its frames. It returns after the last
 // frame.
 func (g *Gate) Run(ctx context.Context, call *cicadawire.Call, send func(*cicadawire.Frame) error) error {
@@ -293,7 +287,7 @@
 	g.mu.Unlock()
 	started := time.Now()
 	lastChunk := started
-	result, err := g.engine.Run(ctx, frames.nextCall(g.engine.CanResume), func(c cicadaengine.Chunk) error {
+	result, err := g.callEngine(ctx, frames, func(c cicadaengine.Chunk) error {
 		now := time.Now()
 		if !t.isBatch() {
 			g.latencies.record(now, now.Sub(lastChunk), lastChunk.Equal(started))
@@ -311,8 +305,9 @@
 }
 
 // LoadChanged returns a channel that is closed when the load has changed in a way
-// that is reported to entries before the next heartbeat: the engine went up or
-// down, a configuration revision was applied, or the endpoint is draining.
+// that is reported to entries before the next heartbeat: the engine went up or down or
+// has another software version, a configuration revision was applied, or the endpoint is
+// draining.
 func (g *Gate) LoadChanged() <-chan struct{} {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/cicadaagent/cicadagate/gate_test.go
+++ b/cicadaagent/cicadagate/gate_test.go
@@ -16,9 +16,11 @@
 )
 
 // fakeEngine generates a token every 10 ms. It records the number of tokens, the
-// ResumeFrom of each run and the fencing number of each order.
+// ResumeFrom of each run and the fencing number of each order. The tokens of a version
+// other than "" begin with it.
 type fakeEngine struct {
 	mu         sync.Mutex
+	version    string
 	tokens     int
 	resumeFrom []int32
 	fences     []int64
@@ -33,6 +35,11 @@
 		},
 		Run: func(ctx context.Context, call *cicadawire.Call, emit func(cicadaengine.Chunk) error) (cicadaengine.Result, error) {
 			e.mu.Lock()
+			software := cicadaengine.Software{Version: e.version, Proved: true}
+			if call.Origin != nil && call.GetOrigin() != e.version {
+				e.mu.Unlock()
+				return cicadaengine.Result{}, &cicadaengine.OtherVersionError{Software: software}
+			}
 			e.resumeFrom = append(e.resumeFrom, call.GetResumeFrom())
 			e.mu.Unlock()
 			for i := call.GetResumeFrom(); i < call.GetMaxTokens(); i++ {
@@ -44,7 +51,7 @@
 				e.mu.Lock()
 				e.tokens++
 				e.mu.Unlock()
-				if err := emit(cicadaengine.Chunk{Data: fmt.Appendf(nil, "%d ", i)}); err != nil {
+				if err := emit(cicadaengine.Chunk{Data: fmt.Appendf(nil, "%s%d ", software.Version, i), Software: software}); err != nil {
 					return cicadaengine.Result{}, err
 				}
 			}
@@ -113,6 +120,28 @@
 	})
 }
 
+// Guards against batch items that are preempted and then go on at an engine that was
+// restarted with another software version.
+func TestPreemptedItemStartsAgainAtUpgradedEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engine := &fakeEngine{version: "a"}
+		g := New("w", engine.engine(), WithPolicy(cicadaadmit.Policy{Slots: 1}))
+		var batch, online frameRecorder
+		var wg sync.WaitGroup
+		wg.Go(func() { assert.NilError(t, g.Run(t.Context(), batchCall("b", 6), batch.send)) })
+		time.Sleep(35 * time.Millisecond)
+		wg.Go(func() { assert.NilError(t, g.Run(t.Context(), onlineCall("o", 5), online.send)) })
+		time.Sleep(25 * time.Millisecond)
+		engine.mu.Lock()
+		engine.version = "b"
+		engine.mu.Unlock()
+		wg.Wait()
+		assert.Equal(t, batch.last().GetKind(), cicadawire.FrameKind_LAST)
+		assert.Equal(t, batch.text(), "b0 b1 b2 b3 b4 b5 ")
+		assert.Equal(t, g.Load().GetSoftwareVersion(), "b", "entries learn of the version")
+	})
+}
+
 func TestNonIdempotentBatchIsNotPreempted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		engine := &fakeEngine{}
--- a/cicadaagent/cicadagate/output.go
+++ b/cicadaagent/cicadagate/output.go
@@ -23,28 +23,40 @@
 	buffered     []cicadaengine.Chunk
 	bufferedText []byte
 	recorded     []cicadaengine.Chunk
+	runs         int // at the engine
 }
 
 func (f *frameWriter) isBuffered() bool { return f.call.GetClass() == cicadawire.CallClass_BATCH }
 
 // nextCall returns the call for the engine's next run: the original call, or, after
-// a preemption, one that resumes after the buffered chunks. If the call cannot be
-// resumed, the buffered chunks are discarded and it starts again.
+// a preemption, one that resumes after the buffered chunks at the version that sent them.
+// If the call cannot be resumed, the buffered chunks are discarded and it starts again.
 func (f *frameWriter) nextCall(canResume bool) *cicadawire.Call {
+	f.runs++
 	if len(f.buffered) == 0 {
 		return f.call
 	}
-	if !canResume || f.call.GetService() != "" {
-		f.gate.scope.Counter("batch_tokens_wasted").Inc(int64(len(f.buffered)))
-		f.buffered, f.bufferedText = nil, nil
+	software := f.buffered[0].Software
+	if !canResume || f.call.GetService() != "" || !software.Proved {
+		f.discardBuffered()
 		return f.call
 	}
 	resumed := proto.Clone(f.call).(*cicadawire.Call)
+	resumed.Origin = &software.Version
 	resumed.ResumeFrom = f.call.GetResumeFrom() + int32(len(f.buffered))
 	resumed.ResumeText = append(append([]byte(nil), f.call.GetResumeText()...), f.bufferedText...)
 	return resumed
 }
 
+// discardBuffered discards the buffered chunks, so that the call starts again. It reports
+// whether there were any.
+func (f *frameWriter) discardBuffered() bool {
+	n := len(f.buffered)
+	f.gate.scope.Counter("batch_tokens_wasted").Inc(int64(n))
+	f.buffered, f.bufferedText = nil, nil
+	return n > 0
+}
+
 func (f *frameWriter) writeChunk(c cicadaengine.Chunk) error {
 	if _, tracked := attemptKeyOf(f.call); tracked {
 		f.recorded = append(f.recorded, c)
@@ -101,9 +113,13 @@
 		g.attempts.abandon(f.call)
 	}
 	var refused *cicadaengine.RefusedError
+	var other *cicadaengine.OtherVersionError
 	switch {
 	case err == nil:
 		return f.succeed(result)
+	case errors.As(err, &other):
+		g.attempts.forget(f.call)
+		return f.fail(CodeOtherVersion, other.Error(), f.runs == 1)
 	case errors.As(err, &refused):
 		g.attempts.forget(f.call)
 		return f.sendFrame(&cicadawire.Frame{
--- a/cicadadev/cicadahistory/world_test.go
+++ b/cicadadev/cicadahistory/world_test.go
@@ -589,7 +589,7 @@
 		return cicadaengine.Result{FinishReason: "stop"}, emit(cicadaengine.Chunk{Data: fmt.Appendf(nil, `{"run":%d}`, n)})
 	}
 	for range 3 {
-		if err := emit(cicadaengine.Chunk{Data: []byte("word ")}); err != nil {
+		if err := emit(cicadaengine.Chunk{Data: []byte("word "), Software: cicadaengine.Software{Proved: true}}); err != nil {
 			return cicadaengine.Result{}, err
 		}
 	}
--- a/cicadadev/cicadameasure/engine_test.go
+++ b/cicadadev/cicadameasure/engine_test.go
@@ -214,7 +214,7 @@
 				return cicadaengine.Result{FinishReason: "stop", OutputTokens: n}, nil
 			}
 			n++
-			if err := emit(cicadaengine.Chunk{Data: tokenData}); err != nil {
+			if err := emit(cicadaengine.Chunk{Data: tokenData, Software: cicadaengine.Software{Proved: true}}); err != nil {
 				return cicadaengine.Result{}, err
 			}
 		case <-ctx.Done():
