Continue outputs only at engine processes of the version that began them, at entries with agents

Cause: an entry chose where an output goes on by the version in the last load report of an agent. An idle engine that is restarted in place with another version is continued at until its agent has polled it and sent the next heartbeat, up to 2 s.

Change: a call that continues an output states its origin, and the agent sends it to a process of that version only. A call that continues an output without an origin is refused, as old entries send it: while entries and agents are upgraded one after the other, outputs that break off are not continued at new agents.

--- a/cicadaagent/cicadagate/gate.go
+++ b/cicadaagent/cicadagate/gate.go
@@ -189,6 +189,9 @@
 	if call.GetNonIdempotent() && call.GetBoot() != 0 && call.GetBoot() != g.boot {
 		return frames.reject(CodeRestarted, "agent has restarted since the call was sent")
 	}
+	if call.GetResumeFrom() > 0 && call.Origin == nil {
+		return frames.fail(CodeOtherVersion, "call continues an output whose software version it does not state", true)
+	}
 	if !g.attempts.begin(call) {
 		return frames.fail(CodeDuplicate, "a call with this key has already been recorded at this endpoint", false)
 	}
--- a/cicadaagent/cicadagate/gate_test.go
+++ b/cicadaagent/cicadagate/gate_test.go
@@ -212,6 +212,19 @@
 	assert.Assert(t, frames.last().GetNotRun())
 }
 
+// Guards against calls that continue an output of an unknown software version.
+func TestContinuationWithoutOriginIsNotRun(t *testing.T) {
+	engine := &fakeEngine{}
+	g := New("w", engine.engine())
+	call := onlineCall("o", 5)
+	call.ResumeFrom, call.ResumeText = 2, []byte("0 1 ")
+	var frames frameRecorder
+	assert.NilError(t, g.Run(t.Context(), call, frames.send))
+	assert.Equal(t, frames.last().GetCode(), CodeOtherVersion)
+	assert.Assert(t, frames.last().GetNotRun())
+	assert.Equal(t, len(engine.resumeFrom), 0)
+}
+
 // A gate rejects all orders until it knows the highest fencing number, and then
 // those with a lower number.
 func TestOrdersAreFenced(t *testing.T) {
--- a/cicadadev/cicadadeployment/deployment.go
+++ b/cicadadev/cicadadeployment/deployment.go
@@ -88,6 +88,7 @@
 	logs       io.Writer
 	logLevel   string
 	tokenTime  time.Duration
+	downTime   time.Duration
 	listen     string
 	resources  string
 	drainLimit time.Duration
@@ -115,6 +116,9 @@
 // WithTokenTime sets the interval at which the engines generate tokens.
 func WithTokenTime(d time.Duration) Option { return func(o *options) { o.tokenTime = d } }
 
+// WithDownTime sets how long an engine is unavailable after a crash.
+func WithDownTime(d time.Duration) Option { return func(o *options) { o.downTime = d } }
+
 // WithListen sets the address at which the first entry serves callers.
 func WithListen(address string) Option { return func(o *options) { o.listen = address } }
 
@@ -130,7 +134,7 @@
 		memory: cicadaplatform.NewMemory(),
 		opts: options{
 			entries: 2, engines: 3, ledgers: 2, logs: io.Discard, logLevel: "error",
-			tokenTime: 5 * time.Millisecond, listen: loopbackAddress, resources: demoConfig, drainLimit: 5 * time.Second,
+			tokenTime: 5 * time.Millisecond, downTime: time.Second, listen: loopbackAddress, resources: demoConfig, drainLimit: 5 * time.Second,
 		},
 	}
 	for _, opt := range opts {
@@ -187,11 +191,14 @@
 }
 
 func (d *Deployment) serve(h http.Handler) (string, error) {
+	return d.runServer(&http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout})
+}
+
+func (d *Deployment) runServer(server *http.Server) (string, error) {
 	ln, err := net.Listen("tcp", loopbackAddress)
 	if err != nil {
 		return "", merry.Errorf("listen: %w", err)
 	}
-	server := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
 	d.servers = append(d.servers, server)
 	d.tasks.Go(func() { _ = server.Serve(ln) })
 	return "http://" + ln.Addr().String(), nil
@@ -203,8 +210,10 @@
 		version = d.opts.versions[n]
 	}
 	engine := cicadastandin.NewEngine(cicadastandin.WithModels(Model), cicadastandin.WithTokenTime(d.opts.tokenTime),
-		cicadastandin.WithSoftwareVersion(version))
-	address, err := d.serve(engine.Handler())
+		cicadastandin.WithSoftwareVersion(version), cicadastandin.WithDownTime(d.opts.downTime))
+	address, err := d.runServer(&http.Server{
+		Handler: engine.Handler(), ReadHeaderTimeout: readHeaderTimeout, ConnState: engine.ConnState,
+	})
 	if err != nil {
 		return err
 	}
--- a/cicadaentry/cicadadispatch/dispatcher.go
+++ b/cicadaentry/cicadadispatch/dispatcher.go
@@ -21,7 +21,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync/atomic"
@@ -50,6 +49,7 @@
 	codeRefused           = "refused"
 	codeStopped           = "stopped"
 	codeRestarted         = "restarted"
+	codeOtherVersion      = "other-version"
 )
 
 // Default limits.
@@ -305,7 +305,8 @@
 // endpoints named in exclude have been tried. A batch attempt uses none of them. An
 // online attempt uses them only if no other endpoint is available, and never the
 // one tried last. If began is not nil, the request continues an output, which only endpoints
-// of that software version can do.
+// of that software version can do. Their last load reports say which they are; the agent
+// checks it when it sends the call to the engine.
 func (d *Dispatcher) selectEndpoint(req *Request, exclude []string, began *string) (target, error) {
 	var endpoints []*cicadafleet.Endpoint
 	var views []cicadaroute.EndpointView
@@ -386,6 +387,7 @@
 	call.ResumeFrom = r.chunks
 	call.ResumeText = r.resumeText
 	if r.chunks > 0 {
+		call.Origin = r.began
 		call.Urgency = resumeUrgency
 	}
 	if deadline, ok := ctx.Deadline(); ok {
@@ -393,9 +395,3 @@
 	}
 	return call
 }
-
-// isDialError reports whether the connection failed, so that the call was not sent.
-func isDialError(err error) bool {
-	var dialErr *cicadawire.DialError
-	return errors.As(err, &dialErr)
-}
--- a/cicadaentry/cicadadispatch/settle.go
+++ b/cicadaentry/cicadadispatch/settle.go
@@ -68,6 +68,8 @@
 		return outcome{err: notStartedError(cicadaerror.Unavailable, last, wait), notRun: notRun, retryable: true, budgetExempt: true}
 	case codeBusy, codeEngineUnreachable, codeRestarted:
 		return outcome{err: notStartedError(cicadaerror.Overloaded, last, wait), notRun: notRun, retryable: true, budgetExempt: last.GetCode() != codeBusy}
+	case codeOtherVersion:
+		return outcome{err: notStartedError(cicadaerror.Overloaded, last, wait), notRun: notRun}
 	case codeStopped:
 		return outcome{err: r.uncertainError(cicadaerror.Unavailable, last.GetMessage()), retryable: true, budgetExempt: true}
 	case codeCrashed:
@@ -153,3 +155,9 @@
 	r.d.RecordCrash(crash)
 	r.d.notices.Crash(crash)
 }
+
+// isDialError reports whether the connection failed, so that the call was not sent.
+func isDialError(err error) bool {
+	var dialErr *cicadawire.DialError
+	return errors.As(err, &dialErr)
+}
