Record the origin of an output from the process that began it, at entries with agents

Cause: the origin of an output was the version in the agent's last load report when the attempt began. An engine that was restarted in place with another version begins outputs before it is reported, and an agent that has just started reports "" until its first poll. Such outputs had a wrong origin, and went on at processes of that version, which were right to accept them.

Change: the first frame of a run states the version of the process that sends it, and the entry records it. An attempt that continues an output has to state the same version, or none of it is passed on (outputs_of_other_version). An output whose first frame states none, from an old agent or from an engine whose version cannot be proved, is not continued; a batch item begins again then. Reports only select endpoints.

Conclusion: no belief from a report decides any more which version an output is of.

--- a/cicadaagent/cicadagate/output.go
+++ b/cicadaagent/cicadagate/output.go
@@ -75,6 +75,9 @@
 		frame.Kind = cicadawire.FrameKind_HEAD
 		frame.Status, frame.Headers = int32(c.Status), c.Headers
 	}
+	if f.index == 0 && c.Software.Proved {
+		frame.SoftwareVersion = &c.Software.Version
+	}
 	return f.sendFrame(frame)
 }
 
--- a/cicadadev/cicadadeployment/upgrade_test.go
+++ b/cicadadev/cicadadeployment/upgrade_test.go
@@ -56,3 +56,15 @@
 	d.Engine(engine).Crash()
 	tasks.Wait()
 }
+
+// Guards against streams that are taken for the output of the version that their engine had
+// before it was restarted.
+func TestStreamBegunAtUpgradedEngineStaysThere(t *testing.T) {
+	d := startUpgradeDeployment(t)
+	d.restart(t, 0, "v2")
+	d.restart(t, 1, "v2")
+	engine, tasks := d.startStream(t, "v2")
+	d.restart(t, 1-engine, "v1")
+	d.Engine(engine).Crash()
+	tasks.Wait()
+}
--- a/cicadaentry/cicadadispatch/run.go
+++ b/cicadaentry/cicadadispatch/run.go
@@ -30,7 +30,7 @@
 	resumeText []byte
 	headSent   bool
 	mayHaveRun bool
-	began      *string // software version that sent the first chunk, or nil
+	began      *string // software version that sent the first chunk, or nil if not proved
 	// resumeDeadline is when an interrupted request is no longer resumed. It is
 	// set by the first call of waitToResume.
 	resumeDeadline time.Time
@@ -48,7 +48,6 @@
 	sinkErr   error
 	cancel    context.CancelFunc
 	peeked    *cicadawire.Frame
-	version   string // of the engine's software when the attempt began
 	nextIndex int32
 }
 
@@ -103,7 +102,7 @@
 // for a short time. It reports false if the request cannot be resumed
 // or has been waiting for maxResumeWait.
 func (r *run) waitToResume(ctx context.Context) bool {
-	if (r.chunks == 0 && !r.mayHaveRun) || r.headSent || r.nonIdempotent() || r.resumeTextFull() || r.isBatch() {
+	if (r.chunks == 0 && !r.mayHaveRun) || r.nonIdempotent() || !r.canContinue() || r.isBatch() {
 		return false
 	}
 	now := r.d.now()
@@ -171,7 +170,7 @@
 	if r.nonIdempotent() && !end.notRun {
 		return false
 	}
-	if r.headSent || r.resumeTextFull() {
+	if !r.canContinue() {
 		return false
 	}
 	if r.isBatch() {
@@ -180,10 +179,6 @@
 	return end.budgetExempt || r.d.retryBudget.Take()
 }
 
-// resumeTextFull reports whether the response so far has reached maxResumeTextBytes,
-// so that the stream cannot be resumed.
-func (r *run) resumeTextFull() bool { return r.chunks > 0 && len(r.resumeText) >= maxResumeTextBytes }
-
 // runAttempt makes one attempt, and hedges it if its first frame is late.
 func (r *run) runAttempt(ctx context.Context, selected target, suspect bool) outcome {
 	primary := r.start(ctx, selected, suspect)
@@ -265,7 +260,6 @@
 	ctx, cancel := context.WithCancel(ctx)
 	a := &attempt{
 		endpoint:  selected.endpoint,
-		version:   selected.endpoint.SoftwareVersion(),
 		startedAt: r.d.now(),
 		tracked:   selected.endpoint.BeginAttempt(r.isBatch()),
 		call:      r.d.attemptCall(ctx, r, selected.endpoint.Boot(), suspect),
@@ -361,6 +355,10 @@
 		case cicadawire.FrameKind_LAST, cicadawire.FrameKind_ERROR:
 			return frame
 		}
+		if !r.recordOrigin(frame) {
+			r.d.scope.Counter("outputs_of_other_version").Inc(1)
+			return nil
+		}
 		if err := r.deliver(a, frame); err != nil {
 			a.sinkErr = err
 			return nil
@@ -379,9 +377,6 @@
 		r.headSent = true
 	} else {
 		r.chunks++
-		if r.began == nil {
-			r.began = &a.version
-		}
 		if !r.nonIdempotent() && !r.headSent && len(r.resumeText) < maxResumeTextBytes {
 			r.resumeText = append(r.resumeText, frame.GetData()...)
 		}
