Keep the versions of endpoints where they outlive all processes

What callers could see: streams go on at another version (ORDER) after all processes were killed at once while a version left. Cause: which versions may have streams in progress was kept in memory only. Processes that were all started anew know what is registered now, agree on it, and confirm to each other that one version serves. Records of origins die with their holders as well. Change: the versions are an object of the store, written by one process when a version appears, or has left for longer than streams last. A process reads it at its start, and takes no version for the only one before that. Cost: one read of the store for each start of a process, and one write for each change.

--- a/cicadagateway/cicadaorigin/fleet_test.go
+++ b/cicadagateway/cicadaorigin/fleet_test.go
@@ -36,6 +36,7 @@
 	mu        sync.Mutex // guards the state of members
 	endpoints []cicadaview.Endpoint
 	members   []*testMember
+	history   History // as a member has stored it
 }
 
 type testMember struct {
@@ -64,6 +65,7 @@
 	tracker = NewTracker(m.name, m.versions, WithSend(func(to string, message Message) { f.deliver(m, tracker, to, message) }))
 	m.tracker = tracker
 	f.mu.Unlock()
+	m.versions.SetHistory(f.history)
 	m.versions.SetEndpoints(f.endpoints)
 	f.introduce(m)
 }
--- a/cicadagateway/cicadaorigin/versions.go
+++ b/cicadagateway/cicadaorigin/versions.go
@@ -1,6 +1,8 @@
 package cicadaorigin
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,6 +34,49 @@
 	peers        map[string]uint64 // digests of live members
 	disagree     int               // members whose digest differs
 	isolated     bool
+	// awaitsHistory is set until the versions are known that were registered before this process
+	// started, see AwaitHistory.
+	awaitsHistory bool
+}
+
+// A History holds the versions of each service that may have streams in progress. It is kept
+// where it outlives the members, since all of them may be lost at once.
+type History map[string][]string
+
+// AwaitHistory makes the versions uncertain until SetHistory is called.
+func (v *Versions) AwaitHistory() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.awaitsHistory = true
+}
+
+// SetHistory adds versions that may have streams from before this process was started.
+func (v *Versions) SetHistory(h History) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.awaitsHistory = false
+	now := time.Now()
+	for service, versions := range h {
+		if v.services[service] == nil {
+			v.services[service] = make(map[string]time.Time)
+		}
+		for _, version := range versions {
+			v.services[service][version] = now
+		}
+	}
+	v.updateDigest(now)
+}
+
+// History returns the versions that may have streams in progress.
+func (v *Versions) History() History {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.updateDigest(time.Now())
+	h := make(History, len(v.services))
+	for service, versions := range v.services {
+		h[service] = slices.Sorted(maps.Keys(versions))
+	}
+	return h
 }
 
 // An Incarnation is one process of an endpoint.
@@ -237,5 +282,5 @@
 
 func (v *Versions) uncertain() bool {
 	unheard := len(v.peers) == 0 && time.Since(v.startedAt) < startTime
-	return v.isolated || v.disagree > 0 || unheard
+	return v.isolated || v.disagree > 0 || unheard || v.awaitsHistory
 }
--- a/cicadagateway/cicadaprocess/origins.go
+++ b/cicadagateway/cicadaprocess/origins.go
@@ -32,6 +32,7 @@
 func (n *Node) setEndpoints(all []cicadaview.Endpoint) {
 	if n.versions.SetEndpoints(all) {
 		n.notifyPeers()
+		n.history.signal()
 	}
 	n.origins.Update()
 	n.table.SetEndpoints(all)
--- a/cicadagateway/cicadaprocess/process.go
+++ b/cicadagateway/cicadaprocess/process.go
@@ -76,6 +76,7 @@
 	refusals         *refusals
 	versions         *cicadaorigin.Versions
 	origins          *cicadaorigin.Tracker
+	history          *versionHistory
 	refusalsReported tally.Counter
 	drainLimit       atomic.Int64              // longest time of a graceful shutdown, in nanoseconds
 	leaving          atomic.Bool               // this process is shutting down
@@ -117,6 +118,7 @@
 	n.versions = cicadaorigin.NewVersions()
 	n.origins = cicadaorigin.NewTracker(cfg.Name, n.versions, cicadaorigin.WithSend(n.sendOriginMessage),
 		cicadaorigin.WithScope(p.Scope()), cicadaorigin.WithLog(p.Log()))
+	n.history = newVersionHistory(n.store, n.versions, n.log)
 	connectionsOpened := p.Scope().Counter("endpoint_connections")
 	n.client = cicadaexchange.NewClient(cicadaexchange.WithOnConnect(func() { connectionsOpened.Inc(1) }), cicadaexchange.WithOnLost(n.table.RecordLost),
 		cicadaexchange.WithIdentification(cicadaexchange.Identification{Target: adapter.ReportPath, Decode: adapter.DecodeReportedStart}))
@@ -170,6 +172,9 @@
 		isCleaner: func() bool { return group.IsCoordinator(n.storeUp.Load()) },
 	}
 	n.directory.start(ctx)
+	n.history.isWriter = n.directory.isCleaner
+	n.history.onRead = n.notifyPeers
+	n.history.start(ctx)
 	return nil
 }
 
