Reread accepted jobs if jobs moved before the store had answered

Cause: a job whose submission the store answers late was taken for new, with complete results in memory, whatever happened in the meantime. If the watch had not reported it yet, a renewal of the ownership (another owner may have run jobs of this one, as after a suspension) passed it by, and readers were then answered from memory, without results that the other owner may have listed and shown.

Evidence: TestJobThatMovesWhileItIsAcceptedIsReadAgain, answer first, renews the ownership between the write and the answer; it fails before (no reads of the store for lateWriteWindow) and passes now. The tests of the package pass with -race.

Conclusion: an accepted job is new only under the assignment of jobs under which its submission began.

--- a/cicadagateway/cicadabatch/submit.go
+++ b/cicadagateway/cicadabatch/submit.go
@@ -58,23 +58,21 @@
 	o.log.Info("job accepted", "job", c.Job, "items", len(items), "repeat", err != nil, "took", time.Since(now).String())
 	if err == nil {
 		o.enqueue(func() {
-			if j := o.jobs[c.Job]; j != nil {
-				o.applyAccepted(j, items, now, assignments)
-			} else {
+			if o.jobs[c.Job] == nil {
 				j := o.addJob(c.Job, r, now)
-				j.version = obj.Version()
-				j.loaded = true // a new job has no results to load
+				j.version, j.ownedSince = obj.Version(), time.Now()
 				j.record.Parts = parts
 			}
+			o.applyAccepted(o.jobs[c.Job], items, now, assignments)
 			o.Wake()
 		})
 	}
 	return Response{Status: http.StatusAccepted}
 }
 
-// applyAccepted completes a job that this process has stored and that the watch has reported
-// before the store's answer. Unless jobs may have moved since the given number of assignments,
-// the job has been here from the beginning, and its results in memory are complete.
+// applyAccepted completes a job that this process has stored; the watch may have reported it before
+// the store's answer. Unless jobs may have moved since the given number of assignments, the job
+// has been here from the beginning, and its results in memory are complete.
 func (o *Owner) applyAccepted(j *job, items []adapter.Item, acceptedAt time.Time, assignments int) {
 	j.acceptedAt, j.clockSkew = acceptedAt, 0
 	if o.assignments != assignments || j.bodiesMissing && j.setBodies(items) != nil {
--- a/cicadagateway/cicadabatch/submit_test.go
+++ b/cicadagateway/cicadabatch/submit_test.go
@@ -90,7 +90,7 @@
 // TestJobThatMovesWhileItIsAcceptedIsReadAgain guards against results that callers have read and that
 // are missing at an owner whose submission was stored late: another owner may have listed them.
 func TestJobThatMovesWhileItIsAcceptedIsReadAgain(t *testing.T) {
-	for name, watchFirst := range map[string]bool{"watch first": true} {
+	for name, watchFirst := range map[string]bool{"answer first": false, "watch first": true} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				d := newTestDeployment()
