--- a/cicadagateway/cicadaorigin/incarnation_test.go
+++ b/cicadagateway/cicadaorigin/incarnation_test.go
@@ -82,3 +82,21 @@
 		assert.Assert(t, ok && version == "v2")
 	})
 }
+
+// Guards against a late record of unknown version that replaces the one with the version, and
+// against streams of incarnations that never register and are kept without end.
+func TestUnknownVersionsGiveWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tracker := NewTracker("me", NewVersions())
+		found := Origin{Service: "s", Version: "v2"}
+		tracker.Receive(Message{Records: []Record{{Stream: "stream", Origin: found}}})
+		tracker.Receive(Message{Records: []Record{{Stream: "stream", Origin: unknownVersion}}})
+		origin, ok := tracker.Origin("stream")
+		assert.Assert(t, ok)
+		assert.Equal(t, origin, found)
+		assert.NilError(t, tracker.BeginUnregistered(t.Context(), "other", "s", Incarnation{Endpoint: "e", StartedMs: 2}))
+		time.Sleep(Lifetime + time.Second)
+		tracker.Update()
+		assert.Equal(t, len(tracker.unregistered), 0)
+	})
+}
--- a/cicadagateway/cicadaplace/refusal_test.go
+++ b/cicadagateway/cicadaplace/refusal_test.go
@@ -238,3 +238,32 @@
 		check("s", "v2", nil)
 	})
 }
+
+// Guards against outputs that are tried again and again at an endpoint which has stated another
+// start than the registered one, and against new requests that avoid it.
+func TestOtherIncarnationContinuesNothingUntilItIsRegistered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := NewTable("me")
+		set := func(startedMs int64) {
+			table.SetEndpoints([]cicadaview.Endpoint{{ID: "e", Service: "s", Slots: 4, SoftwareVersion: "v1", StartedMs: startedMs}})
+		}
+		acquire := func(continues bool) error {
+			grant, err := table.Acquire(t.Context(), SlotRequest{Service: "s", Continues: continues, Version: "v1"})
+			if err == nil {
+				grant.Release()
+			}
+			return err
+		}
+		set(1000)
+		grant, err := table.Acquire(t.Context(), SlotRequest{Service: "s"})
+		assert.NilError(t, err)
+		grant.RecordOtherIncarnation()
+		assert.ErrorIs(t, acquire(true), ErrNoEndpoint)
+		assert.NilError(t, acquire(false), "it serves what begins")
+		set(2000)
+		assert.NilError(t, acquire(true))
+		grant.RecordOtherIncarnation()
+		assert.NilError(t, acquire(true), "another registration was meant")
+		grant.Release()
+	})
+}
--- a/cicadagateway/cicadarelay/rerouted_test.go
+++ b/cicadagateway/cicadarelay/rerouted_test.go
@@ -60,3 +60,23 @@
 		assert.Equal(t, present, 1, "endpoints that may be used")
 	})
 }
+
+// Guards against a stream that breaks off though the endpoint at which it began has registered
+// meanwhile, so that its version is known.
+func TestStreamGoesOnOnceItsIncarnationIsRegistered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRestartedFleet(t, 3)
+		f.restart("e0:1", process{"v2", 2000})
+		f.restart("e1:1", process{"v2", 2001})
+		config, calls := f.relay.config(), 0
+		f.relay.config = func() *cicadaview.Config {
+			if calls++; calls == 2 { // after the first event
+				f.register()
+			}
+			return config
+		}
+		_, _, text, complete := postWithID(t.Context(), f.relay, "id", "/p/7", "body")
+		assert.Assert(t, complete)
+		assert.Equal(t, text, "id: 1\ndata: v2\n\nid: 2\ndata: v2\n\n")
+	})
+}
