Ask endpoints for their start again soon after they have failed to state it

Cause: one garbled report made an entry use the endpoint without its start for 5 s, and a pooled connection on which a start was refused stayed unidentified. What begins there cannot be continued elsewhere. Change: a report that is broken is asked for once more on another connection; an endpoint that refuses or delays it is asked again after 1 s, also on connections that are in use. Evidence: the cases garbled, garbled-once and of-another-request of TestIncarnations.

--- a/cicadagateway/cicadaexchange/incarnation.go
+++ b/cicadagateway/cicadaexchange/incarnation.go
@@ -53,15 +53,12 @@
 		if !cn.reused {
 			opened++
 		}
-		if !cn.identified && (opened > maxIdentified || c.starts.skipped(address)) {
-			cn.identified, cn.startedMs = true, c.starts.unstated(address)
-		}
+		c.prepare(cn, opened)
 		if err := c.identify(ctx, cn, req.EchoHeader); err != nil {
 			c.abandon(cn)
-			if req.StartedMs != 0 || ctx.Err() != nil {
+			if ctx.Err() != nil || req.StartedMs != 0 && (opened >= maxIdentified || c.starts.skipped(address)) {
 				return nil, err
 			}
-			c.starts.skip(address)
 			continue
 		}
 		switch {
@@ -76,6 +73,18 @@
 	}
 }
 
+// prepare decides whether the endpoint is asked for its start on a connection, the last of those that
+// were opened for a request. It is asked again where it has not stated its start before.
+func (c *Client) prepare(cn *conn, opened int) {
+	skipped := opened > maxIdentified || c.starts.skipped(cn.address)
+	switch {
+	case skipped && !cn.identified:
+		cn.identified, cn.startedMs = true, c.starts.unstated(cn.address)
+	case !skipped && cn.startedMs == UnknownStart:
+		cn.identified = false
+	}
+}
+
 // serves reports whether a connection leads to the incarnation that a request is meant for. One on
 // which the endpoint states no start does unless it replaces those of a process that has ended.
 func (cn *conn) serves(req Request) bool {
@@ -101,7 +110,8 @@
 	defer cancel()
 	stopCancel := context.AfterFunc(ctx, cn.cancel)
 	err := c.readReport(cn, echoHeader)
-	if !stopCancel() && err == nil {
+	if !stopCancel() {
+		c.starts.skip(cn.address) // it may be slow for all
 		err = ctx.Err()
 	}
 	if err != nil {
@@ -121,6 +131,7 @@
 	if err != nil {
 		return err
 	}
+	cn.startedMs = 0
 	if id := raw.Header.Get(echoHeader); id != "" {
 		return merry.Errorf("response belongs to request %s: %w", id, ErrInvalidResponse)
 	}
@@ -128,14 +139,16 @@
 	if err != nil {
 		return merry.Errorf("read report: %w", err)
 	}
+	cn.ended = raw.Close || cn.r.Buffered() > 0
 	if raw.StatusCode == http.StatusOK {
-		cn.startedMs = c.identification.Decode(body)
+		cn.startedMs = max(c.identification.Decode(body), 0)
 	}
-	if cn.startedMs == 0 {
-		cn.startedMs = c.starts.unstated(cn.address)
-	} else {
+	if cn.startedMs != 0 {
 		c.starts.record(cn.address)
+		return nil
+	}
+	if cn.startedMs = c.starts.unstated(cn.address); cn.startedMs == UnknownStart {
+		c.starts.skip(cn.address)
 	}
-	cn.ended = raw.Close || cn.r.Buffered() > 0
 	return nil
 }
--- a/cicadagateway/cicadaexchange/starts.go
+++ b/cicadagateway/cicadaexchange/starts.go
@@ -10,7 +10,7 @@
 	statedMemory = 10 * time.Minute
 	// reportSkipTime is how long endpoints at an address are not asked for their start after they
 	// have not responded.
-	reportSkipTime = 5 * time.Second
+	reportSkipTime = time.Second
 	// maxStatedAddresses is the number of addresses above which old ones are removed.
 	maxStatedAddresses = 1 << 12
 )
