--- a/cicadagateway/cicadaexchange/incarnation_test.go
+++ b/cicadagateway/cicadaexchange/incarnation_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,6 +24,7 @@
 // records the methods of the requests.
 type reportingEndpoint struct {
 	connections [][]string
+	mu          sync.Mutex
 	methods     []string
 }
 
@@ -38,7 +40,9 @@
 			if err != nil {
 				return
 			}
+			e.mu.Lock()
 			e.methods = append(e.methods, req.Method)
+			e.mu.Unlock()
 			_, _ = io.Copy(io.Discard, req.Body)
 			if response == "(silent)" {
 				break
