Split the tracker of origins by what its files are about

tracker.go had grown to 533 lines: messages, queries and streams at unregistered incarnations have files of their own. Declarations were moved and imports adapted, nothing else but one sentence of the package's comment.

--- a/cicadagateway/cicadaorigin/tracker.go
+++ b/cicadagateway/cicadaorigin/tracker.go
@@ -13,7 +13,7 @@
 //
 // The version of an endpoint is that of the incarnation which serves the stream, see
 // Incarnation. One that has not registered yet has a version that nobody knows, and a record
-// without a version says so until it has.
+// of unknown version says so until it has.
 //
 // # Usage
 //
@@ -32,15 +32,12 @@
 package cicadaorigin
 
 import (
-	"context"
 	"sync"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/hashicorp/go-hclog"
 	"github.com/uber-go/tally/v4"
-
-	"cicadalink.example/cicadakernel/cicadaview"
 )
 
 // ErrUnknown reports that nothing that was reached knows where a stream began.
@@ -65,41 +62,6 @@
 	maxMessageRecords = 64
 )
 
-// An Origin is the service and the version of its software that began a stream.
-type Origin struct {
-	_       struct{} `cbor:",toarray"`
-	Service string
-	Version string
-}
-
-// A Record is the origin of one stream.
-type Record struct {
-	_      struct{} `cbor:",toarray"`
-	Stream string   // id of the request that got the stream's first event
-	Origin Origin
-}
-
-// A Message is sent from one member to another.
-type Message struct {
-	// From is the name of the sender of a query or a reply.
-	From string `cbor:"1,keyasint,omitempty"`
-	// Records are to be kept by the receiver.
-	Records []Record `cbor:"2,keyasint,omitempty"`
-	// Query asks for the record of a stream.
-	Query string `cbor:"3,keyasint,omitempty"`
-	// Reply answers a query.
-	Reply *Reply `cbor:"4,keyasint,omitempty"`
-}
-
-// A Reply answers a query for the record of a stream.
-type Reply struct {
-	Stream string `cbor:"1,keyasint"`
-	// Origin is nil if the member has no record of the stream.
-	Origin *Origin `cbor:"2,keyasint,omitempty"`
-	// VersionsDigest is that of the versions that the member knows, see Versions.Digest.
-	VersionsDigest uint64 `cbor:"3,keyasint,omitempty"`
-}
-
 // A Tracker keeps the origins of the streams that this process serves, and of those that
 // other members have recorded here. It is safe for concurrent use.
 type Tracker struct {
@@ -124,13 +86,6 @@
 	recorded bool // at other members
 }
 
-// An unregisteredStream is a stream that began at an incarnation which was not registered then.
-type unregisteredStream struct {
-	service string
-	at      Incarnation
-	since   time.Time
-}
-
 // An Option configures a Tracker.
 type Option func(*Tracker)
 
@@ -184,59 +139,6 @@
 	}
 }
 
-// ErrUnrecorded reports that no other member has confirmed the record of a stream.
-var ErrUnrecorded = merry.Sentinel("cicadaorigin: origin not recorded")
-
-// BeginUnregistered records that a stream has begun at an incarnation of an endpoint that is not
-// registered yet. Until it is, the stream has an origin of unknown version, which no endpoint can
-// continue. If none of the members that are to keep the record confirms that in time, it fails with
-// ErrUnrecorded, and the caller must not get an event: the members would take the stream for
-// one of a version that they know.
-func (t *Tracker) BeginUnregistered(ctx context.Context, stream, service string, at Incarnation) error {
-	t.metrics.unregistered.Inc(1)
-	r := Record{Stream: stream, Origin: Origin{Service: service, Version: cicadaview.UnknownVersion}}
-	t.mu.Lock()
-	t.unregistered[stream] = unregisteredStream{service: service, at: at, since: time.Now()}
-	t.records.add(r, time.Now())
-	t.running[stream] = &runningStream{origin: r.Origin, recorded: true}
-	t.mu.Unlock()
-	if version, ok := t.versions.VersionOf(at); ok { // registered meanwhile
-		t.setVersion(stream, version)
-		return nil
-	}
-	if !t.confirm(ctx, r) {
-		t.forget(stream)
-		return ErrUnrecorded
-	}
-	return nil
-}
-
-// confirm sends a record to the members that are to hold it, until one of them has confirmed it. It
-// reports true if there are no other members.
-func (t *Tracker) confirm(ctx context.Context, r Record) bool {
-	q := &query{waiting: make(map[string]bool), done: make(chan struct{}), records: []Record{r}}
-	t.mu.Lock()
-	for _, member := range rank(r.Stream, t.members, holders) {
-		q.waiting[member] = true
-	}
-	alone := len(q.waiting) == 0
-	t.mu.Unlock()
-	if alone {
-		return true
-	}
-	t.metrics.recordsSent.Inc(int64(len(q.waiting)))
-	return t.await(ctx, r.Stream, q).origin != nil
-}
-
-// forget removes what this process knows of a stream.
-func (t *Tracker) forget(stream string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	delete(t.unregistered, stream)
-	delete(t.running, stream)
-	delete(t.records.byStream, stream)
-}
-
 // sendRecord sends a record to the members that are to hold it.
 func (t *Tracker) sendRecord(r Record) {
 	t.mu.Lock()
@@ -248,48 +150,6 @@
 	}
 }
 
-// updateUnregistered records the versions of streams whose incarnations have been registered since
-// the streams began.
-func (t *Tracker) updateUnregistered() {
-	now, found := time.Now(), make(map[string]string)
-	t.mu.Lock()
-	for stream, u := range t.unregistered {
-		version, ok := t.versions.VersionOf(u.at)
-		switch {
-		case ok:
-			found[stream] = version
-		case now.Sub(u.since) > Lifetime:
-			delete(t.unregistered, stream)
-		}
-	}
-	t.mu.Unlock()
-	for stream, version := range found {
-		t.setVersion(stream, version)
-	}
-}
-
-// setVersion records the version of a stream that began at an unregistered incarnation.
-func (t *Tracker) setVersion(stream, version string) {
-	t.mu.Lock()
-	u, ok := t.unregistered[stream]
-	if !ok {
-		t.mu.Unlock()
-		return
-	}
-	delete(t.unregistered, stream)
-	r := Record{Stream: stream, Origin: Origin{Service: u.service, Version: version}}
-	t.records.add(r, time.Now())
-	if s := t.running[stream]; s != nil {
-		s.origin = r.Origin
-	}
-	t.mu.Unlock()
-	t.log.Info("version of stream found", "stream", stream, "software-version", version)
-	t.sendRecord(r)
-}
-
-// Origin returns the origin of a stream that this process has served, as far as it is known by now.
-func (t *Tracker) Origin(stream string) (Origin, bool) { return t.known(stream) }
-
 // End records that this process no longer serves a stream. Its origin is still known.
 func (t *Tracker) End(stream string) {
 	t.mu.Lock()
@@ -323,184 +183,6 @@
 	}
 }
 
-// Find returns the origin of a stream that a caller resumes on a route with the given
-// services. It asks other members if necessary, and fails with ErrUnknown if none that
-// replies in time knows the stream.
-func (t *Tracker) Find(ctx context.Context, stream string, services []string) (Origin, error) {
-	own, ok := t.known(stream)
-	if ok && own.Version != cicadaview.UnknownVersion {
-		return t.found(stream, own, "own-record")
-	}
-	a := t.ask(ctx, stream)
-	switch {
-	case a.origin != nil:
-		return t.found(stream, *a.origin, "record-of-member")
-	case ok:
-		return t.found(stream, own, "own-record")
-	}
-	if len(services) == 1 && a.versionsConfirmed {
-		if version, ok := t.versions.Single(services[0]); ok {
-			return t.found(stream, Origin{Service: services[0], Version: version}, "single-version")
-		}
-	}
-	t.metrics.countLookup("unknown")
-	return Origin{}, ErrUnknown
-}
-
-func (t *Tracker) found(stream string, origin Origin, how string) (Origin, error) {
-	t.metrics.countLookup(how)
-	t.log.Info("origin found", "stream", stream, "by", how, "service", origin.Service, "software-version", origin.Version)
-	return origin, nil
-}
-
-func (t *Tracker) known(stream string) (Origin, bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.records.get(stream, time.Now())
-}
-
-// An answer is what other members say of a stream.
-type answer struct {
-	origin *Origin // nil if none has a record
-	// versionsConfirmed is set if a member knows the same versions as this one, and none
-	// knows others.
-	versionsConfirmed bool
-}
-
-// A query is a question to other members that waits for replies.
-type query struct {
-	waiting   map[string]bool // members that have not replied
-	enough    int             // replies without a record, of which one is from a holder
-	agreeing  int             // replies of members that know the same versions
-	disagrees bool            // whether a member knows other versions
-	origin    *Origin
-	records   []Record      // to be confirmed by the members that are asked
-	done      chan struct{} // closed when no more replies are needed
-	closed    bool
-}
-
-// add adds a reply of a member. digest is that of the versions that this member knows.
-func (q *query) add(from string, r Reply, digest uint64) {
-	if !q.waiting[from] {
-		return
-	}
-	delete(q.waiting, from)
-	switch r.VersionsDigest {
-	case 0: // the member has just started
-	case digest:
-		q.agreeing++
-	default:
-		q.disagrees = true
-	}
-	if r.Origin != nil && (q.origin == nil || q.origin.Version == cicadaview.UnknownVersion) {
-		q.origin = r.Origin
-	}
-	if len(q.waiting) == 0 || q.answered() {
-		q.finish()
-	}
-}
-
-// answered reports whether further replies cannot change the answer.
-func (q *query) answered() bool {
-	switch {
-	case q.origin == nil:
-		return len(q.records) == 0 && q.agreeing >= q.enough && !q.disagrees
-	case len(q.records) > 0:
-		return true
-	default:
-		return q.origin.Version != cicadaview.UnknownVersion
-	}
-}
-
-func (q *query) finish() {
-	if !q.closed {
-		q.closed = true
-		close(q.done)
-	}
-}
-
-// unnamedStream stands for a stream whose caller does not say which it is. No member has a
-// record of it.
-const unnamedStream = "-"
-
-// ask asks the members that the stream selects, until one knows it, enough have replied, or
-// the tries are used up. If there are no other members, what this one knows is confirmed.
-func (t *Tracker) ask(ctx context.Context, stream string) answer {
-	if stream == "" {
-		stream = unnamedStream
-	}
-	q := &query{waiting: make(map[string]bool), done: make(chan struct{})}
-	t.mu.Lock()
-	for _, member := range rank(stream, t.members, askedMembers) {
-		q.waiting[member] = true
-	}
-	if len(q.waiting) == 0 {
-		t.mu.Unlock()
-		return answer{versionsConfirmed: true}
-	}
-	q.enough = max(len(q.waiting)-holders+1, 1)
-	t.mu.Unlock()
-	return t.await(ctx, stream, q)
-}
-
-// await sends a query to its members until it is answered or the tries are used up.
-func (t *Tracker) await(ctx context.Context, stream string, q *query) answer {
-	t.mu.Lock()
-	t.queries[stream] = append(t.queries[stream], q)
-	t.mu.Unlock()
-	defer t.removeQuery(stream, q)
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	for tries := 0; ; {
-		select {
-		case <-q.done:
-			return t.answer(q)
-		case <-ctx.Done():
-			return answer{}
-		case <-timer.C:
-		}
-		if tries++; tries > lookupTries {
-			return t.answer(q)
-		}
-		for _, member := range t.unanswered(q) {
-			t.send(member, Message{From: t.self, Records: q.records, Query: stream})
-		}
-		timer.Reset(lookupInterval)
-	}
-}
-
-func (t *Tracker) unanswered(q *query) []string {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	members := make([]string, 0, len(q.waiting))
-	for member := range q.waiting {
-		members = append(members, member)
-	}
-	return members
-}
-
-func (t *Tracker) answer(q *query) answer {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return answer{origin: q.origin, versionsConfirmed: q.agreeing > 0 && !q.disagrees}
-}
-
-func (t *Tracker) removeQuery(stream string, q *query) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var rest []*query
-	for _, other := range t.queries[stream] {
-		if other != q {
-			rest = append(rest, other)
-		}
-	}
-	if len(rest) == 0 {
-		delete(t.queries, stream)
-		return
-	}
-	t.queries[stream] = rest
-}
-
 // Receive handles a message of another member.
 func (t *Tracker) Receive(m Message) {
 	now := time.Now()
@@ -524,10 +206,3 @@
 		t.send(m.From, Message{From: t.self, Reply: reply})
 	}
 }
-
-func (t *Tracker) applyReply(from string, r Reply) {
-	digest := t.versions.Digest()
-	for _, q := range t.queries[r.Stream] {
-		q.add(from, r, digest)
-	}
-}
