Add faults of connections, the store and processes to the soak, as the scenario disorder

Cause: the soak played no faults of the links to endpoints, no store that is silent, slow or late, no address that passes to another endpoint, no changed settings and no loss of all processes, and its callers never reused a connection.

Change: endpoints are reached through a proxy that delays, holds, silences, resets, cuts within an event and repeats whole answers; each process's front of the store can be silent, lose answers, limit calls, answer late or let watches lag. An endpoint's address may pass to another id, service or version. Half of the callers of streams keep connections. repeated-events plays events that come twice within a stream, which the protocol does not allow endpoints, so it is a scenario of its own. A new check: no stream is run by another service.

An endpoint that a fault has ended is not taken by another one, which would start it at an address that serves another; the draws of random stay as they were. An endpoint that is back registers only if it has not left.

--- a/cicadasoak/check.go
+++ b/cicadasoak/check.go
@@ -85,6 +85,9 @@
 	if stream != t.name || n != id {
 		c.violate("event of another stream", t.name, data)
 	}
+	if version == otherService {
+		c.violate("run by another service", t.name, data)
+	}
 	if id != t.last+1 {
 		c.violate("event missing or doubled", t.name, fmt.Sprintf("event %d follows event %d", id, t.last))
 	}
--- a/cicadasoak/check_test.go
+++ b/cicadasoak/check_test.go
@@ -26,6 +26,7 @@
 		"event of another stream":   replaced(3, eventData("other", "v1", 4)),
 		mixedVersions:               replaced(streamEvents-1, eventData("s", "v2", streamEvents)),
 		"not an event":              replaced(3, "x"),
+		"run by another service":    replaced(3, eventData("s", otherService, 4)),
 	} {
 		c := newChecks(hclog.NewNullLogger())
 		c.checkOutput("s", strings.Join(output, "\n"))
--- a/cicadasoak/endpoint.go
+++ b/cicadasoak/endpoint.go
@@ -27,15 +27,19 @@
 type endpoint struct {
 	id          string
 	statesStart bool // whether registrations and reports have the start
+	// taken is set while a fault keeps the endpoint from serving.
+	taken atomic.Bool
 
 	mu      sync.Mutex
 	address string
 	current *incarnation
+	proxy   *proxy // in front of it, or nil
 }
 
 // An incarnation is one lifetime of an endpoint, of one version of its software.
 type incarnation struct {
 	id, address, version string
+	reachedAt            string // the address that it registers
 	statesStart          bool
 	started              time.Time
 	slots                chan struct{}
@@ -63,6 +67,9 @@
 	e.address = ln.Addr().String()
 	i := newIncarnation(e.id, e.address, version, e.statesStart)
 	i.listener, i.server = ln, &http.Server{Handler: i}
+	if e.proxy != nil {
+		i.reachedAt = e.proxy.address()
+	}
 	e.current = i
 	go func() { _ = i.server.Serve(ln) }() // ends with crash
 	return nil
@@ -71,13 +78,20 @@
 // newIncarnation returns an incarnation that starts now and does not listen yet.
 func newIncarnation(id, address, version string, statesStart bool) *incarnation {
 	i := &incarnation{
-		id: id, address: address, version: version, statesStart: statesStart,
+		id: id, address: address, reachedAt: address, version: version, statesStart: statesStart,
 		started: time.Now(), slots: make(chan struct{}, endpointSlots),
 	}
 	i.running, i.cancel = context.WithCancel(context.Background())
 	return i
 }
 
+// putBehind lets the endpoint be reached through a proxy from its next registration on.
+func (e *endpoint) putBehind(p *proxy) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.proxy, e.current.reachedAt = p, p.address()
+}
+
 // incarnation returns the newest incarnation.
 func (e *endpoint) incarnation() *incarnation {
 	e.mu.Lock()
@@ -93,6 +107,11 @@
 	_ = i.server.Close()
 }
 
+// take reserves the endpoint for a fault that ends it and starts it again, unless another one has.
+func (e *endpoint) take() bool { return e.taken.CompareAndSwap(false, true) }
+
+func (e *endpoint) giveBack() { e.taken.Store(false) }
+
 // stated adds the start to what the incarnation says of itself, if it states its start.
 func (i *incarnation) stated(fields map[string]any) map[string]any {
 	if i.statesStart {
@@ -104,7 +123,7 @@
 // registration returns the next entry of the incarnation in the store.
 func (i *incarnation) registration(state string) map[string]any {
 	return i.stated(map[string]any{
-		"Service": service, "Addr": i.address, "Zone": "z-a", "Version": i.version, "Slots": endpointSlots, "State": state,
+		"Service": service, "Addr": i.reachedAt, "Zone": "z-a", "Version": i.version, "Slots": endpointSlots, "State": state,
 		"ColdLeftMs": 0, "Seq": i.heartbeats.Add(1),
 	})
 }
--- a/cicadasoak/process.go
+++ b/cicadasoak/process.go
@@ -83,6 +83,7 @@
 	gateway, template, logs    string
 	entries, owners, endpoints int
 	statesStart                bool // of the endpoints
+	proxied                    bool // endpoints are reached through proxies
 }
 
 // A deployment is the processes of the gateway and what surrounds them.
@@ -263,6 +264,13 @@
 		if err != nil {
 			return merry.Errorf("start endpoint: %w", err)
 		}
+		if d.cfg.proxied {
+			p, err := startProxy(e.address)
+			if err != nil {
+				return merry.Errorf("start proxy: %w", err)
+			}
+			e.putBehind(p)
+		}
 		d.mu.Lock()
 		d.endpoints = append(d.endpoints, e)
 		d.mu.Unlock()
--- a/cicadasoak/scenario.go
+++ b/cicadasoak/scenario.go
@@ -26,6 +26,7 @@
 	reportDelay time.Duration
 	releases    int          // of endpoints, including the first
 	config      atomic.Int64 // newest version of the configuration
+	passed      int          // addresses that passed to another endpoint
 	faults      sync.WaitGroup
 	// noStreams keeps callers from sending new streams.
 	noStreams atomic.Bool
@@ -35,6 +36,8 @@
 
 var scenarios = map[string]func(context.Context, *soak){
 	"random":                       func(ctx context.Context, s *soak) { s.playRandom(ctx) },
+	"disorder":                     func(ctx context.Context, s *soak) { s.playDisorder(ctx, disorders) },
+	"repeated-events":              func(ctx context.Context, s *soak) { s.playDisorder(ctx, repeats) },
 	"stopped-owners":               func(ctx context.Context, s *soak) { s.playStoppedOwners(ctx) },
 	"upgrades-in-place":            func(ctx context.Context, s *soak) { s.playUpgrades(ctx) },
 	"release-beside-stopped-entry": func(ctx context.Context, s *soak) { s.playRelease(ctx) },
@@ -137,7 +140,7 @@
 // playRandom keeps callers of all kinds busy while random faults overlap.
 func (s *soak) playRandom(ctx context.Context) {
 	stop := s.startCallers(ctx, streamCallers)
-	s.injectFaults(ctx)
+	s.injectFaults(ctx, faults)
 	cicadaretry.Sleep(ctx, calmTime)
 	stop()
 }
@@ -180,7 +183,7 @@
 }
 
 // injectFaults injects faults for the duration and waits until they are over.
-func (s *soak) injectFaults(ctx context.Context) {
+func (s *soak) injectFaults(ctx context.Context, faults []fault) {
 	for end := time.Now().Add(s.duration); time.Now().Before(end) && cicadaretry.Sleep(ctx, time.Duration(s.random.Int64N(int64(2*faultInterval)))); {
 		f := faults[s.random.IntN(len(faults))]
 		length := 300*time.Millisecond + time.Duration(s.random.Int64N(int64(3700*time.Millisecond)))
@@ -237,26 +240,44 @@
 	})
 }
 
+func (s *soak) anyEndpoint() *endpoint {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.endpoints[s.random.IntN(len(s.endpoints))]
+}
+
 // crashEndpoint crashes an endpoint and starts it again at its address.
 func (s *soak) crashEndpoint(ctx context.Context, length time.Duration) {
-	s.mu.Lock()
-	e := s.endpoints[s.random.IntN(len(s.endpoints))]
-	s.mu.Unlock()
+	e := s.anyEndpoint()
+	if !e.take() {
+		return
+	}
 	e.crash()
 	s.faults.Go(func() {
+		defer e.giveBack()
 		cicadaretry.Sleep(ctx, length)
-		if err := e.start(e.incarnation().version); err != nil {
-			s.log.Error("failed to start endpoint again", "endpoint", e.id, "error", err)
-			return
-		}
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		if slices.Contains(s.endpoints, e) {
-			s.register(e.incarnation(), "ready")
-		}
+		s.startAgain(e)
 	})
 }
 
+// startAgain starts an endpoint again with its version, and registers it unless it has left meanwhile.
+func (s *soak) startAgain(e *endpoint) {
+	if err := e.start(e.incarnation().version); err != nil {
+		s.log.Error("failed to start endpoint again", "endpoint", e.id, "error", err)
+		return
+	}
+	s.registerServing(e, e.incarnation())
+}
+
+// registerServing registers an incarnation of an endpoint unless the endpoint has left.
+func (s *soak) registerServing(e *endpoint, i *incarnation) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if slices.Contains(s.endpoints, e) {
+		s.register(i, "ready")
+	}
+}
+
 // drainTime is how long an endpoint serves after it has reported that it is draining.
 const drainTime = 4 * time.Second
 
--- a/cicadasoak/store.go
+++ b/cicadasoak/store.go
@@ -34,10 +34,17 @@
 
 type storeEvent struct {
 	kind    string
+	at      time.Time
 	Object  storedObject
 	Deleted bool
 }
 
+// A watchPage is the answer to a watch.
+type watchPage struct {
+	Events []storeEvent `json:"events"`
+	AsOf   int64
+}
+
 // A store is a stand-in of the platform's store, in memory.
 type store struct {
 	mu      sync.Mutex
@@ -54,12 +61,16 @@
 // A storeFront serves the store to one process, which it can refuse.
 type storeFront struct {
 	*store
+	storeFaults
 	refusing atomic.Bool
 }
 
 // ServeHTTP implements http.Handler.
 func (f *storeFront) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	time.Sleep(storeLatency)
+	if f.disturb(w, r) {
+		return
+	}
 	if f.refusing.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -72,13 +83,14 @@
 	parts := append(strings.Split(path, "/"), "", "")
 	kind, _ := url.PathUnescape(parts[0])
 	name, _ := url.PathUnescape(parts[1])
-	status, body := f.handle(r, kind, name, parts[2] == "status", f.refusing.Load)
+	status, body := f.handle(r, kind, name, parts[2] == "status", f)
+	f.hold(r)
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(body)
 }
 
-func (s *store) handle(r *http.Request, kind, name string, isStatus bool, refusing func() bool) (int, any) {
+func (s *store) handle(r *http.Request, kind, name string, isStatus bool, f *storeFront) (int, any) {
 	switch {
 	case r.Method != http.MethodGet:
 		return s.change(r, kind, name, isStatus)
@@ -89,8 +101,10 @@
 			return http.StatusOK, o
 		}
 		return http.StatusNotFound, nil
+	case r.URL.Query().Has("Watch") && f.lag.Load() > 0:
+		return s.watchLate(r, kind, time.Duration(f.lag.Load()))
 	case r.URL.Query().Has("Watch"):
-		return s.watch(r, kind, refusing)
+		return s.watch(r, kind, f.refusing.Load)
 	}
 	return s.list(kind, r.URL.Query().Get("After"))
 }
@@ -122,10 +136,7 @@
 	from, _ := strconv.ParseInt(q.Get("Watch"), 10, 64)
 	wait, _ := strconv.Atoi(q.Get("WaitMs"))
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
-	page := struct {
-		Events []storeEvent `json:"events"`
-		AsOf   int64
-	}{Events: []storeEvent{}}
+	page := watchPage{Events: []storeEvent{}}
 	for {
 		s.mu.Lock()
 		for _, e := range s.events {
@@ -198,7 +209,7 @@
 	} else {
 		s.kinds[kind][o.Meta.Name] = o
 	}
-	s.events = append(s.events, storeEvent{kind: kind, Object: o, Deleted: deleted})
+	s.events = append(s.events, storeEvent{kind: kind, at: time.Now(), Object: o, Deleted: deleted})
 	close(s.changed)
 	s.changed = make(chan struct{})
 	return o
