Let the soak's endpoints answer without a length, and crashes reset connections

Cause: the protocol lets an answer end with its connection; one that is reset is not complete. A crash closed the connections of the stand-ins, which would have looked like the end of such an answer.

Change: a fault 'endpoint answers without a length' in the scenario disorder. A crash of an endpoint behind a proxy resets its connections, and a proxy passes on a reset.

New test: connections through a proxy end with the incarnation that accepted them, and the next one registers the proxy's address.

--- a/cicadasoak/endpoint.go
+++ b/cicadasoak/endpoint.go
@@ -48,6 +48,8 @@
 	server               *http.Server
 	running              context.Context // done after a crash
 	cancel               context.CancelFunc
+	// unframed makes streams end with their connection.
+	unframed atomic.Bool
 }
 
 // startEndpoint starts an endpoint of a version at a new address.
@@ -104,6 +106,9 @@
 	i := e.incarnation()
 	i.cancel()
 	_ = i.listener.Close() // the server may not know it yet
+	if e.proxy != nil {
+		e.proxy.each((*link).reset)
+	}
 	_ = i.server.Close()
 }
 
@@ -171,6 +176,9 @@
 		return
 	}
 	h.Set("Content-Type", "text/event-stream")
+	if i.unframed.Load() {
+		h.Set("Transfer-Encoding", "identity")
+	}
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	i.sendEvents(r.Context(), w, stream, last)
 }
--- a/cicadasoak/faults.go
+++ b/cicadasoak/faults.go
@@ -36,6 +36,14 @@
 	{"answers of an endpoint held", disturbEndpoint(answersHeld)},
 	{"endpoint breaks off within events", disturbEndpoint(cutInEvent)},
 	{"endpoint answers twice", disturbEndpoint(answerDoubled)},
+	{"endpoint answers without a length", func(ctx context.Context, s *soak, length time.Duration) {
+		i := s.anyEndpoint().incarnation()
+		i.unframed.Store(true)
+		s.faults.Go(func() {
+			cicadaretry.Sleep(ctx, length)
+			i.unframed.Store(false)
+		})
+	}},
 	{"connections to an endpoint reset", func(_ context.Context, s *soak, _ time.Duration) { s.anyEndpoint().proxy.each((*link).reset) }},
 	{"connections to an endpoint stuck", func(_ context.Context, s *soak, _ time.Duration) { s.anyEndpoint().proxy.each((*link).stick) }},
 	{"address passes on", func(ctx context.Context, s *soak, length time.Duration) { s.passAddress(ctx, length) }},
--- a/cicadasoak/proxy.go
+++ b/cicadasoak/proxy.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"errors"
+	"io"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -140,7 +142,11 @@
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buf)
-		if n > 0 && !pass(buf[:n]) || err != nil {
+		if n > 0 && !pass(buf[:n]) || errors.Is(err, io.EOF) {
+			return
+		}
+		if err != nil {
+			l.reset()
 			return
 		}
 	}
--- a/cicadasoak/proxy_test.go
+++ b/cicadasoak/proxy_test.go
@@ -3,10 +3,13 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
+	"syscall"
 	"testing"
 
 	"github.com/hashicorp/go-hclog"
@@ -17,6 +20,10 @@
 	e, err := startEndpoint("e", "v1", true)
 	assert.NilError(t, err)
 	t.Cleanup(e.crash)
+	return proxyOf(t, e)
+}
+
+func proxyOf(t *testing.T, e *endpoint) *proxy {
 	p, err := startProxy(e.address)
 	assert.NilError(t, err)
 	t.Cleanup(p.close)
@@ -102,6 +109,71 @@
 	assert.NilError(t, <-result)
 }
 
+// TestResetOfAnAnswerWithoutALength shows that a crash does not look like the end of the answer.
+func TestResetOfAnAnswerWithoutALength(t *testing.T) {
+	e, err := startEndpoint("e", "v1", true)
+	assert.NilError(t, err)
+	e.incarnation().unframed.Store(true)
+	e.putBehind(proxyOf(t, e))
+	checks, err := e.proxy.stream(t)
+	assert.NilError(t, err)
+	assert.Equal(t, len(checks.violations), 0)
+	result := make(chan error, 1)
+	go func() {
+		_, err := e.proxy.stream(t)
+		result <- err
+	}()
+	for answering := false; !answering; {
+		e.proxy.each(func(l *link) {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			answering = answering || len(l.answer) > 0
+		})
+		runtime.Gosched()
+	}
+	e.crash()
+	assert.Assert(t, <-result != nil)
+}
+
+// TestConnectionsThroughAProxyEndWithTheIncarnation guards against proxied connections that outlive the
+// process that accepted them, and against restarted endpoints that register another address than the proxy's.
+func TestConnectionsThroughAProxyEndWithTheIncarnation(t *testing.T) {
+	e, err := startEndpoint("e", "v1", true)
+	assert.NilError(t, err)
+	t.Cleanup(func() { e.crash() })
+	p := proxyOf(t, e)
+	e.putBehind(p)
+	assert.Equal(t, e.incarnation().registration("ready")["Addr"], p.address())
+	conn, err := net.Dial("tcp", p.address())
+	assert.NilError(t, err)
+	defer conn.Close()
+	r := bufio.NewReader(conn)
+	// ask asks for the report on the connection, and returns the start that it states.
+	ask := func() any {
+		_, err := io.WriteString(conn, "GET "+reportPath+" HTTP/1.1\r\nHost: h\r\n\r\n")
+		assert.NilError(t, err)
+		res, err := http.ReadResponse(r, nil)
+		assert.NilError(t, err)
+		var report map[string]any
+		assert.NilError(t, json.NewDecoder(res.Body).Decode(&report))
+		return report["born"]
+	}
+	assert.Equal(t, ask(), float64(e.incarnation().started.UnixMilli()))
+	assert.Equal(t, ask(), float64(e.incarnation().started.UnixMilli())) // the connection is kept
+	e.crash()
+	_, err = r.ReadByte()
+	assert.ErrorIs(t, err, syscall.ECONNRESET)
+	assert.NilError(t, e.start("v2"))
+	registration := e.incarnation().registration("ready")
+	assert.Equal(t, registration["Addr"], p.address())
+	res, err := http.Get("http://" + registration["Addr"].(string) + reportPath)
+	assert.NilError(t, err)
+	defer res.Body.Close()
+	var report map[string]any
+	assert.NilError(t, json.NewDecoder(res.Body).Decode(&report))
+	assert.Equal(t, report["born"], float64(registration["born"].(int64)))
+}
+
 // TestAddressPassesOn shows that new connections reach the next endpoint.
 func TestAddressPassesOn(t *testing.T) {
 	p := startProxied(t)
