Play the loss of all processes beside a version that leaves

Cause: the scenario disorder kills all processes at once, and versions leave, but never at the same moment.

Change: the scenario all-killed. Streams begin at one version, the next is released, then all processes are killed and all endpoints of the first version end. Callers resume as soon as an entry is back.

--- a/cicadasoak/scenario.go
+++ b/cicadasoak/scenario.go
@@ -38,6 +38,7 @@
 	"random":                       func(ctx context.Context, s *soak) { s.playRandom(ctx) },
 	"disorder":                     func(ctx context.Context, s *soak) { s.playDisorder(ctx, disorders) },
 	"repeated-events":              func(ctx context.Context, s *soak) { s.playDisorder(ctx, repeats) },
+	"all-killed":                   func(ctx context.Context, s *soak) { s.playAllKilled(ctx) },
 	"stopped-owners":               func(ctx context.Context, s *soak) { s.playStoppedOwners(ctx) },
 	"upgrades-in-place":            func(ctx context.Context, s *soak) { s.playUpgrades(ctx) },
 	"release-beside-stopped-entry": func(ctx context.Context, s *soak) { s.playRelease(ctx) },
