--- a/cicadasoak/faults.go
+++ b/cicadasoak/faults.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -15,7 +16,7 @@
 )
 
 // proxied are the scenarios in which endpoints are reached through proxies.
-var proxied = map[string]bool{"disorder": true, "repeated-events": true}
+var proxied = map[string]bool{"disorder": true, "repeated-events": true, "late-reads": true}
 
 // otherService is the service, and the version, of endpoints that take over an address.
 const otherService = "other"
@@ -67,6 +68,14 @@
 	{"older events again", disturbEndpoint(eventAgain)},
 }
 
+// lateReads are the faults that make processes know releases at different times.
+var lateReads = slices.DeleteFunc(slices.Clone(disorders), func(f fault) bool {
+	return !slices.Contains([]string{
+		"watches late", "store silent", "store answers late", "store refuses one", "entry stopped", "release", "release beside a stopped entry",
+		"endpoint crash", "configuration",
+	}, f.kind)
+})
+
 // playDisorder keeps callers of all kinds busy, some on kept connections, while faults overlap.
 func (s *soak) playDisorder(ctx context.Context, of []fault) {
 	stop := s.startCallers(ctx, streamCallers-keepingCallers)
--- a/cicadasoak/main.go
+++ b/cicadasoak/main.go
@@ -48,7 +48,7 @@
 			&cli.StringFlag{Name: "settings", Value: "deploy/settings.yaml", Usage: "template of its settings"},
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "determines which faults come when"},
 			&cli.DurationFlag{Name: "duration", Value: 40 * time.Second, Usage: "time with faults, or of the upgrades"},
-			&cli.StringFlag{Name: "scenario", Value: "random", Usage: "random, disorder, repeated-events, all-killed, stopped-owners, release-beside-stopped-entry or upgrades-in-place"},
+			&cli.StringFlag{Name: "scenario", Value: "random", Usage: "random, disorder, late-reads, repeated-events, all-killed, stopped-owners, release-beside-stopped-entry or upgrades-in-place"},
 			&cli.DurationFlag{Name: "report-delay", Value: time.Second, Usage: "time from the start of an upgraded endpoint to its first report"},
 			&cli.BoolFlag{Name: "born", Value: true, Usage: "endpoints state their start in registrations and reports"},
 			&cli.StringFlag{Name: "logs", Usage: "keep the logs of the processes in this `FOLDER`"},
--- a/cicadasoak/scenario.go
+++ b/cicadasoak/scenario.go
@@ -37,6 +37,7 @@
 var scenarios = map[string]func(context.Context, *soak){
 	"random":                       func(ctx context.Context, s *soak) { s.playRandom(ctx) },
 	"disorder":                     func(ctx context.Context, s *soak) { s.playDisorder(ctx, disorders) },
+	"late-reads":                   func(ctx context.Context, s *soak) { s.playDisorder(ctx, lateReads) },
 	"repeated-events":              func(ctx context.Context, s *soak) { s.playDisorder(ctx, repeats) },
 	"all-killed":                   func(ctx context.Context, s *soak) { s.playAllKilled(ctx) },
 	"stopped-owners":               func(ctx context.Context, s *soak) { s.playStoppedOwners(ctx) },
