Take a start that was not stated for unknown wherever it is used

An incarnation that has not stated its start, at an address where others have, has the start -1. A leaving mark with it held for no registration, so that requests went on to an endpoint that had said that it leaves (DRAIN). And a stream that began in doubt was recorded without a member's confirmation. Change: marks fall back to the registered start; whatever begins at an unknown version is confirmed by a member before its caller gets an event. Grant.Version has one result. Evidence: the cases of TestIncarnationThatLeavesBeforeItIsRegisteredGetsNoRequests with an unstated start.

--- a/cicadagateway/cicadabatch/schedule.go
+++ b/cicadagateway/cicadabatch/schedule.go
@@ -249,7 +249,7 @@
 		}
 	}
 	o.log.Info("run ended", "item", it.ID, "job", it.job.id, "outcome", result.String(), "endpoint", grant.Endpoint().ID,
-		"software-version", grant.Endpoint().SoftwareVersion, "registered-start", grant.Endpoint().StartedMs, "start", grant.StartedMs(), "from-event", r.firstEvent, "event", it.lastEvent,
+		"software-version", grant.Endpoint().SoftwareVersion, "registered-start", grant.Endpoint().StartedMs, "start", grant.StatedStart(), "from-event", r.firstEvent, "event", it.lastEvent,
 		"status", r.status, "rate-limit", r.rateLimit, "failures", it.failures, "took", now.Sub(it.startedAt).String(),
 		"slack", o.estimate.slack(it, now).String(), "error", err)
 	o.metrics.runs[result].Inc(1)
--- a/cicadagateway/cicadabatch/version.go
+++ b/cicadagateway/cicadabatch/version.go
@@ -83,6 +83,5 @@
 // origin returns the service and the version of the incarnation that runs the item. The version is
 // unknown while that incarnation is not registered, so that the output cannot be continued.
 func (r *run) origin() cicadaorigin.Origin {
-	version, _ := r.grant.Version()
-	return cicadaorigin.Origin{Service: r.grant.Endpoint().Service, Version: version}
+	return cicadaorigin.Origin{Service: r.grant.Endpoint().Service, Version: r.grant.Version()}
 }
--- a/cicadagateway/cicadaorigin/unregistered.go
+++ b/cicadagateway/cicadaorigin/unregistered.go
@@ -20,10 +20,11 @@
 var ErrUnrecorded = merry.Sentinel("cicadaorigin: origin not recorded")
 
 // BeginUnregistered records that a stream has begun at an incarnation of an endpoint that is not
-// registered yet. Until it is, the stream has an origin of unknown version, which no endpoint can
-// continue. If none of the members that are to keep the record confirms that in time, it fails with
-// ErrUnrecorded, and the caller must not get an event: the members would take the stream for
-// one of a version that they know.
+// registered yet, or whose start is not known (at.StartedMs is then not positive). Until it is
+// registered, the stream has an origin of unknown version, which no endpoint can continue. If none
+// of the members that are to keep the record confirms that in time, it fails with ErrUnrecorded,
+// and the caller must not get an event: the members would take the stream for one of a version
+// that they know.
 func (t *Tracker) BeginUnregistered(ctx context.Context, stream, service string, at Incarnation) error {
 	t.metrics.unregistered.Inc(1)
 	r := Record{Stream: stream, Origin: Origin{Service: service, Version: cicadaview.UnknownVersion}}
--- a/cicadagateway/cicadaplace/grant.go
+++ b/cicadagateway/cicadaplace/grant.go
@@ -25,8 +25,9 @@
 func (g *Grant) Endpoint() cicadaview.Endpoint { return g.endpoint }
 
 // RecordStart records which incarnation of the endpoint has accepted the connection of the request,
-// by the start that it has stated in Unix milliseconds, or 0 if it states none. What it says
-// later in its response concerns that incarnation, whichever is registered.
+// by the start that it has stated in Unix milliseconds, 0 if it states none, or a negative number if
+// it states one, but has not on this connection. What it says later in its response concerns that
+// incarnation, whichever is registered.
 func (g *Grant) RecordStart(startedMs int64) {
 	g.table.mu.Lock()
 	defer g.table.mu.Unlock()
@@ -34,39 +35,41 @@
 	g.state.statesStart = g.state.statesStart || startedMs != 0
 }
 
-// StartedMs returns the start of the incarnation that serves the request, as it has stated it, or
-// else as it was registered when the slot was granted.
-func (g *Grant) StartedMs() int64 {
+// StatedStart returns what RecordStart has recorded.
+func (g *Grant) StatedStart() int64 {
 	g.table.mu.Lock()
 	defer g.table.mu.Unlock()
-	return g.startedMs()
+	return g.statedStart
 }
 
+// startedMs returns the start of the incarnation that serves the request, as it has stated it, or
+// else as it was registered when the slot was granted.
 func (g *Grant) startedMs() int64 {
-	if g.statedStart != 0 {
+	if g.statedStart > 0 {
 		return g.statedStart
 	}
 	return g.endpoint.StartedMs
 }
 
-// Version returns the software version of the incarnation that serves the request. It reports
-// false if that incarnation is not registered: what is registered then belongs to another one.
-func (g *Grant) Version() (version string, ok bool) {
+// Version returns the software version of the incarnation that serves the request. It is
+// cicadaview.UnknownVersion if that incarnation is not registered, so that what is registered
+// belongs to another one, or if its version is in doubt.
+func (g *Grant) Version() string {
 	g.table.mu.Lock()
 	defer g.table.mu.Unlock()
 	switch {
 	case g.statedStart != 0 && g.endpoint.StartedMs != 0:
 	case g.registered.SoftwareVersion != "" && time.Now().Before(g.state.versionDoubtUntil):
-		return cicadaview.UnknownVersion, true
+		return cicadaview.UnknownVersion
 	default:
-		return g.endpoint.SoftwareVersion, true
+		return g.endpoint.SoftwareVersion
 	}
 	for _, e := range []cicadaview.Endpoint{g.registered, g.state.Endpoint} {
 		if e.StartedMs == g.statedStart {
-			return e.SoftwareVersion, true
+			return e.SoftwareVersion
 		}
 	}
-	return cicadaview.UnknownVersion, false
+	return cicadaview.UnknownVersion
 }
 
 // WaitTime returns how long the request waited for the slot.
--- a/cicadagateway/cicadaplace/leaving_test.go
+++ b/cicadagateway/cicadaplace/leaving_test.go
@@ -16,20 +16,21 @@
 	list := func(startedMs int64) []cicadaview.Endpoint {
 		return []cicadaview.Endpoint{{ID: "e", Service: "s", Slots: 4, StartedMs: startedMs}}
 	}
+	const unstated = -1
 	for _, next := range []struct {
-		startedMs int64
-		usable    bool
-	}{{100, false}, {200, false}, {300, true}} {
+		stated, startedMs int64
+		usable            bool
+	}{{200, 100, false}, {200, 200, false}, {200, 300, true}, {unstated, 100, false}, {unstated, 200, true}, {0, 100, false}} {
 		table := NewTable("me")
 		table.SetEndpoints(list(100))
 		grant, err := table.Acquire(t.Context(), SlotRequest{Service: "s"})
 		assert.NilError(t, err)
-		grant.RecordStart(200)
+		grant.RecordStart(next.stated)
 		grant.RecordLeaving()
 		grant.Release()
 		table.SetEndpoints(list(next.startedMs))
 		_, err = table.Acquire(t.Context(), SlotRequest{Service: "s"})
-		assert.Equal(t, err == nil, next.usable, "registered with start %d", next.startedMs)
+		assert.Equal(t, err == nil, next.usable, "stated %d, registered with start %d", next.stated, next.startedMs)
 	}
 }
 
--- a/cicadagateway/cicadaplace/refusal_test.go
+++ b/cicadagateway/cicadaplace/refusal_test.go
@@ -207,8 +207,8 @@
 			begun, err := table.Acquire(t.Context(), SlotRequest{Service: service})
 			assert.NilError(t, err)
 			begun.Release()
-			at, ok := begun.Version()
-			assert.Assert(t, ok && (at == version) == (want == nil), "version %q", at)
+			at := begun.Version()
+			assert.Assert(t, (at == version) == (want == nil), "version %q", at)
 			grant, err := table.Acquire(t.Context(), SlotRequest{Service: service, Continues: true, Version: version})
 			assert.ErrorIs(t, err, want)
 			if err == nil {
@@ -225,8 +225,7 @@
 		for _, address := range []string{"a:1", "b:1", "c:1"} {
 			table.RecordLost(address)
 		}
-		version, _ := before.Version()
-		assert.Equal(t, version, cicadaview.UnknownVersion, "the connection may have been opened after the loss")
+		assert.Equal(t, before.Version(), cicadaview.UnknownVersion, "the connection may have been opened after the loss")
 		before.Release()
 		check("s", "v1", ErrNoEndpoint)
 		check("t", "v1", nil)
--- a/cicadagateway/cicadarelay/resume.go
+++ b/cicadagateway/cicadarelay/resume.go
@@ -122,17 +122,16 @@
 // begin records where a stream has begun.
 func (x *exchange) begin(ctx context.Context, grant *cicadaplace.Grant) error {
 	endpoint := grant.Endpoint()
-	version, registered := grant.Version()
-	origin := cicadaorigin.Origin{Service: endpoint.Service, Version: version}
+	origin := cicadaorigin.Origin{Service: endpoint.Service, Version: grant.Version()}
 	switch {
 	case x.id == "":
-	case registered:
+	case origin.Version != cicadaview.UnknownVersion:
 		x.relay.origins.Begin(x.id, origin, len(x.route.Targets) > 1)
 	default:
-		at := cicadaorigin.Incarnation{Endpoint: endpoint.ID, StartedMs: grant.StartedMs()}
+		at := cicadaorigin.Incarnation{Endpoint: endpoint.ID, StartedMs: grant.StatedStart()}
 		err := x.relay.origins.BeginUnregistered(ctx, x.id, endpoint.Service, at)
 		x.relay.log.Info("stream begun at an unregistered incarnation", "id", x.id, "endpoint", endpoint.ID,
-			"registered-start", endpoint.StartedMs, "start", grant.StartedMs(), "error", err)
+			"registered-start", endpoint.StartedMs, "start", at.StartedMs, "error", err)
 		if err != nil {
 			return merry.Errorf("begin stream: %w: %w", errNotTheRest, err)
 		}
