Do not let outputs wait for a start that endpoints never state

Cause: what is to be continued was not sent where the report failed, also where no start had ever been stated; and an item whose endpoints are all in doubt waited without end. Change: at an address where no start was ever stated, a report that fails counts like one that is refused: what holds for endpoints without a start holds there, and the report is asked for each 30 s. An endpoint in doubt counts also as one where an item may start anew, which it does after as long as its output took, as when its version is busy.

--- a/cicadagateway/cicadabatch/engine_test.go
+++ b/cicadagateway/cicadabatch/engine_test.go
@@ -46,6 +46,7 @@
 	runsAt       map[string]int      // by address
 	beforeDial   func()              // called for each connection, if set
 	startedMs    map[string]int64    // start that an engine reports, by address
+	noReports    atomic.Bool         // connections on which the report is requested are closed
 }
 
 func newFakeEngines() *fakeEngines {
@@ -87,6 +88,9 @@
 	r := bufio.NewReader(conn)
 	req, err := http.ReadRequest(r)
 	if err == nil && req.URL.Path == adapter.ReportPath {
+		if e.noReports.Load() {
+			return
+		}
 		report := fmt.Sprintf(`{"born":%d}`, e.startedMs[address])
 		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(report), report)
 		req, err = http.ReadRequest(r)
--- a/cicadagateway/cicadabatch/incarnation_test.go
+++ b/cicadagateway/cicadabatch/incarnation_test.go
@@ -79,3 +79,27 @@
 		}
 	})
 }
+
+// Guards against items that wait without end at endpoints which do not state their start, or no
+// longer do so.
+func TestItemsDoNotWaitForReports(t *testing.T) {
+	for name, stated := range map[string]bool{"never stated": false, "stated before": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := newTestDeployment()
+				d.dropAfter = 7
+				d.startedMs = map[string]int64{"e1": formerStart, "e2": formerStart}
+				d.noReports.Store(!stated)
+				o := d.startOwner("o1", fixedOwners("o1"))
+				defer o.stop()
+				o.setRestarted(formerStart, "v1")
+				time.Sleep(time.Second)
+				o.call(t, submitCall("j", 20, 20, 20, 20, 20, 20, 20, 20))
+				time.Sleep(3 * eventInterval)
+				d.noReports.Store(true)
+				time.Sleep(20 * time.Second)
+				d.checkComplete(t, o.results(t, "j", 0), "j", 20, 20, 20, 20, 20, 20, 20, 20)
+			})
+		})
+	}
+}
--- a/cicadagateway/cicadaexchange/incarnation.go
+++ b/cicadagateway/cicadaexchange/incarnation.go
@@ -9,7 +9,7 @@
 )
 
 // ErrOtherIncarnation reports that another incarnation of the endpoint than the request asks for
-// has accepted the connection. The request was not sent.
+// has accepted the connection, or may have. The request was not sent.
 var ErrOtherIncarnation = merry.Sentinel("cicadaexchange: other incarnation of the endpoint")
 
 const (
@@ -56,7 +56,7 @@
 		c.prepare(cn, opened)
 		if err := c.identify(ctx, cn, req.EchoHeader); err != nil {
 			c.abandon(cn)
-			if ctx.Err() != nil || req.StartedMs != 0 && (opened >= maxIdentified || c.starts.skipped(address)) {
+			if ctx.Err() != nil || req.StartedMs != 0 && c.starts.unstated(address) == UnknownStart && opened >= maxIdentified {
 				return nil, err
 			}
 			continue
@@ -76,7 +76,10 @@
 // prepare decides whether the endpoint is asked for its start on a connection, the last of those that
 // were opened for a request. It is asked again where it has not stated its start before.
 func (c *Client) prepare(cn *conn, opened int) {
-	skipped := opened > maxIdentified || c.starts.skipped(cn.address)
+	if opened > maxIdentified {
+		c.starts.skip(cn.address)
+	}
+	skipped := c.starts.skipped(cn.address)
 	switch {
 	case skipped && !cn.identified:
 		cn.identified, cn.startedMs = true, c.starts.unstated(cn.address)
@@ -115,7 +118,7 @@
 		err = ctx.Err()
 	}
 	if err != nil {
-		return merry.Errorf("identify %s: %w: %w", cn.address, ErrNotSent, err)
+		return merry.Errorf("identify %s: %w: %w: %w", cn.address, ErrOtherIncarnation, ErrNotSent, err)
 	}
 	cn.identified, cn.reused = true, true
 	return nil
@@ -147,8 +150,7 @@
 		c.starts.record(cn.address)
 		return nil
 	}
-	if cn.startedMs = c.starts.unstated(cn.address); cn.startedMs == UnknownStart {
-		c.starts.skip(cn.address)
-	}
+	cn.startedMs = c.starts.unstated(cn.address)
+	c.starts.skip(cn.address)
 	return nil
 }
--- a/cicadagateway/cicadaexchange/starts.go
+++ b/cicadagateway/cicadaexchange/starts.go
@@ -8,9 +8,10 @@
 const (
 	// statedMemory is how long an address is remembered at which an endpoint has stated its start.
 	statedMemory = 10 * time.Minute
-	// reportSkipTime is how long endpoints at an address are not asked for their start after they
-	// have not responded.
-	reportSkipTime = time.Second
+	// reportSkipTime is how long endpoints at an address are not asked for their start after one has
+	// not stated it, and longReportSkipTime if none has ever done so.
+	reportSkipTime     = time.Second
+	longReportSkipTime = 30 * time.Second
 	// maxStatedAddresses is the number of addresses above which old ones are removed.
 	maxStatedAddresses = 1 << 12
 )
@@ -19,13 +20,13 @@
 // concurrent use.
 type startMemory struct {
 	mu         sync.Mutex
-	statedAt   map[string]time.Time
-	skippedAt  map[string]time.Time
-	pruneAbove int
+	statedAt     map[string]time.Time
+	skippedUntil map[string]time.Time
+	pruneAbove   int
 }
 
 func newStartMemory() *startMemory {
-	return &startMemory{statedAt: make(map[string]time.Time), skippedAt: make(map[string]time.Time), pruneAbove: maxStatedAddresses}
+	return &startMemory{statedAt: make(map[string]time.Time), skippedUntil: make(map[string]time.Time), pruneAbove: maxStatedAddresses}
 }
 
 // record records that an endpoint at an address has stated its start.
@@ -48,26 +49,35 @@
 func (m *startMemory) unstated(address string) int64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if at, ok := m.statedAt[address]; ok && time.Since(at) <= statedMemory {
+	if m.stated(address) {
 		return UnknownStart
 	}
 	return 0
 }
 
-// skip records that an endpoint has not responded to the request for its start.
+func (m *startMemory) stated(address string) bool {
+	at, ok := m.statedAt[address]
+	return ok && time.Since(at) <= statedMemory
+}
+
+// skip records that the endpoint at an address has not stated its start.
 func (m *startMemory) skip(address string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.skippedAt[address] = time.Now()
+	skipTime := longReportSkipTime
+	if m.stated(address) {
+		skipTime = reportSkipTime
+	}
+	m.skippedUntil[address] = time.Now().Add(skipTime)
 }
 
 // skipped reports whether the endpoint at an address is not to be asked for its start at present.
 func (m *startMemory) skipped(address string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	at, ok := m.skippedAt[address]
-	if ok && time.Since(at) > reportSkipTime {
-		delete(m.skippedAt, address)
+	until, ok := m.skippedUntil[address]
+	if ok && !time.Now().Before(until) {
+		delete(m.skippedUntil, address)
 		return false
 	}
 	return ok
--- a/cicadagateway/cicadaplace/batch.go
+++ b/cicadagateway/cicadaplace/batch.go
@@ -147,16 +147,19 @@
 }
 
 // CountVersion returns how many endpoints of a service have a software version and are not
-// draining, and how many others there are.
+// draining, and how many others there are. One whose version is in doubt counts as either.
 func (t *Table) CountVersion(service, version string) (same, others int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	now := time.Now()
 	for _, e := range t.service(service).endpoints {
-		switch {
-		case e.Draining:
-		case e.SoftwareVersion == version:
+		if e.Draining {
+			continue
+		}
+		if e.SoftwareVersion == version {
 			same++
-		default:
+		}
+		if e.SoftwareVersion != version || now.Before(e.versionDoubtUntil) {
 			others++
 		}
 	}
