Upgrade endpoints in place among the other faults of disorder

Cause: endpoints that restart under their id with another version were played only while no process was disturbed, with all endpoints reached directly.

Change: a fault of the scenario disorder, not of random. The draws of late-reads and repeated-events stay as they were; those of disorder do not.

--- a/cicadasoak/faults.go
+++ b/cicadasoak/faults.go
@@ -48,6 +48,7 @@
 	{"connections to an endpoint reset", func(_ context.Context, s *soak, _ time.Duration) { s.anyEndpoint().proxy.each((*link).reset) }},
 	{"connections to an endpoint stuck", func(_ context.Context, s *soak, _ time.Duration) { s.anyEndpoint().proxy.each((*link).stick) }},
 	{"address passes on", func(ctx context.Context, s *soak, length time.Duration) { s.passAddress(ctx, length) }},
+	{"endpoint upgraded in place", func(ctx context.Context, s *soak, length time.Duration) { s.upgradeInPlace(ctx, length) }},
 	{"store silent", disturbStore(func(f *storeFaults, on bool) { f.silent.Store(on) })},
 	{"store answers lost", disturbStore(func(f *storeFaults, on bool) { f.unheard.Store(on) })},
 	{"store limits calls", disturbStore(func(f *storeFaults, on bool) { f.limiting.Store(on) })},
--- a/cicadasoak/scenario.go
+++ b/cicadasoak/scenario.go
@@ -271,13 +271,16 @@
 	s.registerServing(e, e.incarnation())
 }
 
-// registerServing registers an incarnation of an endpoint unless the endpoint has left.
-func (s *soak) registerServing(e *endpoint, i *incarnation) {
+// registerServing registers an incarnation of an endpoint unless the endpoint has left. It reports
+// whether it has registered it.
+func (s *soak) registerServing(e *endpoint, i *incarnation) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if slices.Contains(s.endpoints, e) {
+	serving := slices.Contains(s.endpoints, e)
+	if serving {
 		s.register(i, "ready")
 	}
+	return serving
 }
 
 // drainTime is how long an endpoint serves after it has reported that it is draining.
--- a/cicadasoak/upgrade.go
+++ b/cicadasoak/upgrade.go
@@ -35,19 +35,47 @@
 	stop()
 }
 
-// upgrade crashes an endpoint and starts it again under its id and address with another version.
+// upgrade upgrades an endpoint in place, and lets it report after a delay and then again and again.
 func (s *soak) upgrade(ctx context.Context, e *endpoint, version string) {
+	if i := s.startUpgraded(ctx, e, version); i != nil {
+		s.sendHeartbeats(i, s.reportDelay)
+	}
+}
+
+// startUpgraded crashes an endpoint and starts it again under its id and address with another
+// version. It returns nil if the endpoint does not start.
+func (s *soak) startUpgraded(ctx context.Context, e *endpoint, version string) *incarnation {
 	e.crash()
 	cicadaretry.Sleep(ctx, upgradeDowntime)
 	if err := e.start(version); err != nil {
 		s.checks.count("upgrades failed")
 		s.log.Error("failed to start endpoint again", "endpoint", e.id, "error", err)
-		return
+		return nil
 	}
 	i := e.incarnation()
 	s.checks.count("endpoints upgraded")
 	s.log.Info("endpoint upgraded", "endpoint", e.id, "version", version, "born", i.started.UnixMilli())
-	s.sendHeartbeats(i, s.reportDelay)
+	return i
+}
+
+// upgradeInPlace upgrades an endpoint in place to the version that is released next, or back to the
+// last one, and lets it report once, after a delay, unless it has crashed or left by then.
+func (s *soak) upgradeInPlace(ctx context.Context, delay time.Duration) {
+	e := s.anyEndpoint()
+	if !e.take() {
+		return
+	}
+	version := fmt.Sprint("v", s.releases+1)
+	if e.incarnation().version == version {
+		version = fmt.Sprint("v", s.releases)
+	}
+	s.faults.Go(func() {
+		i := s.startUpgraded(ctx, e, version)
+		e.giveBack()
+		if i != nil && cicadaretry.Sleep(i.running, delay) && s.registerServing(e, i) {
+			s.log.Info("endpoint reported", "endpoint", e.id, "version", version, "born", i.started.UnixMilli())
+		}
+	})
 }
 
 // sendHeartbeats lets an incarnation report to the store from a delay on, until it crashes.
--- a/cicadasoak/upgrade_test.go
+++ b/cicadasoak/upgrade_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strconv"
 	"strings"
 	"testing"
@@ -107,3 +108,67 @@
 		d.heartbeats.Wait()
 	})
 }
+
+// TestEndpointUpgradedAmongFaultsReportsLate guards against upgrades among other faults that the store knows
+// of at once, that report although the endpoint has crashed, or that start an endpoint which another fault keeps down.
+func TestEndpointUpgradedAmongFaultsReportsLate(t *testing.T) {
+	for name, c := range map[string]struct {
+		taken, crashes bool
+		delay          time.Duration
+		version, want  string // served, and registered
+	}{
+		"reports": {false, false, 0, "v2", "v2"},
+		"crashes": {false, true, time.Hour, "v2", "v1"},
+		"taken":   {true, false, 0, "v1", "v1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s, e := newUpgradeSoak(t)
+			first := e.incarnation()
+			e.taken.Store(c.taken)
+			s.upgradeInPlace(t.Context(), c.delay)
+			if c.crashes {
+				for e.incarnation() == first {
+					runtime.Gosched()
+				}
+				assert.Equal(t, s.registered(t).Version, "v1")
+				e.crash()
+			}
+			s.faults.Wait()
+			assert.Equal(t, e.incarnation().version, c.version)
+			assert.Equal(t, s.registered(t).Version, c.want)
+			assert.Equal(t, e.taken.Load(), c.taken)
+		})
+	}
+}
+
+// TestEndpointThatHasLeftIsNotRegistered guards against endpoints that report after they were removed.
+func TestEndpointThatHasLeftIsNotRegistered(t *testing.T) {
+	s, e := newUpgradeSoak(t)
+	assert.Assert(t, s.registerServing(e, e.incarnation()))
+	assert.Equal(t, s.registered(t).Seq, 2)
+	s.endpoints = nil
+	assert.Assert(t, !s.registerServing(e, e.incarnation()))
+	assert.Equal(t, s.registered(t).Seq, 2)
+}
+
+// newUpgradeSoak returns a soak without processes that has one endpoint, registered with v1.
+func newUpgradeSoak(t *testing.T) (*soak, *endpoint) {
+	t.Helper()
+	log := hclog.NewNullLogger()
+	e, err := startEndpoint("e", "v1", true)
+	assert.NilError(t, err)
+	t.Cleanup(func() { e.crash() })
+	d := &deployment{store: newStore(), log: log, endpoints: []*endpoint{e}}
+	d.register(e.incarnation(), "ready")
+	return &soak{deployment: d, checks: newChecks(log), log: log, random: newRandom(1), releases: 1}, e
+}
+
+// registered returns the registration of the endpoint e.
+func (s *soak) registered(t *testing.T) (r registeredEndpoint) {
+	t.Helper()
+	s.store.mu.Lock()
+	defer s.store.mu.Unlock()
+	assert.NilError(t, json.Unmarshal(s.store.kinds["servers"]["e"].Spec, &r))
+	return r
+}
