--- a/cicadagateway/cicadaexchange/starts.go
+++ b/cicadagateway/cicadaexchange/starts.go
@@ -19,7 +19,7 @@
 // startMemory knows which addresses have endpoints that state their start. It is safe for
 // concurrent use.
 type startMemory struct {
-	mu         sync.Mutex
+	mu           sync.Mutex
 	statedAt     map[string]time.Time
 	skippedUntil map[string]time.Time
 	pruneAbove   int
