--- a/cicadagateway/cicadabatch/incarnation_test.go
+++ b/cicadagateway/cicadabatch/incarnation_test.go
@@ -20,8 +20,8 @@
 // of v2 and was started at presentStart.
 func (m *testOwner) setRestarted(startedMs int64, version string) {
 	m.table.SetEndpoints([]cicadaview.Endpoint{
-		{ID: "e1", Service: "s", Address: "e1", Slots: 4, SoftwareVersion: version, StartedMs: startedMs},
-		{ID: "e2", Service: "s", Address: "e2", Slots: 4, SoftwareVersion: "v1", StartedMs: formerStart},
+		{ID: "e1", Service: "s", Address: "e1", Slots: 16, SoftwareVersion: version, StartedMs: startedMs},
+		{ID: "e2", Service: "s", Address: "e2", Slots: 16, SoftwareVersion: "v1", StartedMs: formerStart},
 	})
 }
 
@@ -30,12 +30,16 @@
 func TestItemDoesNotContinueAcrossAnUnregisteredRestart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d := newTestDeployment()
-		d.dropAfter = 7
 		d.startedMs = map[string]int64{"e1": presentStart, "e2": formerStart}
 		o := d.startOwner("o1", fixedOwners("o1"))
 		defer o.stop()
 		o.setRestarted(formerStart, "v1")
 		time.Sleep(time.Second)
+		o.call(t, submitCall("warm-up", 20))
+		time.Sleep(5 * time.Second) // the time that an output takes is known then
+		d.mu.Lock()
+		d.dropAfter = 7
+		d.mu.Unlock()
 		o.call(t, submitCall("j", 20, 20, 20, 20, 20, 20, 20, 20))
 		time.Sleep(5 * time.Second)
 		o.setRestarted(presentStart, "v2")
--- a/cicadagateway/cicadabatch/job.go
+++ b/cicadagateway/cicadabatch/job.go
@@ -39,6 +39,7 @@
 	excludedUntil     time.Time
 	notBefore         time.Time // of the next run
 	emptyRests        int       // runs since the last event that brought no event, and no error
+	otherIncarnations int       // runs since the last event that were not sent to another incarnation
 	// versionBusySince is when the endpoints of the version that began the item's output were
 	// first found busy while others were idle, or zero.
 	versionBusySince time.Time
--- a/cicadagateway/cicadabatch/schedule.go
+++ b/cicadagateway/cicadabatch/schedule.go
@@ -239,7 +239,7 @@
 	fromStart := it.lastEvent == 0
 	it.state = itemWaiting
 	if r.lastEvent > it.lastEvent {
-		it.backoffShift, it.emptyRests = 0, 0
+		it.backoffShift, it.emptyRests, it.otherIncarnations = 0, 0, 0
 	}
 	it.collectRun()
 	maxAttempts := 1
@@ -278,6 +278,7 @@
 		switch {
 		case errors.Is(err, cicadaexchange.ErrOtherIncarnation):
 			grant.RecordOtherIncarnation()
+			o.countOtherIncarnation(it)
 		case cicadaexchange.RefusedConnection(err):
 			grant.RecordRefusal()
 		default:
--- a/cicadagateway/cicadabatch/version.go
+++ b/cicadagateway/cicadabatch/version.go
@@ -63,12 +63,28 @@
 	return now.Sub(it.versionBusySince) >= o.estimate.elapsed(it.lastEvent)
 }
 
+// maxOtherIncarnations is how many runs of an item in a row may find only other incarnations than
+// those that can continue its output. An endpoint that has ceased to state its start is never known
+// to be one of these.
+const maxOtherIncarnations = 3
+
+// countOtherIncarnation counts a run that was not sent because of the endpoint's incarnation. The
+// item starts anew after the last one that it may have.
+func (o *Owner) countOtherIncarnation(it *item) {
+	if it.otherIncarnations++; it.otherIncarnations < maxOtherIncarnations || !it.continues() {
+		return
+	}
+	o.log.Info("item starts anew", "item", it.ID, "job", it.job.id, "event", it.lastEvent, "other-incarnations", it.otherIncarnations)
+	o.metrics.restarted.Inc(1)
+	it.restart()
+}
+
 // restart discards the output of an item that is waiting.
 func (it *item) restart() {
 	failures := it.failures
 	it.itemProgress = itemProgress{failures: failures}
 	it.savedMark, it.replicatedMark = progressMark{}, progressMark{}
-	it.versionBusySince, it.emptyRests = time.Time{}, 0
+	it.versionBusySince, it.emptyRests, it.otherIncarnations = time.Time{}, 0, 0
 }
 
 // originOfRun returns where the output of the item's current run began: where the output of the
