Log which owner, connection and relay a failed job call used, and what ended it

Cause: the line of a failed job call says `context canceled` for a caller that left and for a connection that ended (drpc gives the same error for both), and neither which owner and address was asked, whether by a relay, over which connection, nor how long it took. Change: the pool of cicadawire reports a call without an answer as a CallError (address, reused, age, silence, ended by context or connection); job calls collect their attempts; the line has end, took, wait and attempts, and counters count the ends. An owner logs and counts calls whose sender left before it answered, so that calls that never arrived can be told from calls that were not answered.

--- a/cicadagateway/cicadabatch/calls.go
+++ b/cicadagateway/cicadabatch/calls.go
@@ -75,10 +75,15 @@
 // Handle serves a call. If that panics, the caller gets an error.
 func (o *Owner) Handle(ctx context.Context, c *Call) (*Response, error) {
 	var resp Response
+	start := time.Now()
 	if err := cicadatask.Try(func() { resp = o.handle(ctx, c) }); err != nil {
 		o.log.Error("call panicked", "job", c.Job, "kind", int(c.Kind), "error", err)
 		return nil, merry.Errorf("handle call: %w", err)
 	}
+	if ctx.Err() != nil {
+		o.metrics.callsAbandoned.Inc(1)
+		o.log.Warn("sender of job call left", "job", c.Job, "kind", int(c.Kind), "relayed", c.Relayed, "took", time.Since(start).String(), "status", resp.Status)
+	}
 	return &resp, nil
 }
 
--- a/cicadagateway/cicadabatch/metrics.go
+++ b/cicadagateway/cicadabatch/metrics.go
@@ -29,6 +29,7 @@
 	reads              [len(resultSourceNames)]tally.Counter
 	pauses             tally.Counter // of the event loop
 	renewals           tally.Counter // of the ownership of all jobs, after others may have run them
+	callsAbandoned     tally.Counter // calls whose sender left before they were answered
 	tooLarge           tally.Counter // items that failed because their result does not fit in an object
 }
 
@@ -38,7 +39,7 @@
 		preempted: scope.Counter("items_put_aside"), restarted: scope.Counter("items_restarted"), checkpointsWritten: scope.Counter("checkpoints_written"),
 		checkpointsFailed: scope.Counter("checkpoints_failed"), jobsRefused: scope.Counter("jobs_refused"),
 		tooLarge: scope.Counter("results_too_large"), pauses: scope.Counter("event_loop_pauses"),
-		renewals: scope.Counter("ownership_renewals"),
+		renewals: scope.Counter("ownership_renewals"), callsAbandoned: scope.Counter("job_calls_abandoned"),
 	}
 	for source, name := range resultSourceNames {
 		m.reads[source] = scope.Tagged(map[string]string{"source": name}).Counter("result_reads")
--- a/cicadagateway/cicadaprocess/jobs.go
+++ b/cicadagateway/cicadaprocess/jobs.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/url"
 	"path/filepath"
@@ -60,13 +61,26 @@
 func (n *Node) callOwner(ctx context.Context, client *cicadabatch.Client, call *cicadabatch.Call) cicadarelay.JobResponse {
 	ctx, cancel := context.WithTimeout(ctx, call.Wait+jobCallMargin)
 	defer cancel()
+	start := time.Now()
 	resp, err := client.Call(ctx, call)
 	if err != nil {
-		n.log.Warn("failed to call job owner", "job", call.Job, "kind", int(call.Kind), "status", resp.Status, "error", err)
+		n.reportFailedCall(call, resp, err, time.Since(start))
 	}
 	return cicadarelay.JobResponse{Status: resp.Status, Body: resp.Body, JSON: resp.JSON, RetryAfter: resp.RetryAfter}
 }
 
+// reportFailedCall counts and logs a call that no owner has answered.
+func (n *Node) reportFailedCall(call *cicadabatch.Call, resp cicadabatch.Response, err error, took time.Duration) {
+	end, attempts := cicadabatch.EndRemote, ""
+	var failure *cicadabatch.CallFailure
+	if errors.As(err, &failure) {
+		end, attempts = failure.End(), failure.Attempts()
+	}
+	n.process.Scope().Tagged(map[string]string{"end": string(end)}).Counter("job_calls_failed").Inc(1)
+	n.log.Warn("failed to call job owner", "job", call.Job, "kind", int(call.Kind), "status", resp.Status, "took", took.String(),
+		"wait", call.Wait.String(), "end", string(end), "attempts", attempts, "error", err)
+}
+
 // candidates returns the live owners, including this process if it is an owner.
 func (n *Node) candidates() []cicadabatch.Candidate {
 	var candidates []cicadabatch.Candidate
--- /dev/null
+++ b/cicadakernel/cicadawire/pool_test.go
@@ -0,0 +1,165 @@
+package cicadawire
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"storj.io/drpc"
+)
+
+// echo answers each call with what it was sent.
+type echo struct{}
+
+// echoText is the message of calls to echo.
+type echoText struct{ text string }
+
+func (echo) Echo(_ context.Context, in *echoText) (*echoText, error) { return in, nil }
+
+type echoEncoding struct{}
+
+// Marshal encodes a message.
+func (echoEncoding) Marshal(msg drpc.Message) ([]byte, error) {
+	return []byte(msg.(*echoText).text), nil
+}
+
+// Unmarshal decodes a message.
+func (echoEncoding) Unmarshal(b []byte, msg drpc.Message) error {
+	msg.(*echoText).text = string(b)
+	return nil
+}
+
+type echoDescription struct{}
+
+// NumMethods returns the number of methods.
+func (echoDescription) NumMethods() int { return 1 }
+
+// Method describes the method.
+func (echoDescription) Method(int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
+	return "/echo", echoEncoding{}, func(srv any, ctx context.Context, in, _ any) (drpc.Message, error) {
+		return srv.(echo).Echo(ctx, in.(*echoText))
+	}, echo.Echo, true
+}
+
+// A mutableConn is a connection that can fall silent: from then on it takes what is written, and
+// nothing arrives, until it is closed.
+type mutableConn struct {
+	net.Conn
+	silent chan struct{} // closed when the connection falls silent
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (c *mutableConn) isSilent() bool {
+	select {
+	case <-c.silent:
+		return true
+	default:
+		return false
+	}
+}
+
+// Write implements net.Conn.
+func (c *mutableConn) Write(b []byte) (int, error) {
+	if c.isSilent() {
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
+
+// Read implements net.Conn.
+func (c *mutableConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if c.isSilent() {
+		<-c.closed
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *mutableConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
+// An echoServer serves echo over pipes.
+type echoServer struct {
+	srv     *Server
+	ctx     context.Context
+	mu      sync.Mutex
+	conns   []*mutableConn
+	hanging bool // new connections are silent from the beginning
+}
+
+func newEchoServer(t *testing.T) *echoServer {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	s := &echoServer{srv: NewServer(), ctx: ctx}
+	assert.NilError(t, s.srv.Mux().Register(echo{}, echoDescription{}))
+	return s
+}
+
+func (s *echoServer) dial(context.Context, string) (net.Conn, error) {
+	client, server := net.Pipe()
+	conn := &mutableConn{Conn: client, silent: make(chan struct{}), closed: make(chan struct{})}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.hanging {
+		close(conn.silent)
+	}
+	s.conns = append(s.conns, conn)
+	go func() { _ = s.srv.srv.ServeOne(s.ctx, server) }()
+	return conn, nil
+}
+
+// silence lets all open connections fall silent.
+func (s *echoServer) silence() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, conn := range s.conns {
+		if !conn.isSilent() {
+			close(conn.silent)
+		}
+	}
+}
+
+func (s *echoServer) dialed() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+func callEcho(ctx context.Context, pool *Pool, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	var out echoText
+	return pool.Conn("echo").Invoke(ctx, "/echo", echoEncoding{}, &echoText{text: "hello"}, &out)
+}
+
+// TestCallErrorNamesItsEnd guards against logs that take the end of a connection for a caller that
+// has left: drpc reports both as a cancelled context.
+func TestCallErrorNamesItsEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newEchoServer(t)
+		pool := NewPool(WithDial(s.dial))
+		defer func() { assert.Check(t, pool.Close() == nil) }()
+		s.hanging = true
+		time.AfterFunc(time.Second, func() { _ = s.conns[0].Close() })
+		var callErr *CallError
+		assert.Assert(t, errors.As(callEcho(t.Context(), pool, 2*time.Second), &callErr))
+		assert.Equal(t, callErr.End(), EndedByConnection)
+		assert.Assert(t, errors.As(callEcho(t.Context(), pool, time.Second), &callErr))
+		assert.Equal(t, callErr.End(), EndedByContext)
+		assert.Equal(t, callErr.Address(), "echo")
+		assert.Equal(t, callErr.Silence(), time.Second)
+		assert.Equal(t, callErr.Age(), time.Second)
+		assert.Assert(t, !callErr.Reused())
+	})
+}
