Show that a connection that has fallen silent is used for call after call

Cause (hypothesis 1): a cancelled call gives its connection back to the pool, which cannot tell a silent connection from a sound one. Conclusion: the fault is reproduced in the pool alone; whether it is what callers saw is shown on real processes.

--- a/cicadakernel/cicadawire/pool_test.go
+++ b/cicadakernel/cicadawire/pool_test.go
@@ -143,6 +143,22 @@
 	return pool.Conn("echo").Invoke(ctx, "/echo", echoEncoding{}, &echoText{text: "hello"}, &out)
 }
 
+// TestSilentConnectionIsNotUsedAgain guards against a connection that has fallen silent and is
+// used for call after call, as each cancelled call leaves it in the pool.
+func TestSilentConnectionIsNotUsedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newEchoServer(t)
+		pool := NewPool(WithDial(s.dial))
+		defer func() { assert.Check(t, pool.Close() == nil) }()
+		assert.NilError(t, callEcho(t.Context(), pool, time.Second))
+		s.silence()
+		assert.Assert(t, callEcho(t.Context(), pool, time.Second) != nil)
+		for i := range 12 {
+			assert.NilError(t, callEcho(t.Context(), pool, time.Second), "call %d after the one on the silent connection", i+1)
+		}
+	})
+}
+
 // TestCallErrorNamesItsEnd guards against logs that take the end of a connection for a caller that
 // has left: drpc reports both as a cancelled context.
 func TestCallErrorNamesItsEnd(t *testing.T) {
