Do not use connections between processes again that have fallen silent

Cause: a call whose caller left was cancelled softly: the kernel took the cancellation, and the connection returned to the pool, which handed it out again as the one that was idle longest, for ever. A connection that fell silent while it was idle cost each call that met it its whole time. Class: something that was kept is believed without a sign of life. Change: an idle connection whose last call got no answer, or that was not heard for 2 s, is used again only after it has answered a ping (300 ms); if not, all idle connections to that address are closed and a new one is opened. Soft cancellation stays, so that a caller that leaves costs no connection. Any answer is a sign of life, also the error of a server of an earlier release. The pool of the entry-and-agent way is the same one. Closed connections are logged and counted. Conclusion: no call is lost twice on one silent connection. That an owner that does not answer takes the caller's whole time is a fault of its own, and comes next.

--- a/cicadaentry/cicadanode/node.go
+++ b/cicadaentry/cicadanode/node.go
@@ -104,7 +104,11 @@
 	if err != nil {
 		return merry.Errorf("peer-tls: %w", err)
 	}
-	n.pool = cicadawire.NewPool(cicadawire.WithTLS(clientTLS))
+	silent := n.scope.Counter("peer_connections_silent")
+	n.pool = cicadawire.NewPool(cicadawire.WithTLS(clientTLS), cicadawire.WithOnSilent(func(address string, silence time.Duration) {
+		silent.Inc(1)
+		n.log.Warn("silent connections closed", "address", address, "silent-for", silence.String())
+	}))
 	listener, err := cicadawire.Listen(n.cfg.Listen, callerTLS)
 	if err != nil {
 		return merry.Errorf("listen for callers: %w", err)
--- a/cicadagateway/cicadaprocess/callers.go
+++ b/cicadagateway/cicadaprocess/callers.go
@@ -14,7 +14,6 @@
 	"cicadalink.example/cicadagateway/cicadarelay"
 	"cicadalink.example/cicadakernel/cicadaretry"
 	"cicadalink.example/cicadakernel/cicadatask"
-	"cicadalink.example/cicadakernel/cicadawire"
 	adapter "cicadalink.example/platform"
 )
 
@@ -33,7 +32,7 @@
 )
 
 func (n *Node) serveCallers(ctx, workCtx context.Context) error {
-	client := cicadabatch.NewClient(cicadawire.NewPool(), n.ownerPeers)
+	client := cicadabatch.NewClient(n.newPeerPool(), n.ownerPeers)
 	if err := n.servePeers(workCtx, client.Register); err != nil {
 		return err
 	}
--- a/cicadagateway/cicadaprocess/jobs.go
+++ b/cicadagateway/cicadaprocess/jobs.go
@@ -57,6 +57,15 @@
 	}
 }
 
+// newPeerPool returns a pool of connections to other processes.
+func (n *Node) newPeerPool() *cicadawire.Pool {
+	silent := n.process.Scope().Counter("peer_connections_silent")
+	return cicadawire.NewPool(cicadawire.WithOnSilent(func(address string, silence time.Duration) {
+		silent.Inc(1)
+		n.log.Warn("silent connections closed", "address", address, "silent-for", silence.String())
+	}))
+}
+
 // callOwner sends a call to the owner of its job.
 func (n *Node) callOwner(ctx context.Context, client *cicadabatch.Client, call *cicadabatch.Call) cicadarelay.JobResponse {
 	ctx, cancel := context.WithTimeout(ctx, call.Wait+jobCallMargin)
@@ -126,7 +135,7 @@
 
 // serveOwner runs jobs until ctx is done.
 func (n *Node) serveOwner(ctx, workCtx context.Context) error {
-	peers := cicadabatch.NewClient(cicadawire.NewPool(), n.ownerPeers)
+	peers := cicadabatch.NewClient(n.newPeerPool(), n.ownerPeers)
 	limiter := cicadareservation.New(n.cfg.Name, n.store, n.log, cicadareservation.WithShrink(peers.Shrink))
 	opts := append(n.openCheckpoints(), cicadabatch.WithLimiter(limiter, peers.ReportWaiting), cicadabatch.WithHandOver(peers.HandOver), cicadabatch.WithReplication(peers.Replicate),
 		cicadabatch.WithPeers(n.group.OwnerViews, n.notifyPeers), cicadabatch.WithScope(n.process.Scope()),
--- a/cicadakernel/cicadawire/addressconn.go
+++ b/cicadakernel/cicadawire/addressconn.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 
 	"storj.io/drpc"
 	"storj.io/drpc/drpcsignal"
@@ -44,6 +46,7 @@
 		c.pool.pool.Put(c.address, conn)
 		return nil, conn.callError(ctx, c.address, err)
 	}
+	conn.unanswered.Store(true) // until a message arrives
 	stream := &pooledStream{Stream: s, conn: conn, ctx: &streamContext{Context: s.Context()}}
 	go func() {
 		<-s.Context().Done()
@@ -66,7 +69,7 @@
 // MsgRecv receives a message.
 func (s *pooledStream) MsgRecv(msg drpc.Message, enc drpc.Encoding) error {
 	err := s.Stream.MsgRecv(msg, enc)
-	if err == nil {
+	if err == nil || errors.Is(err, io.EOF) {
 		s.conn.heard()
 	}
 	return err
--- a/cicadakernel/cicadawire/callerror.go
+++ b/cicadakernel/cicadawire/callerror.go
@@ -1,6 +1,7 @@
 package cicadawire
 
 import (
+	"errors"
 	"fmt"
 	"time"
 )
@@ -41,6 +42,12 @@
 	err     error
 }
 
+// isUnanswered reports whether an error means that no answer arrived.
+func isUnanswered(err error) bool {
+	var callErr *CallError
+	return errors.As(err, &callErr)
+}
+
 // Error returns the address, the connection's state and the cause.
 func (e *CallError) Error() string {
 	return fmt.Sprintf("cicadawire: call %s ended by %s (reused %t, open for %v, silent for %v): %v", e.address, e.end, e.reused,
--- a/cicadakernel/cicadawire/pool.go
+++ b/cicadakernel/cicadawire/pool.go
@@ -25,10 +25,15 @@
 // A Pool is a client-side connection pool. It keeps idle connections for reuse.
 // A connection carries one call at a time, so concurrent calls to an address use
 // separate connections.
+//
+// A connection may fall silent: nothing passes any more, and no reset tells. An idle connection whose
+// last call got no answer, or that was not heard for some time, is therefore used again only after it has
+// answered a ping. If it does not, all idle connections to its address are closed.
 type Pool struct {
-	pool *drpcpool.Pool[string, *pooledConn]
-	dial func(ctx context.Context, address string) (net.Conn, error)
-	tls  *tls.Config
+	pool     *drpcpool.Pool[string, *pooledConn]
+	dial     func(ctx context.Context, address string) (net.Conn, error)
+	tls      *tls.Config
+	onSilent func(address string, silence time.Duration)
 }
 
 // A PoolOption configures a Pool.
@@ -44,6 +49,12 @@
 	return func(p *Pool) { p.tls = cfg }
 }
 
+// WithOnSilent sets a function that is called for each connection that is closed because it did not
+// answer a ping, with the time since the last answer on it.
+func WithOnSilent(onSilent func(address string, silence time.Duration)) PoolOption {
+	return func(p *Pool) { p.onSilent = onSilent }
+}
+
 // NewPool returns an empty pool.
 func NewPool(opts ...PoolOption) *Pool {
 	dialer := &net.Dialer{Timeout: dialTimeout}
@@ -52,6 +63,7 @@
 		dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
 		},
+		onSilent: func(string, time.Duration) {},
 	}
 	for _, opt := range opts {
 		opt(p)
@@ -72,13 +84,39 @@
 	return nil
 }
 
-// take returns an idle connection, or a new one.
+// take returns an idle connection that is not silent, or a new one.
 func (p *Pool) take(ctx context.Context, address string) (*pooledConn, error) {
-	if conn, ok := p.pool.Take(address); ok {
+	for {
+		conn, ok := p.pool.Take(address)
+		if !ok {
+			return p.connect(ctx, address)
+		}
 		conn.reused = true
-		return conn, nil
+		if !conn.needsPing() && !mustVerify(ctx) {
+			return conn, nil
+		}
+		err := conn.ping(ctx, address)
+		if err == nil {
+			return conn, nil
+		}
+		_ = conn.Close()
+		if ctx.Err() != nil {
+			return nil, &DialError{address: address, err: err}
+		}
+		p.onSilent(address, conn.silence())
+		p.closeIdle(address)
+	}
+}
+
+// closeIdle closes the idle connections to an address.
+func (p *Pool) closeIdle(address string) {
+	for {
+		conn, ok := p.pool.Take(address)
+		if !ok {
+			return
+		}
+		_ = conn.Close()
 	}
-	return p.connect(ctx, address)
 }
 
 func (p *Pool) connect(ctx context.Context, address string) (*pooledConn, error) {
@@ -117,6 +155,8 @@
 	reused   bool
 	openedAt time.Time
 	heardAt  atomic.Int64 // nanoseconds from openedAt to the last answer
+	// unanswered is set if the last call got no answer.
+	unanswered atomic.Bool
 }
 
 func newPooledConn(conn net.Conn) *pooledConn {
@@ -124,7 +164,10 @@
 }
 
 // heard records that an answer has arrived.
-func (c *pooledConn) heard() { c.heardAt.Store(int64(time.Since(c.openedAt))) }
+func (c *pooledConn) heard() {
+	c.heardAt.Store(int64(time.Since(c.openedAt)))
+	c.unanswered.Store(false)
+}
 
 // silence returns for how long nothing was received.
 func (c *pooledConn) silence() time.Duration {
@@ -139,8 +182,10 @@
 		case <-c.Closed():
 			end = EndedByConnection
 		default:
+			c.heard()
 			return err
 		}
 	}
+	c.unanswered.Store(true)
 	return &CallError{address: address, reused: c.reused, age: time.Since(c.openedAt), silence: c.silence(), end: end, err: err}
 }
--- a/cicadakernel/cicadawire/pool_test.go
+++ b/cicadakernel/cicadawire/pool_test.go
@@ -11,6 +11,8 @@
 
 	"gotest.tools/v3/assert"
 	"storj.io/drpc"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
 )
 
 // echo answers each call with what it was sent.
@@ -21,6 +23,12 @@
 
 func (echo) Echo(_ context.Context, in *echoText) (*echoText, error) { return in, nil }
 
+// Wait waits until the call is cancelled.
+func (echo) Wait(ctx context.Context, _ *echoText) (*echoText, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
 type echoEncoding struct{}
 
 // Marshal encodes a message.
@@ -37,13 +45,17 @@
 type echoDescription struct{}
 
 // NumMethods returns the number of methods.
-func (echoDescription) NumMethods() int { return 1 }
+func (echoDescription) NumMethods() int { return 2 }
 
-// Method describes the method.
-func (echoDescription) Method(int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
-	return "/echo", echoEncoding{}, func(srv any, ctx context.Context, in, _ any) (drpc.Message, error) {
-		return srv.(echo).Echo(ctx, in.(*echoText))
-	}, echo.Echo, true
+// Method describes a method.
+func (echoDescription) Method(i int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
+	name, method := "/echo", echo.Echo
+	if i == 1 {
+		name, method = "/wait", echo.Wait
+	}
+	return name, echoEncoding{}, func(srv any, ctx context.Context, in, _ any) (drpc.Message, error) {
+		return method(srv.(echo), ctx, in.(*echoText))
+	}, method, true
 }
 
 // A mutableConn is a connection that can fall silent: from then on it takes what is written, and
@@ -130,6 +142,15 @@
 	}
 }
 
+// closeAll closes all connections.
+func (s *echoServer) closeAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, conn := range s.conns {
+		_ = conn.Close()
+	}
+}
+
 func (s *echoServer) dialed() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -167,7 +188,7 @@
 		pool := NewPool(WithDial(s.dial))
 		defer func() { assert.Check(t, pool.Close() == nil) }()
 		s.hanging = true
-		time.AfterFunc(time.Second, func() { _ = s.conns[0].Close() })
+		time.AfterFunc(time.Second, s.closeAll)
 		var callErr *CallError
 		assert.Assert(t, errors.As(callEcho(t.Context(), pool, 2*time.Second), &callErr))
 		assert.Equal(t, callErr.End(), EndedByConnection)
@@ -179,3 +200,78 @@
 		assert.Assert(t, !callErr.Reused())
 	})
 }
+
+// TestIdleConnectionsThatFellSilentCostOneCallAtMost guards against calls that each find the next of
+// many idle connections silent.
+func TestIdleConnectionsThatFellSilentCostOneCallAtMost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newEchoServer(t)
+		var closed []time.Duration
+		pool := NewPool(WithDial(s.dial), WithOnSilent(func(_ string, silence time.Duration) { closed = append(closed, silence) }))
+		defer func() { assert.Check(t, pool.Close() == nil) }()
+		var callers sync.WaitGroup
+		for range 10 {
+			callers.Go(func() { assert.Check(t, callEcho(t.Context(), pool, time.Second) == nil) })
+		}
+		callers.Wait()
+		idle := s.dialed()
+		time.Sleep(trustTime + time.Second)
+		s.silence()
+		start := time.Now()
+		for range 3 {
+			assert.NilError(t, callEcho(t.Context(), pool, time.Second))
+		}
+		assert.Equal(t, time.Since(start), pingTimeout)
+		assert.Equal(t, s.dialed(), idle+1)
+		assert.DeepEqual(t, closed, []time.Duration{trustTime + time.Second + pingTimeout})
+	})
+}
+
+// TestVerifyConnPingsTrustedConnections guards against a second attempt that is lost on a silent
+// connection as the first one was.
+func TestVerifyConnPingsTrustedConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newEchoServer(t)
+		pool := NewPool(WithDial(s.dial))
+		defer func() { assert.Check(t, pool.Close() == nil) }()
+		assert.NilError(t, callEcho(t.Context(), pool, time.Second))
+		s.silence()
+		assert.NilError(t, callEcho(VerifyConn(t.Context()), pool, time.Second))
+	})
+}
+
+// TestSoundConnectionsAreKept guards against connections that are opened anew for each call that
+// is cancelled, and for each one after a pause.
+func TestSoundConnectionsAreKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newEchoServer(t)
+		pool := NewPool(WithDial(s.dial))
+		defer func() { assert.Check(t, pool.Close() == nil) }()
+		assert.NilError(t, callEcho(t.Context(), pool, time.Second))
+		for range 5 {
+			ctx, cancel := context.WithCancel(t.Context())
+			time.AfterFunc(time.Second, cancel)
+			assert.Assert(t, pool.Conn("echo").Invoke(ctx, "/wait", echoEncoding{}, &echoText{}, &echoText{}) != nil)
+			time.Sleep(trustTime + time.Second)
+			assert.NilError(t, callEcho(t.Context(), pool, time.Second))
+		}
+		assert.Equal(t, s.dialed(), 1)
+	})
+}
+
+// TestServerWithoutPingsCountsAsAlive guards against connections to a server of an earlier release,
+// which answers a ping with an error, that are taken for silent.
+func TestServerWithoutPingsCountsAsAlive(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newEchoServer(t)
+		s.srv.srv = drpcserver.New(drpcmux.New())
+		pool := NewPool(WithDial(s.dial))
+		defer func() { assert.Check(t, pool.Close() == nil) }()
+		for range 3 {
+			err := callEcho(t.Context(), pool, time.Second)
+			assert.ErrorContains(t, err, "unknown rpc")
+			time.Sleep(trustTime + time.Second)
+		}
+		assert.Equal(t, s.dialed(), 1)
+	})
+}
--- a/cicadakernel/cicadawire/server.go
+++ b/cicadakernel/cicadawire/server.go
@@ -43,6 +43,9 @@
 // called.
 func NewServer() *Server {
 	mux := drpcmux.New()
+	if err := mux.Register(pinger{}, pingDescription{}); err != nil {
+		panic(err) // the description is wrong
+	}
 	manager := managerOptions()
 	manager.InactivityTimeout = inactivityTimeout
 	return &Server{mux: mux, srv: drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: manager})}
