Leave an owner that does not answer in time for another attempt and for an answer

What callers saw: reads of jobs that end without any answer, with `context canceled` in the log. Cause: an attempt at one owner might take the wait and 1.5 s, which is as long as callers wait, and began later than their time did. So an owner that does not answer (suspended, hung, or behind a connection that fell silent within the call) took the whole time of each caller; no other owner and no fresh connection was tried, and no 503 sent. Change: reads are answered 1.25 s after their wait at the latest, with 503 if nobody knows. After 0.4 s beyond the wait without an answer a read is made again, at the same owner over a connection that has just answered a ping or is new, and 0.4 s later at the next one, which reads the store; the first answer counts. Submissions and ends do so after 0.8 s, within 2.9 s; an owner joins a second submission to the first, and a job is stored once. A refusal waits for the attempts that are still running. A relayed call and those between owners are made once at a time, as before. Evidence: TestReadIsAnsweredBesideHungOwner and TestReadIsRefusedInTimeBesideHungOwners fail on the commit before (the caller has left). TestSlowAnswerCostsOneCall and TestRelayedCallIsMadeOnce show that an owner that waits as it was asked to gets no second call. The package passes with the race detector. Conclusion: an owner costs a caller 0.4 s, not its whole time.

--- a/cicadagateway/cicadabatch/attempt.go
+++ b/cicadagateway/cicadabatch/attempt.go
@@ -73,7 +73,13 @@
 	err      error // of the last attempt, or why there was none
 }
 
-// Error returns the attempts and the last error.
+// add adds an attempt without an answer.
+func (f *CallFailure) add(a Attempt) {
+	f.attempts = append(f.attempts, a)
+	f.err = a.err
+}
+
+// Error returns the last error.
 func (f *CallFailure) Error() string { return "call owner: " + f.err.Error() }
 
 // Unwrap returns the error of the last attempt.
--- a/cicadagateway/cicadabatch/client.go
+++ b/cicadagateway/cicadabatch/client.go
@@ -8,12 +8,10 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/sourcegraph/conc"
 
+	"cicadalink.example/cicadakernel/cicadatask"
 	"cicadalink.example/cicadakernel/cicadawire"
 )
 
-// attemptTimeout limits the time of a call to one owner, in addition to Call.Wait.
-const attemptTimeout = 1500 * time.Millisecond
-
 // A Peer is an owner that can be called. If this process cannot reach it, Relayed is
 // set and Address is that of a process that can.
 type Peer struct {
@@ -28,6 +26,7 @@
 type Client struct {
 	pool   *cicadawire.Pool
 	owners func() []Peer
+	tasks  cicadatask.Group
 }
 
 // NewClient returns a client. owners returns the owners that may currently run jobs.
@@ -45,33 +44,17 @@
 	return &resp, nil
 }
 
-// Call sends a call to the job's owner. If that fails, it tries the other owners in
-// the order of the rendezvous hash. An error is a *CallFailure.
+// Call sends a call to the job's owner. If that fails, it tries the other owners in the order of the
+// rendezvous hash. If a caller's call has no answer for some time, it tries again meanwhile, first at
+// the same owner over another connection, as the first attempt may be lost where no error tells. The
+// response to a submission or an end is an unknown outcome unless no attempt can have taken effect or
+// one was answered. An error is a *CallFailure.
 func (c *Client) Call(ctx context.Context, call *Call) (Response, error) {
-	failure := &CallFailure{err: errNoOwner}
-	for _, peer := range rankPeers(call.Job, c.owners()) {
-		if peer.Relayed && call.Relayed {
-			continue
-		}
-		start := time.Now()
-		resp, err := c.callPeer(ctx, peer, call)
-		if err == nil {
-			return resp, nil
-		}
-		failure.err = err
-		failure.attempts = append(failure.attempts, Attempt{peer: peer, took: time.Since(start), err: err})
-		if ctx.Err() != nil {
-			break
-		}
-	}
-	if call.Kind == CallSubmit || call.Kind == CallEndJob {
-		return outcomeUnknown(), failure
-	}
-	return unavailable(), failure
+	return newPendingCall(c, call, rankPeers(call.Job, c.owners())).run(ctx)
 }
 
-func (c *Client) callPeer(ctx context.Context, peer Peer, call *Call) (Response, error) {
-	ctx, cancel := context.WithTimeout(ctx, call.Wait+attemptTimeout)
+func (c *Client) callPeer(ctx context.Context, peer Peer, call *Call, timeout time.Duration) (Response, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var resp Response
 	err := c.pool.Conn(peer.Address).Invoke(ctx, rpcName, cborEncoding{}, call, &resp)
@@ -112,12 +95,10 @@
 // broadcast sends a call to all owners that can be reached directly. An owner that does not
 // get it only keeps older or higher counts of tokens, so errors need no handling.
 func (c *Client) broadcast(ctx context.Context, call *Call) {
-	ctx, cancel := context.WithTimeout(ctx, broadcastTimeout)
-	defer cancel()
 	var wg conc.WaitGroup
 	for _, peer := range c.owners() {
 		if !peer.Relayed {
-			wg.Go(func() { _, _ = c.callPeer(ctx, peer, call) })
+			wg.Go(func() { _, _ = c.callPeer(ctx, peer, call, broadcastTimeout) })
 		}
 	}
 	wg.Wait()
