Do not refuse a submission that another owner may have accepted

Cause: after an attempt without an answer, whose owner may still store the job, the entry passed on the refusal of the next owner, which promises that nothing runs. An end of a job whose write was in doubt was answered 503 likewise. Change: a refusal is passed on only if no attempt may have taken effect: those that ended without an answer, unless nothing was sent, and those that answered 502 themselves. Otherwise the response is 502. Refusals wait for attempts that still run. Conclusion: 429 and 503 of submissions are true on this path; callers of jobs whose outcome is unknown come back as after any 502.

--- a/cicadagateway/cicadabatch/calls.go
+++ b/cicadagateway/cicadabatch/calls.go
@@ -173,7 +173,10 @@
 		}
 		if err != nil {
 			o.log.Warn("failed to mark job as ended", "name", obj.Name(), "error", err)
-			return true, unavailable()
+			if errors.Is(err, cicadaplatform.ErrUnavailable) && !errors.Is(err, cicadaplatform.ErrInDoubt) {
+				return true, unavailable()
+			}
+			return true, outcomeUnknown()
 		}
 		obj = updated
 	}
--- a/cicadagateway/cicadabatch/pending.go
+++ b/cicadagateway/cicadabatch/pending.go
@@ -50,6 +50,9 @@
 // isWrite reports whether an owner that has not answered may have done what its caller must know of.
 func (c *Call) isWrite() bool { return c.Kind == CallSubmit || c.Kind == CallEndJob }
 
+// errRefusedLater reports that an owner refused a call which another one may have served.
+var errRefusedLater = merry.Sentinel("cicadabatch: refused after an attempt whose outcome is unknown")
+
 // An attemptResult is how an attempt ended, and its response if it was answered.
 type attemptResult struct {
 	Attempt
@@ -68,6 +71,8 @@
 	results chan attemptResult
 	failure CallFailure
 	refusal *Response // an answer that says that nothing was done
+	// unknown is set if an attempt ended after which the owner may have served the call.
+	unknown bool
 }
 
 // newPendingCall returns a call to the given owners, the job's owner first.
@@ -144,11 +149,14 @@
 		p.failure.add(r.Attempt)
 		if r.End() == EndNotDialed {
 			p.peers = slices.DeleteFunc(p.peers, func(peer Peer) bool { return peer == r.peer })
+		} else {
+			p.unknown = true
 		}
 		return false
 	}
 	switch r.resp.Status {
 	case http.StatusBadGateway:
+		p.unknown = true
 		return p.running == 0
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
 		p.refusal = &r.resp
@@ -159,8 +167,11 @@
 
 // end returns the response to a call for which no attempt had an answer that stands by itself.
 func (p *pendingCall) end() (Response, error) {
-	if p.refusal != nil {
+	switch {
+	case p.refusal != nil && (!p.unknown || !p.call.isWrite()):
 		return *p.refusal, nil
+	case p.refusal != nil:
+		p.failure.err = errRefusedLater
 	}
 	if p.call.isWrite() {
 		return outcomeUnknown(), &p.failure
--- a/cicadagateway/cicadabatch/pending_test.go
+++ b/cicadagateway/cicadabatch/pending_test.go
@@ -185,6 +185,33 @@
 	})
 }
 
+// TestSubmissionIsRefusedOnlyIfNotAccepted guards against a submission that is answered as refused by the
+// next owner, while the job's owner, which has not answered, accepts it later.
+func TestSubmissionIsRefusedOnlyIfNotAccepted(t *testing.T) {
+	const soon = 10 * time.Millisecond
+	for name, test := range map[string]struct {
+		first, next *fakeOwner
+		want        int
+	}{
+		"first hangs":                {&fakeOwner{}, &fakeOwner{delay: soon, status: http.StatusTooManyRequests}, http.StatusBadGateway},
+		"first hangs, next is away":  {&fakeOwner{}, &fakeOwner{delay: soon, status: http.StatusServiceUnavailable}, http.StatusBadGateway},
+		"first accepts late":         {&fakeOwner{delay: 2 * time.Second, status: http.StatusAccepted}, &fakeOwner{delay: soon, status: http.StatusTooManyRequests}, http.StatusAccepted},
+		"first refuses late":         {&fakeOwner{delay: 2 * time.Second, status: http.StatusTooManyRequests}, &fakeOwner{delay: soon, status: http.StatusTooManyRequests}, http.StatusTooManyRequests},
+		"first got nothing":          {&fakeOwner{down: true}, &fakeOwner{delay: soon, status: http.StatusTooManyRequests}, http.StatusTooManyRequests},
+		"first hangs, next accepts":  {&fakeOwner{}, &fakeOwner{delay: soon, status: http.StatusAccepted}, http.StatusAccepted},
+		"first does not know":        {&fakeOwner{delay: soon, status: http.StatusBadGateway}, &fakeOwner{delay: soon, status: http.StatusAccepted}, http.StatusBadGateway},
+		"first knows no more, later": {&fakeOwner{delay: 2 * time.Second, status: http.StatusBadGateway}, &fakeOwner{delay: soon, status: http.StatusTooManyRequests}, http.StatusBadGateway},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newFakeClient(t, test.first, test.next)
+				resp, _ := c.Call(t.Context(), &Call{Kind: CallSubmit, Job: testJob})
+				assert.Equal(t, resp.Status, test.want)
+			})
+		})
+	}
+}
+
 // TestRelayedCallIsMadeOnce guards against calls that multiply at each process on their way.
 func TestRelayedCallIsMadeOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
