End calls that wait for an event loop when their senders have left

Cause: calls waited for the owner's event loop without their context; while it stood still, each further attempt held a connection and a goroutine. Change: reads, submissions and checkpoints stop waiting when their context ends; what was queued may still run and sets nothing that is used. Evidence: TestCallsEndBesideBlockedEventLoop fails without the change (the calls do not end). The package passes with the race detector. Conclusion: a hung owner keeps no calls whose callers have gone.

--- a/cicadagateway/cicadabatch/calls.go
+++ b/cicadagateway/cicadabatch/calls.go
@@ -102,7 +102,7 @@
 		o.enqueue(func() { o.receiveHandOver(c.Job, c.Progress) })
 		resp = Response{Status: http.StatusOK}
 	case CallCheckpoint:
-		resp = o.applyCheckpoint(c)
+		resp = o.applyCheckpoint(ctx, c)
 	case CallReportWaiting:
 		o.enqueue(func() { o.applyWaiting(c.Waiting) })
 		resp = Response{Status: http.StatusOK}
@@ -117,17 +117,31 @@
 	return resp
 }
 
-// enqueueAndWait runs f in the event loop and waits until it has returned.
-func (o *Owner) enqueueAndWait(f func()) {
+// enqueueAndWait runs f in the event loop and waits until it has returned or the owner has ended.
+func (o *Owner) enqueueAndWait(f func()) { o.runInLoop(o.ctx, f) }
+
+// runInLoop runs f in the event loop. It reports false if ctx or the owner ended first: f may
+// still run then, so that the caller must not use what f sets.
+func (o *Owner) runInLoop(ctx context.Context, f func()) bool {
 	done := make(chan struct{})
-	o.enqueue(func() {
+	task := func() {
 		f()
 		close(done)
-	})
+	}
+	select {
+	case o.tasks <- task:
+	case <-ctx.Done():
+		return false
+	case <-o.ctx.Done():
+		return false
+	}
 	select {
 	case <-done:
+		return true
+	case <-ctx.Done():
 	case <-o.ctx.Done():
 	}
+	return false
 }
 
 // endJob marks a job in the store as ended. Its owner is notified by its watch.
@@ -180,6 +194,6 @@
 		}
 		obj = updated
 	}
-	o.enqueueAndWait(func() { o.applyJob(obj, true) })
+	o.runInLoop(ctx, func() { o.applyJob(obj, true) })
 	return true, Response{Status: http.StatusOK}
 }
--- a/cicadagateway/cicadabatch/checkpoint.go
+++ b/cicadagateway/cicadabatch/checkpoint.go
@@ -246,9 +246,9 @@
 // applyCheckpoint applies a checkpoint of a job that another owner runs, in case the
 // job moves here. The response is a conflict if the job is not known here yet or an
 // earlier checkpoint is missing.
-func (o *Owner) applyCheckpoint(c *Call) Response {
+func (o *Owner) applyCheckpoint(ctx context.Context, c *Call) Response {
 	status := http.StatusOK
-	o.enqueueAndWait(func() {
+	ran := o.runInLoop(ctx, func() {
 		j := o.jobs[c.Job]
 		if j == nil {
 			status = http.StatusConflict // the watch has not delivered the job yet
@@ -268,5 +268,8 @@
 			}
 		}
 	})
+	if !ran {
+		return unavailable()
+	}
 	return Response{Status: status}
 }
--- a/cicadagateway/cicadabatch/reading.go
+++ b/cicadagateway/cicadabatch/reading.go
@@ -32,7 +32,7 @@
 	for fetched := false; ; {
 		known, loading := false, (chan struct{})(nil)
 		done := false
-		o.enqueueAndWait(func() {
+		ran := o.runInLoop(ctx, func() {
 			j := o.jobs[id]
 			if known = j != nil; !known {
 				return
@@ -47,6 +47,9 @@
 			}
 		})
 		switch {
+		case !ran:
+			resp := unavailable()
+			return &resp
 		case done:
 			return nil
 		case !known && !fetched:
@@ -133,7 +136,7 @@
 		resp := unavailable()
 		return &resp
 	}
-	o.enqueueAndWait(func() { o.applyJob(obj, true) })
+	o.runInLoop(ctx, func() { o.applyJob(obj, true) })
 	return nil
 }
 
--- a/cicadagateway/cicadabatch/submit.go
+++ b/cicadagateway/cicadabatch/submit.go
@@ -34,7 +34,9 @@
 // accept stores a job, if its tokens fit in the limit of its route.
 func (o *Owner) accept(ctx context.Context, c *Call) Response {
 	exists, assignments := false, 0
-	o.enqueueAndWait(func() { exists, assignments = o.jobs[c.Job] != nil, o.assignments })
+	if !o.runInLoop(ctx, func() { exists, assignments = o.jobs[c.Job] != nil, o.assignments }) {
+		return outcomeUnknown()
+	}
 	if exists {
 		return Response{Status: http.StatusAccepted}
 	}
@@ -97,7 +99,9 @@
 // owner has accepted, and this one does not know yet, is not refused.
 func (o *Owner) confirmRefusal(ctx context.Context, c *Call, refusal Response) Response {
 	recent := false
-	o.enqueueAndWait(func() { recent = time.Since(o.absentJobs[c.Job]) < lookupTTL })
+	if !o.runInLoop(ctx, func() { recent = time.Since(o.absentJobs[c.Job]) < lookupTTL }) {
+		return outcomeUnknown()
+	}
 	if recent {
 		return refusal
 	}
