Leave connections to the store that have fallen silent

Callers would see: a process without the store though new connections to it work. Each call took the next kept connection, silent as well, and waited for its whole 2 s: 8 s with four idle ones, and more with those in use. A write waited 2 s before it was read back, on the next silent one. Watches waited to the end of their 17 s. For that time configurations, drains and ends of jobs are late, and results are not listed.

Cause: the client believed in a kept connection for as long as it was not closed, and drew no conclusion from one for the others.

A call on a kept connection without an answer for 0.5 s makes it read an object on a new one. If that is answered while the call still waits, all connections are replaced: reads and watches are sent again, writes end in doubt and are read back by the client as ever. A store that is slow answers the call before the probe, and is left its time.

While the store takes more than 0.5 s: one read at a time and process beside those that wait. A replacement costs one call a watch.

--- a/cicadakernel/cicadaplatform/http.go
+++ b/cicadakernel/cicadaplatform/http.go
@@ -17,8 +17,12 @@
 	"github.com/julienschmidt/httprouter"
 )
 
-// httpIdleTimeout is how long an idle connection to the store is kept.
-const httpIdleTimeout = 90 * time.Second
+const (
+	// httpIdleTimeout is how long an idle connection to the store is kept.
+	httpIdleTimeout = 90 * time.Second
+	// httpProbePath names no object. Its answer shows that the store answers.
+	httpProbePath = "/objects/probe"
+)
 
 func init() {
 	Adapters.Register("http", openHTTP)
@@ -154,18 +158,20 @@
 }
 
 type httpBackend struct {
-	base   string
-	client *http.Client
+	base    string
+	client  *http.Client
+	watches *http.Client
 }
 
 func openHTTP(address string) (Backend, error) {
 	if _, err := url.Parse(address); err != nil {
 		return Backend{}, merry.Errorf("platform address: %w", err)
 	}
-	b := &httpBackend{
-		base:   strings.TrimSuffix(address, "/"),
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: httpIdleTimeout}},
-	}
+	base := strings.TrimSuffix(address, "/")
+	transport := NewTransport(func() *http.Transport {
+		return &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: httpIdleTimeout}
+	}, base+httpProbePath)
+	b := &httpBackend{base: base, client: &http.Client{Transport: transport}, watches: &http.Client{Transport: transport.Watches()}}
 	return Backend{
 		Get:    b.get,
 		List:   b.list,
@@ -177,7 +183,7 @@
 	}, nil
 }
 
-func (b *httpBackend) do(ctx context.Context, method, path, ifMatch string, value []byte, out any) error {
+func (b *httpBackend) do(ctx context.Context, client *http.Client, method, path, ifMatch string, value []byte, out any) error {
 	req, err := http.NewRequestWithContext(ctx, method, b.base+path, bytes.NewReader(value))
 	if err != nil {
 		return merry.Errorf("build request: %w", err)
@@ -185,7 +191,7 @@
 	if ifMatch != "" {
 		req.Header.Set("If-Match", ifMatch)
 	}
-	res, err := b.client.Do(req)
+	res, err := client.Do(req)
 	if err != nil {
 		return merry.Errorf("%s %s: %w: %w", method, path, ErrInDoubt, err)
 	}
@@ -214,7 +220,7 @@
 
 func (b *httpBackend) get(ctx context.Context, name string) (Object, error) {
 	var body objectBody
-	if err := b.do(ctx, http.MethodGet, objectPath(name), "", nil, &body); err != nil {
+	if err := b.do(ctx, b.client, http.MethodGet, objectPath(name), "", nil, &body); err != nil {
 		return Object{}, err
 	}
 	return body.object(), nil
@@ -222,17 +228,17 @@
 
 func (b *httpBackend) list(ctx context.Context, prefix, after string, limit int) (Page, error) {
 	q := url.Values{"prefix": {prefix}, "after": {after}, "limit": {strconv.Itoa(limit)}}
-	return b.getPage(ctx, q)
+	return b.getPage(ctx, b.client, q)
 }
 
 func (b *httpBackend) watch(ctx context.Context, prefix string, from int64) (Page, error) {
 	q := url.Values{"prefix": {prefix}, "watch": {strconv.FormatInt(from, 10)}}
-	return b.getPage(ctx, q)
+	return b.getPage(ctx, b.watches, q)
 }
 
-func (b *httpBackend) getPage(ctx context.Context, q url.Values) (Page, error) {
+func (b *httpBackend) getPage(ctx context.Context, client *http.Client, q url.Values) (Page, error) {
 	var body pageBody
-	if err := b.do(ctx, http.MethodGet, "/objects?"+q.Encode(), "", nil, &body); err != nil {
+	if err := b.do(ctx, client, http.MethodGet, "/objects?"+q.Encode(), "", nil, &body); err != nil {
 		return Page{}, err
 	}
 	objects := make([]Object, len(body.Objects))
@@ -252,7 +258,7 @@
 
 func (b *httpBackend) put(ctx context.Context, name, ifMatch string, value []byte) (Object, error) {
 	var body objectBody
-	if err := b.do(ctx, http.MethodPut, objectPath(name), ifMatch, value, &body); err != nil {
+	if err := b.do(ctx, b.client, http.MethodPut, objectPath(name), ifMatch, value, &body); err != nil {
 		return Object{}, err
 	}
 	return NewObject(name, body.Version, value), nil
@@ -260,12 +266,12 @@
 
 func (b *httpBackend) remove(ctx context.Context, name string, version int64) error {
 	var empty struct{}
-	return b.do(ctx, http.MethodDelete, objectPath(name), fmt.Sprint(version), nil, &empty)
+	return b.do(ctx, b.client, http.MethodDelete, objectPath(name), fmt.Sprint(version), nil, &empty)
 }
 
 func (b *httpBackend) vms(ctx context.Context) ([]VM, error) {
 	var vms []VM
-	if err := b.do(ctx, http.MethodGet, "/vms", "", nil, &vms); err != nil {
+	if err := b.do(ctx, b.client, http.MethodGet, "/vms", "", nil, &vms); err != nil {
 		return nil, err
 	}
 	return vms, nil
