Bound watches over the store's http adapter

An entry that follows the configuration through the http adapter would see no change again: a watch on a connection that has fallen silent waited for ever.

Cause: the watch had no time-out of its own; that of the store (10 s) comes over the connection. Change: 2 s beyond it, as in the other adapter.

--- a/cicadakernel/cicadaplatform/http.go
+++ b/cicadakernel/cicadaplatform/http.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -20,6 +21,8 @@
 const (
 	// httpIdleTimeout is how long an idle connection to the store is kept.
 	httpIdleTimeout = 90 * time.Second
+	// httpWatchMargin is added to watchTimeout for the network and the store.
+	httpWatchMargin = 2 * time.Second
 	// httpProbePath names no object. Its answer shows that the store answers.
 	httpProbePath = "/objects/probe"
 )
@@ -167,11 +170,18 @@
 	if _, err := url.Parse(address); err != nil {
 		return Backend{}, merry.Errorf("platform address: %w", err)
 	}
-	base := strings.TrimSuffix(address, "/")
+	return newHTTPBackend(strings.TrimSuffix(address, "/"), (&net.Dialer{}).DialContext).backend(), nil
+}
+
+// newHTTPBackend returns a client of the store at base, whose connections dial opens.
+func newHTTPBackend(base string, dial func(ctx context.Context, network, address string) (net.Conn, error)) *httpBackend {
 	transport := NewTransport(func() *http.Transport {
-		return &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: httpIdleTimeout}
+		return &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 16, IdleConnTimeout: httpIdleTimeout}
 	}, base+httpProbePath)
-	b := &httpBackend{base: base, client: &http.Client{Transport: transport}, watches: &http.Client{Transport: transport.Watches()}}
+	return &httpBackend{base: base, client: &http.Client{Transport: transport}, watches: &http.Client{Transport: transport.Watches()}}
+}
+
+func (b *httpBackend) backend() Backend {
 	return Backend{
 		Get:    b.get,
 		List:   b.list,
@@ -180,7 +190,7 @@
 		Delete: b.remove,
 		Watch:  b.watch,
 		VMs:    b.vms,
-	}, nil
+	}
 }
 
 func (b *httpBackend) do(ctx context.Context, client *http.Client, method, path, ifMatch string, value []byte, out any) error {
@@ -233,6 +243,8 @@
 
 func (b *httpBackend) watch(ctx context.Context, prefix string, from int64) (Page, error) {
 	q := url.Values{"prefix": {prefix}, "watch": {strconv.FormatInt(from, 10)}}
+	ctx, cancel := context.WithTimeout(ctx, watchTimeout+httpWatchMargin)
+	defer cancel()
 	return b.getPage(ctx, b.watches, q)
 }
 
