Leave kept connections to an endpoint that fell silent together

Callers would see: after the kept connections to an endpoint have fallen silent, one request after another is sent on the next of them and gets no answer, though new connections work. Each of up to 16 takes one request with it, until they have been idle for 4 s.

Cause: a connection on which a request was cancelled is closed, but nothing is concluded for the others.

Change: if a request is cancelled after at least 1 s without a byte, the idle connections to that address are closed on which nothing was received since. Those on which the endpoint has responded meanwhile are kept, so that a slow request costs only connections that were idle all the while. No request is ended sooner.

--- a/cicadagateway/cicadaexchange/lost.go
+++ b/cicadagateway/cicadaexchange/lost.go
@@ -1,11 +1,18 @@
 package cicadaexchange
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // lossCheckDelay is the time after a connection broke off at which the others are checked again.
 // Those of a process that has ended do not break off all at once.
 const lossCheckDelay = 50 * time.Millisecond
 
+// silenceDelay is how long nothing is received on a connection, until a request on it is cancelled,
+// before it may have fallen silent.
+const silenceDelay = time.Second
+
 // WithOnLost sets a function that is called with the address of an endpoint whose process may have
 // ended: a connection broke off, and no idle one is left open. It must not block.
 func WithOnLost(onLost func(address string)) Option {
@@ -15,10 +22,14 @@
 // abandon closes a connection that broke off, and checks whether others to its endpoint are open.
 func (c *Client) abandon(cn *conn) {
 	_ = cn.Close()
-	if cn.canceled.Load() || cn.abandoned {
+	if cn.abandoned {
 		return
 	}
 	cn.abandoned = true
+	if cn.canceled.Load() {
+		c.closeUnheard(cn)
+		return
+	}
 	if c.checkLost(cn.address) {
 		return
 	}
@@ -44,3 +55,26 @@
 	}
 	return false
 }
+
+// closeUnheard closes the idle connections to the endpoint of a connection that may have fallen
+// silent, except those on which the endpoint has responded since. Connections can fall silent
+// together, and none shows it before it is used.
+func (c *Client) closeUnheard(silent *conn) {
+	silentSince := silent.limit.heardAt
+	if time.Since(silentSince) < silenceDelay {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := slices.DeleteFunc(c.idle[silent.address], func(cn *conn) bool {
+		unheard := !cn.limit.heardAt.After(silentSince)
+		if unheard {
+			_ = cn.Close()
+		}
+		return unheard
+	})
+	c.idle[silent.address] = list
+	if len(list) == 0 {
+		delete(c.idle, silent.address)
+	}
+}
--- a/cicadagateway/cicadaexchange/pool.go
+++ b/cicadagateway/cicadaexchange/pool.go
@@ -52,21 +52,30 @@
 	net.Conn
 	limited bool
 	left    int
+	heardAt time.Time // when bytes were last received, or began to be awaited
 }
 
 // Read implements io.Reader.
 func (l *headerLimit) Read(p []byte) (int, error) {
 	if !l.limited {
-		return l.Conn.Read(p)
+		return l.read(p)
 	}
 	if l.left <= 0 {
 		return 0, ErrTooLarge
 	}
-	n, err := l.Conn.Read(p[:min(len(p), l.left)])
+	n, err := l.read(p[:min(len(p), l.left)])
 	l.left -= n
 	return n, err
 }
 
+func (l *headerLimit) read(p []byte) (int, error) {
+	n, err := l.Conn.Read(p)
+	if n > 0 {
+		l.heardAt = time.Now()
+	}
+	return n, err
+}
+
 // setTCPUserTimeout sets TCP_USER_TIMEOUT, so that a connection fails if sent data
 // is not acknowledged in time.
 func setTCPUserTimeout(_, _ string, raw syscall.RawConn) error {
