End a link to an agent that was never heard

An entry would not use an endpoint for as long as both run: the first link to its agent, over a connection that falls silent before the agent's first message, was waited for without end.

Cause: a link times out by the age of the last message, and an agent without one had no age. Change: it has the link's.

That the next link has another connection rests on the pool of cicadawire, which at this commit still hands out the silent one.

--- a/cicadaentry/cicadafleet/link.go
+++ b/cicadaentry/cicadafleet/link.go
@@ -83,6 +83,7 @@
 // immediately; the others do so after pushTakeoverAfter. It returns when ctx
 // ends or the link has timed out.
 func (f *Fleet) pushConfig(ctx context.Context, e *Endpoint, stream cicadawire.DRPCAgent_LinkClient) {
+	openedAt := time.Now()
 	ticker := time.NewTicker(linkCheckInterval)
 	defer ticker.Stop()
 	var sentRevision int64
@@ -113,18 +114,22 @@
 		case <-ctx.Done():
 			return
 		}
-		if f.linkTimedOut(e) {
+		if f.linkTimedOut(e, openedAt) {
 			return
 		}
 	}
 }
 
 // linkTimedOut reports whether nothing was received from the agent for linkTimeout,
-// so that the link must be reopened.
-func (f *Fleet) linkTimedOut(e *Endpoint) bool {
+// so that the link must be reopened. An agent that was never heard has that time from the opening.
+func (f *Fleet) linkTimedOut(e *Endpoint, openedAt time.Time) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return !e.lastMessageAt.IsZero() && time.Since(e.lastMessageAt) > linkTimeout
+	last := e.lastMessageAt
+	if last.IsZero() {
+		last = openedAt
+	}
+	return time.Since(last) > linkTimeout
 }
 
 // isPusherFor reports whether this entry is one of those that push the configuration
