Check kept connections to the store while only watches wait

(Configuration and endpoints have a fallback: one process polls them for all, and the states of peers tell of it.)

Cause: silence shows only by a call that should be answered at once, and a process may make none for long.

Change: while watches wait and no call was answered for 2 s, the Transport reads an object that may be stale, on a kept connection. Silence is found by it as by any call, and all connections are replaced. Weighed: shorter watches (each process has four or five, at the full price), and a word of it from peers (a message all must know, and no help where one process is concerned).

None for processes that call the store anyway.

--- a/cicadakernel/cicadaplatform/http.go
+++ b/cicadakernel/cicadaplatform/http.go
@@ -177,7 +177,7 @@
 func newHTTPBackend(base string, dial func(ctx context.Context, network, address string) (net.Conn, error)) *httpBackend {
 	transport := NewTransport(func() *http.Transport {
 		return &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 16, IdleConnTimeout: httpIdleTimeout}
-	}, base+httpProbePath)
+	}, base+httpProbePath, base+httpProbePath)
 	return &httpBackend{base: base, client: &http.Client{Transport: transport}, watches: &http.Client{Transport: transport.Watches()}}
 }
 
--- a/cicadakernel/cicadaplatform/transport.go
+++ b/cicadakernel/cicadaplatform/transport.go
@@ -12,6 +12,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"cicadalink.example/cicadakernel/cicadaretry"
 	"cicadalink.example/cicadakernel/cicadatask"
 )
 
@@ -21,6 +22,10 @@
 	silenceDelay = 500 * time.Millisecond
 	// probeTimeout limits the time in which the store answers on a new connection.
 	probeTimeout = time.Second
+	// checkInterval is the time without an answered call after which the kept connections are
+	// checked while watches wait, and checkTimeout limits a check.
+	checkInterval = 2 * time.Second
+	checkTimeout  = 2 * time.Second
 )
 
 // errSilent ends a call on a connection that has fallen silent.
@@ -31,14 +36,21 @@
 // answer for a while, and the store answers a call on a new connection meanwhile, the Transport
 // replaces all connections: it sends reads and watches again, and ends writes, whose outcome is then
 // unknown. A store that is slow on new connections as well is left its time.
+//
+// A watch has no answer for as long as nothing happens, so that its connection shows nothing. While
+// watches wait and no other calls are made, the Transport makes some itself.
 type Transport struct {
 	newBase  func() *http.Transport
 	probeURL string
+	checkURL string
 	replaced atomic.Int64
 
-	mu      sync.Mutex
-	current *connections
-	wg      cicadatask.Group
+	mu         sync.Mutex
+	current    *connections
+	answeredAt time.Time // when a call other than a watch was last answered, or the Transport made
+	watches    int       // that wait
+	stopChecks context.CancelFunc
+	wg         cicadatask.Group
 }
 
 // connections are the connections that were opened between two replacements.
@@ -49,11 +61,12 @@
 	replace  context.CancelFunc
 }
 
-// NewTransport returns a Transport that gets a http.Transport for its connections from newBase, and
-// probes new ones with a GET of probeURL.
-func NewTransport(newBase func() *http.Transport, probeURL string) *Transport {
-	t := &Transport{newBase: newBase, probeURL: probeURL}
-	t.current = t.newConnections()
+// NewTransport returns a Transport that gets a http.Transport for its connections from newBase. It
+// probes new connections with a GET of probeURL, which the store must answer no sooner than other
+// reads, and checks kept ones with a GET of checkURL, which should be cheap.
+func NewTransport(newBase func() *http.Transport, probeURL, checkURL string) *Transport {
+	t := &Transport{newBase: newBase, probeURL: probeURL, checkURL: checkURL}
+	t.current, t.answeredAt = t.newConnections(), time.Now()
 	return t
 }
 
@@ -80,9 +93,48 @@
 
 // RoundTrip implements http.RoundTripper.
 func (w WatchTransport) RoundTrip(req *http.Request) (*http.Response, error) {
+	defer w.t.beginWatch()()
 	return w.t.roundTrip(req, true)
 }
 
+// beginWatch checks the kept connections until the last watch has ended.
+func (t *Transport) beginWatch() (end func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.watches++
+	if t.watches == 1 {
+		ctx, cancel := context.WithCancel(context.Background())
+		t.stopChecks = cancel
+		t.wg.Go(func() { t.checkKept(ctx) })
+	}
+	return func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		t.watches--
+		if t.watches == 0 {
+			t.stopChecks()
+		}
+	}
+}
+
+// checkKept makes a call whenever none was answered for checkInterval.
+func (t *Transport) checkKept(ctx context.Context) {
+	for {
+		t.mu.Lock()
+		idle := time.Since(t.answeredAt)
+		t.mu.Unlock()
+		if idle < checkInterval {
+			if !cicadaretry.Sleep(ctx, checkInterval-idle) {
+				return
+			}
+			continue
+		}
+		if !t.get(ctx, t, t.checkURL, checkTimeout) && !cicadaretry.Sleep(ctx, checkInterval) {
+			return
+		}
+	}
+}
+
 func (t *Transport) roundTrip(req *http.Request, watches bool) (*http.Response, error) {
 	for {
 		t.mu.Lock()
@@ -114,6 +166,11 @@
 		cancel(nil)
 		return nil, err
 	}
+	if !watches {
+		t.mu.Lock()
+		t.answeredAt = time.Now()
+		t.mu.Unlock()
+	}
 	res.Body = &responseBody{ReadCloser: res.Body, release: func() { cancel(nil) }}
 	return res, nil
 }
@@ -170,7 +227,7 @@
 		return
 	}
 	next := t.newConnections()
-	answered := t.isAnswered(next)
+	answered := t.get(context.Background(), next.base, t.probeURL, probeTimeout)
 	t.mu.Lock()
 	c.probing = false
 	replace := answered && !call.answered.Load() && c == t.current
@@ -188,21 +245,21 @@
 	c.base.CloseIdleConnections()
 }
 
-// isAnswered reports whether the store answers on a new connection.
-func (t *Transport) isAnswered(c *connections) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+// get reports whether a GET is answered in time.
+func (t *Transport) get(ctx context.Context, over http.RoundTripper, url string, timeout time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, t.probeURL, http.NoBody)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
 	if err != nil {
 		return false
 	}
-	res, err := c.base.RoundTrip(req)
+	res, err := over.RoundTrip(req)
 	if err != nil {
 		return false
 	}
 	defer res.Body.Close()
-	_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, MaxValueSize))
-	return true
+	_, err = io.Copy(io.Discard, io.LimitReader(res.Body, MaxValueSize))
+	return err == nil
 }
 
 // responseBody releases the resources of a call once its body is closed.
