Bound each attempt at the owner of a shard

Customers would see: a job call, a claim or a settlement at an entry that does not own the shard has no answer for as long as they wait, if the connection to the owner has fallen silent.

Cause: the calls took the caller's context, which has no deadline for jobs, and not the one that is limited to 10 s. Had it been that, one attempt would have taken the whole time. Change: 3 s an attempt at a remote owner, from the 10 s. Attempts were repeated after errors before; the calls are made for it.

That this has another connection rests on the pool of cicadawire.

--- a/cicadaentry/cicadashard/claims.go
+++ b/cicadaentry/cicadashard/claims.go
@@ -30,7 +30,7 @@
 		var err error
 		reply, err = o.claim(ctx, req)
 		return err
-	}, func(client cicadawire.DRPCEntryClient) error {
+	}, func(ctx context.Context, client cicadawire.DRPCEntryClient) error {
 		var err error
 		reply, err = client.Claim(ctx, req)
 		if err != nil || reply.GetState() == cicadawire.ClaimState_NOT_OWNER {
@@ -61,7 +61,7 @@
 func (m *Manager) Settle(ctx context.Context, req *cicadawire.SettleRequest) error {
 	err := m.callOwner(ctx, m.ShardOfKey(req.GetCustomer(), req.GetKey()), func(o *owner) error {
 		return o.settle(ctx, req)
-	}, func(client cicadawire.DRPCEntryClient) error {
+	}, func(ctx context.Context, client cicadawire.DRPCEntryClient) error {
 		reply, err := client.Settle(ctx, req)
 		if err != nil || !reply.GetRecorded() {
 			return ErrNotOwner
--- a/cicadaentry/cicadashard/jobs.go
+++ b/cicadaentry/cicadashard/jobs.go
@@ -30,7 +30,7 @@
 		var err error
 		reply, err = o.job(ctx, req)
 		return err
-	}, func(client cicadawire.DRPCEntryClient) error {
+	}, func(ctx context.Context, client cicadawire.DRPCEntryClient) error {
 		var err error
 		reply, err = client.Job(ctx, req)
 		if err != nil || reply.GetNotOwner() {
--- a/cicadaentry/cicadashard/manager.go
+++ b/cicadaentry/cicadashard/manager.go
@@ -52,8 +52,11 @@
 	leaseAttemptInterval = 1500 * time.Millisecond
 	leaseRenewInterval   = 2 * time.Second
 	ownerCallTimeout     = 10 * time.Second
-	ownerRetryInterval   = 200 * time.Millisecond
-	releaseTimeout       = 5 * time.Second
+	// ownerAttemptTimeout limits an attempt at a remote owner, so that others have time after one
+	// over a connection that has fallen silent. Calls may be repeated.
+	ownerAttemptTimeout = 3 * time.Second
+	ownerRetryInterval  = 200 * time.Millisecond
+	releaseTimeout      = 5 * time.Second
 )
 
 // ErrNotOwner reports a request for a shard that this entry does not own.
@@ -330,7 +333,7 @@
 // callOwner calls local if this entry owns the shard, else remote with a client
 // of the owner. If the call returns ErrNotOwner, it looks up the owner again and
 // retries until ownerCallTimeout.
-func (m *Manager) callOwner(ctx context.Context, shard int, local func(*owner) error, remote func(cicadawire.DRPCEntryClient) error) error {
+func (m *Manager) callOwner(ctx context.Context, shard int, local func(*owner) error, remote func(context.Context, cicadawire.DRPCEntryClient) error) error {
 	ctx, cancel := context.WithTimeout(ctx, ownerCallTimeout)
 	defer cancel()
 	for {
@@ -345,7 +348,7 @@
 	}
 }
 
-func (m *Manager) callOwnerOnce(ctx context.Context, shard int, local func(*owner) error, remote func(cicadawire.DRPCEntryClient) error) error {
+func (m *Manager) callOwnerOnce(ctx context.Context, shard int, local func(*owner) error, remote func(context.Context, cicadawire.DRPCEntryClient) error) error {
 	if o, ok := m.localOwner(shard); ok {
 		return local(o)
 	}
@@ -353,5 +356,7 @@
 	if err != nil {
 		return merry.Errorf("%w: %w", ErrNotOwner, err)
 	}
-	return remote(m.deps.Dial(address))
+	ctx, cancel := context.WithTimeout(ctx, ownerAttemptTimeout)
+	defer cancel()
+	return remote(ctx, m.deps.Dial(address))
 }
