Bound the time until an entry responds to an operator's command

Operators would see: a command of cicadactl that never returns, if the connection to the entry falls silent after it was sent.

Cause: the client waited without end. Change: 30 s from the end of the request to the response's header, beyond the 20 s that an entry takes at most; 5 s to connect. Uploads and downloads may take as long as they do.

--- a/cicadakernel/cicadaoperate/client.go
+++ b/cicadakernel/cicadaoperate/client.go
@@ -8,18 +8,26 @@
 	"fmt"
 	"io"
 	"mime/multipart"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 
 	"cicadalink.example/cicadakernel/cicadaerror"
 )
 
-// maxErrorBody limits the size of an error response, in bytes.
-const maxErrorBody = 1 << 20
+const (
+	// maxErrorBody limits the size of an error response, in bytes.
+	maxErrorBody = 1 << 20
+	dialTimeout  = 5 * time.Second
+	// responseTimeout is how long a response may take to begin once the request was sent. Entries
+	// take up to 20 s for an operation.
+	responseTimeout = 30 * time.Second
+)
 
 // A Client calls an entry with the key of an operator or of a customer. If the entry
 // responds with an error, the client's error wraps it as a *cicadaerror.Error.
@@ -34,13 +42,25 @@
 
 // WithTLS sets the TLS configuration.
 func WithTLS(cfg *tls.Config) ClientOption {
-	return func(c *Client) { c.client.Transport = &http.Transport{TLSClientConfig: cfg} }
+	return func(c *Client) {
+		transport := newTransport()
+		transport.TLSClientConfig = cfg
+		c.client.Transport = transport
+	}
+}
+
+// newTransport returns a http.Transport that does not wait for a silent entry without end.
+func newTransport() *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Transport{DialContext: dialer.DialContext, ResponseHeaderTimeout: responseTimeout}
 }
 
 // NewClient returns a client of the entry at a base URL. The key is sent as a bearer
 // token.
 func NewClient(base, key string, opts ...ClientOption) *Client {
-	c := &Client{base: strings.TrimSuffix(base, "/"), key: key, client: &http.Client{}}
+	transport := newTransport()
+	transport.Proxy = http.ProxyFromEnvironment
+	c := &Client{base: strings.TrimSuffix(base, "/"), key: key, client: &http.Client{Transport: transport}}
 	for _, opt := range opts {
 		opt(c)
 	}
