Close endpoint connections that may have fallen silent with the store's

Callers would see: after all kept connections of a process have fallen silent, the first request to each endpoint is lost, one for each pair of entry and endpoint, for as long as the connections are kept (4 s, or what the endpoint states).

Cause: each pool concludes from its own connections only. The store's are checked all the time, at no cost to endpoints, and nothing else was told.

Change: the store's client reports since when nothing was received on a connection that was found silent, and the process closes its idle connections to endpoints on which nothing was received since. It logs and counts that (store_connections_silent).

Where single answers of the store are lost: new connections in place of those that were idle for 0.5 s or more. Pools of cicadawire can be told in the same way.

--- a/cicadagateway/cicadaexchange/lost.go
+++ b/cicadagateway/cicadaexchange/lost.go
@@ -66,15 +66,31 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	list := slices.DeleteFunc(c.idle[silent.address], func(cn *conn) bool {
-		unheard := !cn.limit.heardAt.After(silentSince)
+	c.closeUnheardSince(silent.address, silentSince)
+}
+
+// CloseUnheard closes the idle connections on which nothing was received since a time. It is for
+// connections that may have fallen silent with others of the process.
+func (c *Client) CloseUnheard(since time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address := range c.idle {
+		c.closeUnheardSince(address, since)
+	}
+}
+
+// closeUnheardSince closes the idle connections to an address on which nothing was received since a
+// time. The caller holds c.mu.
+func (c *Client) closeUnheardSince(address string, since time.Time) {
+	list := slices.DeleteFunc(c.idle[address], func(cn *conn) bool {
+		unheard := !cn.limit.heardAt.After(since)
 		if unheard {
 			_ = cn.Close()
 		}
 		return unheard
 	})
-	c.idle[silent.address] = list
+	c.idle[address] = list
 	if len(list) == 0 {
-		delete(c.idle, silent.address)
+		delete(c.idle, address)
 	}
 }
--- a/cicadagateway/cicadaexchange/silent_test.go
+++ b/cicadagateway/cicadaexchange/silent_test.go
@@ -117,6 +117,27 @@
 	})
 }
 
+// Guards against a request that is lost on a kept connection, though others of the process are known
+// to have fallen silent, and against closing connections that are known to be sound.
+func TestUnheardConnectionsAreClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSilentTest(t)
+		defer s.client.CloseIdle("e:1")
+		s.open(2)
+		time.Sleep(time.Second)
+		since := time.Now()
+		s.e.silence()
+		time.Sleep(time.Second)
+		s.client.CloseUnheard(since)
+		opened := s.e.opened
+		assert.Assert(t, s.send("body", time.Second))
+		assert.Equal(t, s.e.opened, opened+1)
+		s.client.CloseUnheard(since)
+		assert.Assert(t, s.send("body", time.Second))
+		assert.Equal(t, s.e.opened, opened+1, "a sound connection was closed")
+	})
+}
+
 // Guards against connections that are closed because a request on another one took long or was
 // cancelled early: each new one takes time, and endpoints accept only so many.
 func TestSlowRequestsCloseNoSoundConnections(t *testing.T) {
--- a/cicadagateway/cicadaprocess/process.go
+++ b/cicadagateway/cicadaprocess/process.go
@@ -122,9 +122,18 @@
 	connectionsOpened := p.Scope().Counter("endpoint_connections")
 	n.client = cicadaexchange.NewClient(cicadaexchange.WithOnConnect(func() { connectionsOpened.Inc(1) }), cicadaexchange.WithOnLost(n.table.RecordLost),
 		cicadaexchange.WithIdentification(cicadaexchange.Identification{Target: adapter.ReportPath, Decode: adapter.DecodeReportedStart}))
+	n.store.OnSilent(n.leaveSilentConnections)
 	return n, nil
 }
 
+// leaveSilentConnections closes the idle connections to endpoints that may have fallen silent with
+// those to the store.
+func (n *Node) leaveSilentConnections(since time.Time) {
+	n.process.Scope().Counter("store_connections_silent").Inc(1)
+	n.log.Warn("kept connections to the store fell silent, replaced", "silent-for", time.Since(since).String())
+	n.client.CloseUnheard(since)
+}
+
 func (n *Node) notifyPeers() {
 	if g := n.group; g != nil {
 		g.Notify()
--- a/cicadakernel/cicadaplatform/client.go
+++ b/cicadakernel/cicadaplatform/client.go
@@ -139,6 +139,15 @@
 	return c
 }
 
+// OnSilent adds a function that is called when kept connections to the store were found to have
+// fallen silent, with a time since which nothing was received on one. Others of the process may have
+// fallen silent with them.
+func (c *Client) OnSilent(f func(since time.Time)) {
+	if c.backend.OnSilent != nil {
+		c.backend.OnSilent(f)
+	}
+}
+
 // Writes returns the number of writes the client has made.
 func (c *Client) Writes() int64 { return c.writes.Load() }
 
--- a/cicadakernel/cicadaplatform/http.go
+++ b/cicadakernel/cicadaplatform/http.go
@@ -164,6 +164,8 @@
 	base    string
 	client  *http.Client
 	watches *http.Client
+
+	onSilent func(f func(since time.Time))
 }
 
 func openHTTP(address string) (Backend, error) {
@@ -178,7 +180,9 @@
 	transport := NewTransport(func() *http.Transport {
 		return &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 16, IdleConnTimeout: httpIdleTimeout}
 	}, base+httpProbePath, base+httpProbePath)
-	return &httpBackend{base: base, client: &http.Client{Transport: transport}, watches: &http.Client{Transport: transport.Watches()}}
+	return &httpBackend{
+		base: base, client: &http.Client{Transport: transport}, watches: &http.Client{Transport: transport.Watches()}, onSilent: transport.OnSilent,
+	}
 }
 
 func (b *httpBackend) backend() Backend {
@@ -190,6 +194,8 @@
 		Delete: b.remove,
 		Watch:  b.watch,
 		VMs:    b.vms,
+
+		OnSilent: b.onSilent,
 	}
 }
 
--- a/cicadakernel/cicadaplatform/store.go
+++ b/cicadakernel/cicadaplatform/store.go
@@ -22,6 +22,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 
@@ -144,6 +145,10 @@
 	// ValueSize returns the size of an object's value as the store keeps it, in bytes. If
 	// ValueSize is nil, values are kept as they are.
 	ValueSize func(name string, value []byte) int
+	// OnSilent adds a function that is called when kept connections to the store were found to
+	// have fallen silent, with a time since which nothing was received on one. If OnSilent is
+	// nil, that is not found out.
+	OnSilent func(f func(since time.Time))
 }
 
 // Adapters is the registry of platform adapters by URL scheme.
--- a/cicadakernel/cicadaplatform/transport.go
+++ b/cicadakernel/cicadaplatform/transport.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -43,9 +44,9 @@
 	newBase  func() *http.Transport
 	probeURL string
 	checkURL string
-	replaced atomic.Int64
 
 	mu         sync.Mutex
+	onSilent   []func(since time.Time)
 	current    *connections
 	answeredAt time.Time // when a call other than a watch was last answered, or the Transport made
 	watches    int       // that wait
@@ -76,8 +77,13 @@
 	return c
 }
 
-// Replaced returns how often the connections were replaced.
-func (t *Transport) Replaced() int64 { return t.replaced.Load() }
+// OnSilent adds a function that is called when the connections have been replaced. Nothing was
+// received on one of them since the given time.
+func (t *Transport) OnSilent(f func(since time.Time)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.onSilent = append(t.onSilent, f)
+}
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
@@ -151,7 +157,7 @@
 // because they have fallen silent.
 func (t *Transport) send(c *connections, req *http.Request, watches bool) (*http.Response, error) {
 	ctx, cancel := context.WithCancelCause(req.Context())
-	call := &call{end: func() { cancel(errSilent) }}
+	call := &call{sentAt: time.Now(), end: func() { cancel(errSilent) }}
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) { call.reused.Store(info.Reused) },
 	})
@@ -177,6 +183,7 @@
 
 // A call is a request that waits for the header of its response.
 type call struct {
+	sentAt   time.Time
 	reused   atomic.Bool // it was sent on a kept connection
 	answered atomic.Bool
 	end      func()
@@ -234,15 +241,18 @@
 	if replace {
 		t.current = next
 	}
+	onSilent := slices.Clone(t.onSilent)
 	t.mu.Unlock()
 	if !replace {
 		next.base.CloseIdleConnections()
 		next.replace()
 		return
 	}
-	t.replaced.Add(1)
 	c.replace()
 	c.base.CloseIdleConnections()
+	for _, f := range onSilent {
+		f(call.sentAt)
+	}
 }
 
 // get reports whether a GET is answered in time.
