End a pause of no time by the context alone

A pause of no time chose at random between its timer and a context that had ended. It now reports the context.

So no such timer is made where a delay is not set.

--- a/cicadakernel/cicadaretry/wait.go
+++ b/cicadakernel/cicadaretry/wait.go
@@ -8,6 +8,9 @@
 // Sleep pauses for d, for example between two attempts. It reports false if ctx
 // is done first.
 func Sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
