Send the progress of a job that moves again

Callers would see: items of a job whose owner changes start anew, later than they would, if the messages with their progress go over connections that have fallen silent, and the tokens made so far are made again.

Cause: each message was sent once, with 1 s for it. Change: twice. A message that arrives twice changes nothing: only progress beyond the item's own is applied.

--- a/cicadagateway/cicadabatch/handover.go
+++ b/cicadagateway/cicadabatch/handover.go
@@ -5,8 +5,12 @@
 	"time"
 )
 
-// handOverTimeout bounds one hand-over message.
-const handOverTimeout = time.Second
+const (
+	// handOverTimeout bounds one hand-over message.
+	handOverTimeout = time.Second
+	// handOverTries is how often a message is sent: its connection may have fallen silent.
+	handOverTries = 2
+)
 
 // handOver sends the progress of a job's unlisted items to the job's new owner. The
 // progress of items that are still running is sent again when their runs have ended.
@@ -32,13 +36,23 @@
 		return
 	}
 	o.wg.Go(func() {
-		ctx, cancel := context.WithTimeout(o.ctx, handOverTimeout)
-		defer cancel()
-		err := o.sendHandOver(ctx, j.id, all)
-		o.log.Info("job handed over", "job", j.id, "items", len(all), "error", err)
+		for try := range handOverTries {
+			err := o.tryHandOver(j.id, all)
+			o.log.Info("job handed over", "job", j.id, "items", len(all), "try", try+1, "error", err)
+			if err == nil || o.ctx.Err() != nil {
+				return
+			}
+		}
 	})
 }
 
+// tryHandOver sends a hand-over message. It may arrive more than once.
+func (o *Owner) tryHandOver(job string, all []Progress) error {
+	ctx, cancel := context.WithTimeout(o.ctx, handOverTimeout)
+	defer cancel()
+	return o.sendHandOver(ctx, job, all)
+}
+
 // receiveHandOver applies the progress that another owner hands over. Running items are
 // stopped, and the progress is applied to them when their runs have ended.
 func (o *Owner) receiveHandOver(id string, all []Progress) {
