Close idle connections of readiness probes

An entry would keep a descriptor for each connection of the balancer's probes that has fallen silent, for as long as it runs.

Cause: the server of probes had no limit on idle connections. Change: that of callers, 75 s, where a probe comes each second.

Evidence, virtual time: TestSilentConnectionsOfTheBalancerAreClosed, before: open after 150 s; after: closed.

--- a/cicadagateway/cicadaprocess/callers.go
+++ b/cicadagateway/cicadaprocess/callers.go
@@ -56,7 +56,7 @@
 	if err != nil {
 		return merry.Errorf("listen for readiness probes: %w", err)
 	}
-	readySrv := &http.Server{Handler: http.HandlerFunc(n.handleReady), ReadHeaderTimeout: readHeaderTimeout}
+	readySrv := n.newReadyServer()
 	serveErrs := make(chan error, 2)
 	n.wg.Go(func() { serveErrs <- srv.Serve(callerListener{ln}) })
 	n.wg.Go(func() { serveErrs <- readySrv.Serve(readyListener) })
@@ -95,6 +95,11 @@
 	return time.Time{}
 }
 
+// newReadyServer returns the server of the balancer's readiness probes.
+func (n *Node) newReadyServer() *http.Server {
+	return &http.Server{Handler: http.HandlerFunc(n.handleReady), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout}
+}
+
 func (n *Node) handleReady(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != adapter.ReadyPath {
 		w.WriteHeader(http.StatusNotFound)
--- a/cicadagateway/cicadaprocess/silent_test.go
+++ b/cicadagateway/cicadaprocess/silent_test.go
@@ -1,13 +1,17 @@
 package cicadaprocess
 
 import (
+	"bufio"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -49,3 +53,46 @@
 		assert.Equal(t, opened.Load(), want)
 	}
 }
+
+// oneConnListener is a listener that accepts one connection.
+type oneConnListener struct {
+	conns chan net.Conn
+}
+
+// Accept implements net.Listener.
+func (l oneConnListener) Accept() (net.Conn, error) {
+	if conn, ok := <-l.conns; ok {
+		return conn, nil
+	}
+	return nil, net.ErrClosed
+}
+
+// Close implements net.Listener.
+func (l oneConnListener) Close() error { return nil }
+
+// Addr implements net.Listener.
+func (l oneConnListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// Guards against descriptors that connections of the balancer hold for ever after they fell silent.
+func TestSilentConnectionsOfTheBalancerAreClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := &Node{}
+		client, server := net.Pipe()
+		l := oneConnListener{make(chan net.Conn, 1)}
+		l.conns <- server
+		srv := n.newReadyServer()
+		var wg sync.WaitGroup
+		wg.Go(func() { _ = srv.Serve(l) })
+		_, err := io.WriteString(client, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		assert.NilError(t, err)
+		res, err := http.ReadResponse(bufio.NewReader(client), nil)
+		assert.NilError(t, err)
+		assert.NilError(t, res.Body.Close())
+		assert.NilError(t, client.SetReadDeadline(time.Now().Add(2*callerIdleTimeout)))
+		_, err = client.Read(make([]byte, 1))
+		assert.Check(t, errors.Is(err, io.EOF), "%v", err)
+		_ = client.Close()
+		close(l.conns)
+		wg.Wait()
+	})
+}
