--- a/cicadaentry/cicadafleet/link.go
+++ b/cicadaentry/cicadafleet/link.go
@@ -121,12 +121,12 @@
 }
 
 // linkTimedOut reports whether nothing was received from the agent for linkTimeout,
-// so that the link must be reopened. An agent that was never heard has that time from the opening.
+// so that the link must be reopened. An agent has that time from the opening.
 func (f *Fleet) linkTimedOut(e *Endpoint, openedAt time.Time) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	last := e.lastMessageAt
-	if last.IsZero() {
+	if last.Before(openedAt) {
 		last = openedAt
 	}
 	return time.Since(last) > linkTimeout
