Show a lost report of waiting tokens that is never repeated

updateWaiting notes a report as sent before it is, and broadcast ignores errors. If the last one is lost, on a connection that fell silent for one, the accepting owner keeps the tokens of a finished job reserved, and jobs that fit get 429.

--- a/cicadagateway/cicadabatch/review_waiting_test.go
+++ b/cicadagateway/cicadabatch/review_waiting_test.go
@@ -4,10 +4,12 @@
 	"context"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"gotest.tools/v3/assert"
 
 	"cicadalink.example/cicadagateway/cicadareservation"
@@ -83,3 +85,35 @@
 		assert.Equal(t, o2.call(t, job).Status, http.StatusAccepted, "the first owner has accepted the job")
 	})
 }
+
+// TestReviewLostReportIsRepeated guards against tokens that stay reserved for a job that is finished, because the
+// report of that was lost once and is not sent again.
+func TestReviewLostReportIsRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newLimitedDeployment(500)
+		var eligible atomic.Value
+		eligible.Store("o1")
+		owners := func() []string { return []string{eligible.Load().(string)} }
+		o1 := d.startLimited("o1", owners)
+		defer o1.stop()
+		var cut atomic.Bool
+		cut.Store(true)
+		limiter := cicadareservation.New("o2", cicadaplatform.NewClient(d.backend), hclog.NewNullLogger(),
+			cicadareservation.WithShrink(func(ctx context.Context, route string) { o1.limiter.Shrink(ctx, route) }))
+		o2 := d.startOwner("o2", owners, WithLimiter(limiter, func(_ context.Context, reports []WaitingTokens) {
+			if !cut.Load() {
+				o1.enqueue(func() { o1.applyWaiting(reports) })
+			}
+		}))
+		d.limitedOwners["o2"] = o2
+		defer o2.stop()
+		time.Sleep(time.Second)
+		assert.Equal(t, o1.call(t, limitedCall("j1", 60, 60, 60, 60, 60)).Status, http.StatusAccepted)
+		eligible.Store("o2")
+		time.Sleep(8 * time.Second)
+		assert.Equal(t, len(o2.results(t, "j1", 0).Results), 5)
+		cut.Store(false)
+		time.Sleep(8 * time.Second)
+		assert.Equal(t, o2.call(t, limitedCall("j2", 20, 20, 20, 20, 20)).Status, http.StatusAccepted)
+	})
+}
