Let no header of an item frame its request

Cause: the headers of an item were sent as they came, those that frame a message among them; the requests of online callers were filtered by a list of their own, and nothing was checked for line ends. Class: bytes of a caller decide where a message ends. Change: one list of fields that frame a message or concern a connection, in cicadaexchange, for items and online requests; the client of endpoints sends no request with an invalid method, target, host, field name or value (golang.org/x/net/http/httpguts); the entry answers such a request, and the owner such a submission, with 400, counted. A caller that sends the whole URL as its target is served by its path. A job that is handed in with a port in its Host finds its route at the owner. Conclusion: one request in is one request out on the gateway's way; the entry-and-agent way was not looked at.

--- a/cicadagateway/cicadabatch/metrics.go
+++ b/cicadagateway/cicadabatch/metrics.go
@@ -25,6 +25,7 @@
 	restarted          tally.Counter // because the version that began the output was gone or busy
 	checkpointsWritten tally.Counter
 	checkpointsFailed  tally.Counter
+	jobsInvalid        tally.Counter // with an item that cannot be sent, or that cannot be read
 	jobsRefused        tally.Counter // beyond the limit of their route
 	reads              [len(resultSourceNames)]tally.Counter
 	pauses             tally.Counter // of the event loop
@@ -38,7 +39,8 @@
 		runTime: scope.Histogram("item_run_time", runTimeBuckets), timeLeft: scope.Histogram("result_time_left", timeLeftBuckets),
 		preempted: scope.Counter("items_put_aside"), restarted: scope.Counter("items_restarted"), checkpointsWritten: scope.Counter("checkpoints_written"),
 		checkpointsFailed: scope.Counter("checkpoints_failed"), jobsRefused: scope.Counter("jobs_refused"),
-		tooLarge: scope.Counter("results_too_large"), pauses: scope.Counter("event_loop_pauses"),
+		jobsInvalid: scope.Counter("jobs_invalid"),
+		tooLarge:    scope.Counter("results_too_large"), pauses: scope.Counter("event_loop_pauses"),
 		renewals: scope.Counter("ownership_renewals"), callsAbandoned: scope.Counter("job_calls_abandoned"),
 	}
 	for source, name := range resultSourceNames {
--- a/cicadagateway/cicadabatch/schedule.go
+++ b/cicadagateway/cicadabatch/schedule.go
@@ -207,10 +207,7 @@
 }
 
 func (o *Owner) runRequest(it *item, endpoint cicadaview.Endpoint) cicadaexchange.Request {
-	header := make(http.Header, len(it.Headers)+4)
-	for name, value := range it.Headers {
-		header.Set(name, value)
-	}
+	header := itemHeader(it.Item)
 	header.Set(adapter.HeaderRequestID, it.ID)
 	header.Set(adapter.HeaderExpectInstance, endpoint.ID)
 	deadline := time.Now().Add(max(time.Until(it.job.giveUpAt()), time.Second))
--- a/cicadagateway/cicadabatch/submit.go
+++ b/cicadagateway/cicadabatch/submit.go
@@ -7,6 +7,9 @@
 	"net/http"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
+	"cicadalink.example/cicadagateway/cicadaexchange"
 	"cicadalink.example/cicadakernel/cicadaplatform"
 	"cicadalink.example/cicadakernel/cicadatask"
 	adapter "cicadalink.example/platform"
@@ -41,7 +44,11 @@
 		return Response{Status: http.StatusAccepted}
 	}
 	items, err := adapter.DecodeJob(c.Body)
+	if err == nil {
+		err = validateItems(c.Host, items)
+	}
 	if err != nil {
+		o.metrics.jobsInvalid.Inc(1)
 		o.log.Warn("submission rejected", "job", c.Job, "error", err)
 		return Response{Status: http.StatusBadRequest}
 	}
@@ -72,6 +79,28 @@
 	return Response{Status: http.StatusAccepted}
 }
 
+// validateItems reports whether the items can be sent as requests.
+func validateItems(host string, items []adapter.Item) error {
+	for _, it := range items {
+		header := itemHeader(it)
+		header.Set(adapter.HeaderRequestID, it.ID)
+		req := cicadaexchange.Request{Method: http.MethodPost, Target: it.Path, Host: host, Header: header}
+		if err := req.Validate(); err != nil {
+			return merry.Errorf("item %q: %w", it.ID, err)
+		}
+	}
+	return nil
+}
+
+// itemHeader returns the fields of an item's header that reach the endpoint.
+func itemHeader(it adapter.Item) http.Header {
+	header := make(http.Header, len(it.Headers))
+	for name, value := range it.Headers {
+		header.Set(name, value)
+	}
+	return cicadaexchange.EndToEnd(header)
+}
+
 // applyAccepted completes a job that this process has stored; the watch may have reported it before
 // the store's answer. Unless jobs may have moved since the given number of assignments, the job
 // has been here from the beginning, and its results in memory are complete.
--- a/cicadagateway/cicadaexchange/client.go
+++ b/cicadagateway/cicadaexchange/client.go
@@ -156,6 +156,9 @@
 // Do sends a request and returns its response once the header was read. When ctx
 // ends, the connection is closed, which cancels the request at the endpoint.
 func (c *Client) Do(ctx context.Context, address string, req Request) (*Response, error) {
+	if err := req.Validate(); err != nil {
+		return nil, merry.Errorf("%w: %w", ErrNotSent, err)
+	}
 	cn, err := c.connect(ctx, address, req)
 	if err != nil {
 		return nil, err
--- a/cicadagateway/cicadarelay/exchange.go
+++ b/cicadagateway/cicadarelay/exchange.go
@@ -159,7 +159,8 @@
 // endpointRequest returns the request to send to an endpoint. A stream is resumed
 // after the last event that was sent to the caller.
 func (x *exchange) endpointRequest(endpoint cicadaview.Endpoint) cicadaexchange.Request {
-	h := forwardedHeaders(x.r.Header)
+	req := outgoing(x.r)
+	h := req.Header
 	h.Set(adapter.HeaderExpectInstance, endpoint.ID)
 	deadline := x.deadline
 	if limit := x.start.Add(x.route.Timeout); x.route.Kind != cicadaview.Stream && x.route.Timeout > 0 && limit.Before(deadline) {
@@ -168,11 +169,9 @@
 	if x.events.lastID != "" {
 		h.Set(adapter.HeaderLastEventID, x.events.lastID)
 	}
-	req := cicadaexchange.Request{
-		Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Header: h, Body: x.body,
-		EchoHeader: adapter.HeaderRequestID, DeadlineHeader: adapter.HeaderDeadline, Deadline: deadline,
-		Identify: (x.continues || x.route.Kind == cicadaview.Stream && x.route.Resumable) && endpoint.StartedMs != 0,
-	}
+	req.Body, req.EchoHeader = x.body, adapter.HeaderRequestID
+	req.DeadlineHeader, req.Deadline = adapter.HeaderDeadline, deadline
+	req.Identify = (x.continues || x.route.Kind == cicadaview.Stream && x.route.Resumable) && endpoint.StartedMs != 0
 	if x.continues {
 		req.StartedMs, req.SameProcess = endpoint.StartedMs, true
 	}
--- a/cicadagateway/cicadarelay/relay.go
+++ b/cicadagateway/cicadarelay/relay.go
@@ -177,6 +177,11 @@
 		rl.refuse(w, r, http.StatusNotFound, "no-route", 0)
 		return
 	}
+	if err := outgoing(r).Validate(); err != nil {
+		rl.log.Info("invalid request", "id", r.Header.Get(adapter.HeaderRequestID), "error", err)
+		rl.refuse(w, r, http.StatusBadRequest, "invalid-request", 0)
+		return
+	}
 	body, size, err := rl.bodies.read(w, r, config.Limits().MaxBodyBytes)
 	defer rl.bodies.release(size)
 	if err != nil {
@@ -326,7 +331,7 @@
 		rl.refuse(w, r, http.StatusServiceUnavailable, "no-owner", time.Second)
 		return
 	}
-	rl.writeJobResponse(w, r, id, rl.jobs.Submit(r.Context(), route, r.Host, id, body))
+	rl.writeJobResponse(w, r, id, rl.jobs.Submit(r.Context(), route, hostOf(r), id, body))
 }
 
 func (rl *Relay) callJob(w http.ResponseWriter, r *http.Request, call adapter.JobCallKind, id string) {
@@ -362,27 +367,19 @@
 // selectService selects a service of the route at random, by weight.
 func selectService(route *cicadaview.Route) string { return route.SelectService(rand.Float64()) }
 
-// unforwardedHeaders are hop-by-hop headers and headers that the relay sets itself.
-var unforwardedHeaders = map[string]bool{
-	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Proxy-Authenticate": true,
-	"Proxy-Authorization": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
-	"Content-Length": true, "Expect": true,
-	http.CanonicalHeaderKey(adapter.HeaderExpectInstance): true, http.CanonicalHeaderKey(adapter.HeaderDeadline): true,
+// outgoing returns what is sent to an endpoint of a caller's request, whatever the endpoint.
+func outgoing(r *http.Request) cicadaexchange.Request {
+	target := r.RequestURI
+	if !strings.HasPrefix(target, "/") {
+		target = r.URL.RequestURI() // the caller has sent the whole URL
+	}
+	return cicadaexchange.Request{Method: r.Method, Target: target, Host: r.Host, Header: forwardedHeaders(r.Header)}
 }
 
-// forwardedHeaders returns the headers to forward. It omits unforwardedHeaders and
-// the headers that the Connection header names.
+// forwardedHeaders returns the headers to forward, without those that the relay sets itself.
 func forwardedHeaders(h http.Header) http.Header {
-	out := make(http.Header, len(h)+2)
-	for name, values := range h {
-		if !unforwardedHeaders[name] {
-			out[name] = values
-		}
-	}
-	for _, list := range h["Connection"] {
-		for name := range strings.SplitSeq(list, ",") {
-			out.Del(strings.TrimSpace(name))
-		}
-	}
+	out := cicadaexchange.EndToEnd(h)
+	out.Del(adapter.HeaderExpectInstance)
+	out.Del(adapter.HeaderDeadline)
 	return out
 }
