Do not take a server for dead that answers a ping in 0.4 s

Cause (review): a ping had 0.3 s; a server that is slower than that got a new connection for each call after a pause, and the idle ones were closed. Change: 0.5 s; 0.25 s for further attempts, whose caller has waited before. A pool that was closed also closes the connections whose calls end later. The words for dead connections are the field's now: dead, inactive, activity. Conclusion: a server that takes more than 0.5 s still gets new connections; they cost a handshake, no call.

--- a/cicadaentry/cicadanode/node.go
+++ b/cicadaentry/cicadanode/node.go
@@ -104,10 +104,10 @@
 	if err != nil {
 		return merry.Errorf("peer-tls: %w", err)
 	}
-	silent := n.scope.Counter("peer_connections_silent")
-	n.pool = cicadawire.NewPool(cicadawire.WithTLS(clientTLS), cicadawire.WithOnSilent(func(address string, silence time.Duration) {
-		silent.Inc(1)
-		n.log.Warn("silent connections closed", "address", address, "silent-for", silence.String())
+	dead := n.scope.Counter("peer_connections_dead")
+	n.pool = cicadawire.NewPool(cicadawire.WithTLS(clientTLS), cicadawire.WithOnDead(func(address string, inactivity time.Duration) {
+		dead.Inc(1)
+		n.log.Warn("dead connections closed", "address", address, "inactive-for", inactivity.String())
 	}))
 	listener, err := cicadawire.Listen(n.cfg.Listen, callerTLS)
 	if err != nil {
--- a/cicadagateway/cicadabatch/attempt.go
+++ b/cicadagateway/cicadabatch/attempt.go
@@ -29,7 +29,7 @@
 	s += fmt.Sprintf(" after %v: %s", a.took.Round(time.Millisecond), a.End())
 	var callErr *cicadawire.CallError
 	if errors.As(a.err, &callErr) {
-		s += fmt.Sprintf(" (reused %t, silent for %v)", callErr.Reused(), callErr.Silence().Round(time.Millisecond))
+		s += fmt.Sprintf(" (reused %t, inactive for %v)", callErr.Reused(), callErr.Inactivity().Round(time.Millisecond))
 	}
 	return s
 }
--- a/cicadagateway/cicadaprocess/jobs.go
+++ b/cicadagateway/cicadaprocess/jobs.go
@@ -59,10 +59,10 @@
 
 // newPeerPool returns a pool of connections to other processes.
 func (n *Node) newPeerPool() *cicadawire.Pool {
-	silent := n.process.Scope().Counter("peer_connections_silent")
-	return cicadawire.NewPool(cicadawire.WithOnSilent(func(address string, silence time.Duration) {
-		silent.Inc(1)
-		n.log.Warn("silent connections closed", "address", address, "silent-for", silence.String())
+	dead := n.process.Scope().Counter("peer_connections_dead")
+	return cicadawire.NewPool(cicadawire.WithOnDead(func(address string, inactivity time.Duration) {
+		dead.Inc(1)
+		n.log.Warn("dead connections closed", "address", address, "inactive-for", inactivity.String())
 	}))
 }
 
--- a/cicadakernel/cicadawire/addressconn.go
+++ b/cicadakernel/cicadawire/addressconn.go
@@ -27,11 +27,11 @@
 	if err != nil {
 		return err
 	}
-	defer c.pool.pool.Put(c.address, conn)
+	defer c.pool.put(c.address, conn)
 	if err := conn.Invoke(ctx, rpc, enc, in, out); err != nil {
 		return conn.callError(ctx, c.address, err)
 	}
-	conn.heard()
+	conn.recordActivity()
 	return nil
 }
 
@@ -43,14 +43,14 @@
 	}
 	s, err := conn.NewStream(ctx, rpc, enc)
 	if err != nil {
-		c.pool.pool.Put(c.address, conn)
+		c.pool.put(c.address, conn)
 		return nil, conn.callError(ctx, c.address, err)
 	}
 	conn.unanswered.Store(true) // until a message arrives
 	stream := &pooledStream{Stream: s, conn: conn, ctx: &streamContext{Context: s.Context()}}
 	go func() {
 		<-s.Context().Done()
-		c.pool.pool.Put(c.address, conn)
+		c.pool.put(c.address, conn)
 		stream.ctx.done.Close()
 	}()
 	return stream, nil
@@ -70,7 +70,7 @@
 func (s *pooledStream) MsgRecv(msg drpc.Message, enc drpc.Encoding) error {
 	err := s.Stream.MsgRecv(msg, enc)
 	if err == nil || errors.Is(err, io.EOF) {
-		s.conn.heard()
+		s.conn.recordActivity()
 	}
 	return err
 }
--- a/cicadakernel/cicadawire/callerror.go
+++ b/cicadakernel/cicadawire/callerror.go
@@ -34,12 +34,12 @@
 // served it. It says over which connection, as the cause alone does not: drpc reports
 // context.Canceled for the end of a connection as well.
 type CallError struct {
-	address string
-	reused  bool
-	age     time.Duration
-	silence time.Duration
-	end     CallEnd
-	err     error
+	address    string
+	reused     bool
+	age        time.Duration
+	inactivity time.Duration
+	end        CallEnd
+	err        error
 }
 
 // isUnanswered reports whether an error means that no answer arrived.
@@ -50,8 +50,8 @@
 
 // Error returns the address, the connection's state and the cause.
 func (e *CallError) Error() string {
-	return fmt.Sprintf("cicadawire: call %s ended by %s (reused %t, open for %v, silent for %v): %v", e.address, e.end, e.reused,
-		e.age.Round(time.Millisecond), e.silence.Round(time.Millisecond), e.err)
+	return fmt.Sprintf("cicadawire: call %s ended by %s (reused %t, open for %v, inactive for %v): %v", e.address, e.end, e.reused,
+		e.age.Round(time.Millisecond), e.inactivity.Round(time.Millisecond), e.err)
 }
 
 // Unwrap returns the cause.
@@ -66,8 +66,8 @@
 // Age returns how long the connection has been open.
 func (e *CallError) Age() time.Duration { return e.age }
 
-// Silence returns for how long nothing was received on the connection.
-func (e *CallError) Silence() time.Duration { return e.silence }
+// Inactivity returns for how long nothing was received on the connection.
+func (e *CallError) Inactivity() time.Duration { return e.inactivity }
 
 // End returns what ended the call.
 func (e *CallError) End() CallEnd { return e.end }
--- a/cicadakernel/cicadawire/ping.go
+++ b/cicadakernel/cicadawire/ping.go
@@ -10,9 +10,11 @@
 const (
 	pingName = "/cicadawire.Connection/Ping"
 	// pingTimeout limits the time of a ping, which a server answers without any work.
-	pingTimeout = 300 * time.Millisecond
-	// trustTime is how long after an answer a connection is used again without a ping.
-	trustTime = 2 * time.Second
+	pingTimeout = 500 * time.Millisecond
+	// verifyTimeout limits it for calls that are made with VerifyConn, which have waited before.
+	verifyTimeout = 250 * time.Millisecond
+	// pingAfter is the time without activity after which a connection is used again only after a ping.
+	pingAfter = 2 * time.Second
 )
 
 // A ping is the request and the answer of Ping. Both are empty.
@@ -46,22 +48,26 @@
 	}, pinger.Ping, true
 }
 
-// ping asks for a sign of life. Any answer is one, also the error of a server that knows no pings.
+// ping checks the connection. Any answer is enough, also the error of a server that knows no pings.
 func (c *pooledConn) ping(ctx context.Context, address string) error {
-	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
+	timeout := pingTimeout
+	if mustVerify(ctx) {
+		timeout = verifyTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	if err := c.Invoke(ctx, pingName, pingEncoding{}, &ping{}, &ping{}); err != nil {
 		if err := c.callError(ctx, address, err); isUnanswered(err) {
 			return err
 		}
 	}
-	c.heard()
+	c.recordActivity()
 	return nil
 }
 
-// needsPing reports whether the connection may have fallen silent: when its last call got no answer,
-// or the last answer is old.
-func (c *pooledConn) needsPing() bool { return c.unanswered.Load() || c.silence() > trustTime }
+// needsPing reports whether the connection may be dead: when its last call got no answer, or the last
+// answer is old.
+func (c *pooledConn) needsPing() bool { return c.unanswered.Load() || c.inactivity() > pingAfter }
 
 type verifyKey struct{}
 
--- a/cicadakernel/cicadawire/pool.go
+++ b/cicadakernel/cicadawire/pool.go
@@ -26,14 +26,15 @@
 // A connection carries one call at a time, so concurrent calls to an address use
 // separate connections.
 //
-// A connection may fall silent: nothing passes any more, and no reset tells. An idle connection whose
-// last call got no answer, or that was not heard for some time, is therefore used again only after it has
-// answered a ping. If it does not, all idle connections to its address are closed.
+// A connection may be dead although neither end has closed it: nothing passes any more. An idle connection
+// whose last call got no answer, or that was inactive for some time, is therefore used again only after it
+// has answered a ping. If it does not, all idle connections to its address are closed.
 type Pool struct {
-	pool     *drpcpool.Pool[string, *pooledConn]
-	dial     func(ctx context.Context, address string) (net.Conn, error)
-	tls      *tls.Config
-	onSilent func(address string, silence time.Duration)
+	pool   *drpcpool.Pool[string, *pooledConn]
+	dial   func(ctx context.Context, address string) (net.Conn, error)
+	tls    *tls.Config
+	onDead func(address string, inactivity time.Duration)
+	closed atomic.Bool
 }
 
 // A PoolOption configures a Pool.
@@ -49,10 +50,10 @@
 	return func(p *Pool) { p.tls = cfg }
 }
 
-// WithOnSilent sets a function that is called for each connection that is closed because it did not
-// answer a ping, with the time since the last answer on it.
-func WithOnSilent(onSilent func(address string, silence time.Duration)) PoolOption {
-	return func(p *Pool) { p.onSilent = onSilent }
+// WithOnDead sets a function that is called for each connection that is closed because it did not
+// answer a ping, with the time since its last activity.
+func WithOnDead(onDead func(address string, inactivity time.Duration)) PoolOption {
+	return func(p *Pool) { p.onDead = onDead }
 }
 
 // NewPool returns an empty pool.
@@ -63,7 +64,7 @@
 		dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
 		},
-		onSilent: func(string, time.Duration) {},
+		onDead: func(string, time.Duration) {},
 	}
 	for _, opt := range opts {
 		opt(p)
@@ -76,15 +77,16 @@
 // a *DialError if nothing was sent.
 func (p *Pool) Conn(address string) drpc.Conn { return &addressConn{pool: p, address: address} }
 
-// Close closes the idle connections.
+// Close closes the idle connections, and each other one when its call has ended.
 func (p *Pool) Close() error {
+	p.closed.Store(true)
 	if err := p.pool.Close(); err != nil {
 		return merry.Errorf("close connections: %w", err)
 	}
 	return nil
 }
 
-// take returns an idle connection that is not silent, or a new one.
+// take returns an idle connection that is not known to be dead, or a new one.
 func (p *Pool) take(ctx context.Context, address string) (*pooledConn, error) {
 	for {
 		conn, ok := p.pool.Take(address)
@@ -103,7 +105,15 @@
 		if ctx.Err() != nil {
 			return nil, &DialError{address: address, err: err}
 		}
-		p.onSilent(address, conn.silence())
+		p.onDead(address, conn.inactivity())
+		p.closeIdle(address)
+	}
+}
+
+// put returns a connection whose call has ended.
+func (p *Pool) put(address string, conn *pooledConn) {
+	p.pool.Put(address, conn)
+	if p.closed.Load() {
 		p.closeIdle(address)
 	}
 }
@@ -154,7 +164,7 @@
 	*drpcconn.Conn
 	reused   bool
 	openedAt time.Time
-	heardAt  atomic.Int64 // nanoseconds from openedAt to the last answer
+	activeAt atomic.Int64 // nanoseconds from openedAt to the last answer
 	// unanswered is set if the last call got no answer.
 	unanswered atomic.Bool
 }
@@ -163,15 +173,15 @@
 	return &pooledConn{Conn: drpcconn.NewWithOptions(conn, drpcconn.Options{Manager: managerOptions()}), openedAt: time.Now()}
 }
 
-// heard records that an answer has arrived.
-func (c *pooledConn) heard() {
-	c.heardAt.Store(int64(time.Since(c.openedAt)))
+// recordActivity records that an answer has arrived.
+func (c *pooledConn) recordActivity() {
+	c.activeAt.Store(int64(time.Since(c.openedAt)))
 	c.unanswered.Store(false)
 }
 
-// silence returns for how long nothing was received.
-func (c *pooledConn) silence() time.Duration {
-	return time.Since(c.openedAt) - time.Duration(c.heardAt.Load())
+// inactivity returns for how long nothing was received.
+func (c *pooledConn) inactivity() time.Duration {
+	return time.Since(c.openedAt) - time.Duration(c.activeAt.Load())
 }
 
 // callError returns the error of a call. An error that the server has answered with is returned as it is.
@@ -182,10 +192,10 @@
 		case <-c.Closed():
 			end = EndedByConnection
 		default:
-			c.heard()
+			c.recordActivity()
 			return err
 		}
 	}
 	c.unanswered.Store(true)
-	return &CallError{address: address, reused: c.reused, age: time.Since(c.openedAt), silence: c.silence(), end: end, err: err}
+	return &CallError{address: address, reused: c.reused, age: time.Since(c.openedAt), inactivity: c.inactivity(), end: end, err: err}
 }
