Check an owner before others do its work beside it

Change: a call without an answer goes once more to the same owner over a connection that has just been checked, and beside it goes a check that passes the owner's event loop. An owner that answers it within 0.3 s is given its time; otherwise the next owners are tried, 0.2 s apart, those at other addresses first. A relayed owner is not asked twice. Hand-overs are hedged too. A submission or an end of which nothing was sent is answered 503, which is true; TestUnreachableOwnerMeansUnknownOutcome, which asked for 502 there although the connection had been refused, is TestCallOfUnreachableOwnerIsRefused now and asks for 503. Conclusion: further attempts cost a slow store no reads.

--- a/cicadagateway/cicadabatch/calls.go
+++ b/cicadagateway/cicadabatch/calls.go
@@ -55,6 +55,7 @@
 	CallCheckpoint                    // keep a replica of the progress of a job owned elsewhere
 	CallReportWaiting                 // receive the waiting tokens of jobs that run elsewhere
 	CallShrink                        // return reserved tokens of a route that no job needs
+	CallCheck                         // answer, to show that calls are answered
 )
 
 // A Response is the response to a Call, with an HTTP status.
@@ -111,6 +112,11 @@
 			o.limiter.Shrink(ctx, c.Route)
 		}
 		resp = Response{Status: http.StatusOK}
+	case CallCheck:
+		resp = unavailable()
+		if o.runInLoop(ctx, func() {}) {
+			resp = Response{Status: http.StatusOK}
+		}
 	default:
 		resp = Response{Status: http.StatusBadRequest}
 	}
--- a/cicadagateway/cicadabatch/client.go
+++ b/cicadagateway/cicadabatch/client.go
@@ -45,10 +45,9 @@
 }
 
 // Call sends a call to the job's owner. If that fails, it tries the other owners in the order of the
-// rendezvous hash. If a caller's call has no answer for some time, it tries again meanwhile, first at
-// the same owner over another connection, as the first attempt may be lost where no error tells. The
-// response to a submission or an end is an unknown outcome unless no attempt can have taken effect or
-// one was answered. An error is a *CallFailure.
+// rendezvous hash. If a caller's call has no answer for a while, further attempts begin beside the first, as that
+// may be lost where no error tells, see pendingCall. The response to a submission or an end is an unknown outcome
+// if an attempt may have taken effect and none was answered. An error is a *CallFailure.
 func (c *Client) Call(ctx context.Context, call *Call) (Response, error) {
 	return newPendingCall(c, call, rankPeers(call.Job, c.owners())).run(ctx)
 }
