Let a process advertise another address than the one it listens at

Cause: connections between processes were never disturbed in the soak, since processes bind and name the same address, so that nothing can stand between them. A VM behind address translation has the same need.

Change: the optional setting advertise-ip names the address that other processes use, for UDP and TCP. The process listens at ip and registers advertise-ip. Without it nothing changes.

The unit tests of cicadapeer and cicadaprocess pass.

Conclusion: the soak can put proxies and forwarders between processes.

--- a/cicadagateway/cicadapeer/peer.go
+++ b/cicadagateway/cicadapeer/peer.go
@@ -94,6 +94,7 @@
 type Group struct {
 	mu          sync.Mutex
 	conn        *net.UDPConn
+	listen      string // the local address, which others may know by another one
 	self        Member
 	incarnation int64
 	startedAt   time.Time     // of this incarnation
@@ -132,22 +133,19 @@
 	return func(g *Group) { g.onMessage = onMessage }
 }
 
-// New starts listening on the address of self and sends the state of self until ctx is
-// done. localState returns that state. onState is called with each new state of another
+// WithListen sets the local address to listen on, if others reach the member at another one.
+func WithListen(address string) Option {
+	return func(g *Group) { g.listen = address }
+}
+
+// New starts listening on the address of self, unless WithListen sets another, and sends the
+// state of self until ctx is done. localState returns that state. onState is called with each new state of another
 // member, and onMembership when a member joins or leaves, restarts, or changes whether it
 // reaches the store or is leaving.
 func New(ctx context.Context, self Member, log hclog.Logger, localState func() State, onState func(State), onMembership func(), opts ...Option) (*Group, error) {
-	address, err := net.ResolveUDPAddr("udp4", self.Address)
-	if err != nil {
-		return nil, merry.Errorf("peer address: %w", err)
-	}
-	conn, err := net.ListenUDP("udp4", address)
-	if err != nil {
-		return nil, merry.Errorf("listen for peers: %w", err)
-	}
 	startedAt := time.Now()
 	g := &Group{
-		conn: conn, self: self, incarnation: startedAt.UnixNano(), startedAt: startedAt,
+		listen: self.Address, self: self, incarnation: startedAt.UnixNano(), startedAt: startedAt,
 		addresses: make(map[string]memberAddress), members: make(map[string]*memberState), missedBy: make(map[string]int),
 		localState: localState, onState: onState, onMembership: onMembership, log: log, notify: make(chan struct{}, 1),
 		metrics: newMetrics(tally.NoopScope), onMessage: func([]byte) {},
@@ -155,10 +153,17 @@
 	for _, opt := range opts {
 		opt(g)
 	}
+	address, err := net.ResolveUDPAddr("udp4", g.listen)
+	if err != nil {
+		return nil, merry.Errorf("peer address: %w", err)
+	}
+	if g.conn, err = net.ListenUDP("udp4", address); err != nil {
+		return nil, merry.Errorf("listen for peers: %w", err)
+	}
 	g.wg.Go(func() { g.receive() })
 	g.wg.Go(func() {
 		<-ctx.Done()
-		_ = conn.Close()
+		_ = g.conn.Close()
 	})
 	g.wg.Go(func() { g.send(ctx) })
 	return g, nil
--- a/cicadagateway/cicadapeer/peer_test.go
+++ b/cicadagateway/cicadapeer/peer_test.go
@@ -214,6 +214,26 @@
 	b.Wait()
 }
 
+// TestMemberIsReachedAtItsAdvertisedAddress guards against a member behind address translation that binds
+// the address which others use, or that names the local one to them.
+func TestMemberIsReachedAtItsAdvertisedAddress(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	received := make(chan State, 100)
+	log := hclog.NewNullLogger()
+	state := func() State { return State{} }
+	const advertised = "192.0.2.7:7660"
+	a, err := New(ctx, Member{Name: "a", Role: RoleEntry, Address: advertised}, log, state, func(State) {}, func() {}, WithListen("127.0.0.1:0"))
+	assert.NilError(t, err)
+	b, err := New(ctx, Member{Name: "b", Role: RoleOwner, Address: "127.0.0.1:0"}, log, state, func(s State) { received <- s }, func() {})
+	assert.NilError(t, err)
+	a.SetMembers([]Member{{Name: "b", Address: b.conn.LocalAddr().String()}})
+	a.Notify()
+	assert.Equal(t, (<-received).Member.Address, advertised)
+	cancel()
+	a.Wait()
+	b.Wait()
+}
+
 func FuzzState(f *testing.F) {
 	seed, err := cbor.Marshal(State{Member: Member{Name: "b"}, NotReceived: []string{"a"}})
 	if err != nil {
--- a/cicadagateway/cicadaprocess/jobs.go
+++ b/cicadagateway/cicadaprocess/jobs.go
@@ -169,7 +169,7 @@
 	if err := register(srv.Mux()); err != nil {
 		return err
 	}
-	ln, err := net.Listen("tcp", net.JoinHostPort(n.cfg.IP, strconv.Itoa(n.cfg.PeerPort)))
+	ln, err := net.Listen("tcp", n.cfg.peerListen())
 	if err != nil {
 		return merry.Errorf("listen for peers: %w", err)
 	}
--- a/cicadagateway/cicadaprocess/process.go
+++ b/cicadagateway/cicadaprocess/process.go
@@ -11,8 +11,6 @@
 import (
 	"context"
 	"math"
-	"net"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -160,9 +158,9 @@
 	if n.cfg.Role == RoleOwner {
 		role = cicadapeer.RoleOwner
 	}
-	self := cicadapeer.Member{Name: n.cfg.Name, Role: role, Address: net.JoinHostPort(n.cfg.IP, strconv.Itoa(n.cfg.PeerPort))}
+	self := cicadapeer.Member{Name: n.cfg.Name, Role: role, Address: n.cfg.peerAddress()}
 	group, err := cicadapeer.New(ctx, self, n.log, n.localState, n.applyPeerState, n.membershipChanged,
-		cicadapeer.WithScope(n.process.Scope()), cicadapeer.WithOnMessage(n.receiveOriginMessage))
+		cicadapeer.WithScope(n.process.Scope()), cicadapeer.WithListen(n.cfg.peerListen()), cicadapeer.WithOnMessage(n.receiveOriginMessage))
 	if err != nil {
 		return merry.Errorf("start peers: %w", err)
 	}
--- a/cicadagateway/cicadaprocess/settings.go
+++ b/cicadagateway/cicadaprocess/settings.go
@@ -1,6 +1,9 @@
 package cicadaprocess
 
 import (
+	"cmp"
+	"net"
+	"strconv"
 	"time"
 
 	"cicadalink.example/cicadakernel"
@@ -24,6 +27,9 @@
 	VM string `yaml:"vm"`
 	// IP is the VM's IP address.
 	IP string `yaml:"ip"`
+	// AdvertiseIP is the IPv4 address at which other processes reach this one, if it is not IP:
+	// that of a VM behind address translation.
+	AdvertiseIP string `yaml:"advertise-ip"`
 	// DataCentre is the data centre that the VM is in.
 	DataCentre string `yaml:"data-centre"`
 	// Listen is the address that serves callers, and Ready the address that serves the
@@ -56,6 +62,14 @@
 	defaultStoreReads  = 500
 )
 
+// peerListen returns the local address that serves other processes.
+func (s *Settings) peerListen() string { return net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)) }
+
+// peerAddress returns the address at which other processes reach this one.
+func (s *Settings) peerAddress() string {
+	return net.JoinHostPort(cmp.Or(s.AdvertiseIP, s.IP), strconv.Itoa(s.PeerPort))
+}
+
 func (s *Settings) storeWriteRate() float64 { return rateOrDefault(s.StoreWrites, defaultStoreWrites) }
 
 func (s *Settings) storeReadRate() float64 { return rateOrDefault(s.StoreReads, defaultStoreReads) }
@@ -85,6 +99,9 @@
 	if err != nil {
 		return err
 	}
+	if s.AdvertiseIP != "" && net.ParseIP(s.AdvertiseIP).To4() == nil {
+		return cicadasettings.Expected("advertise-ip", "an IPv4 address such as 10.1.0.35")
+	}
 	if s.Role == RoleEntry && (s.Listen == "" || s.Ready == "") {
 		return cicadasettings.Expected("listen", "an address such as 10.1.0.35:8144, and another at ready")
 	}
--- a/cicadagateway/cicadaprocess/settings_test.go
+++ b/cicadagateway/cicadaprocess/settings_test.go
@@ -64,6 +64,8 @@
 		{"role: entry", "role: both", "settings.yaml:4: key role: expected entry or owner"},
 		{"peer-port: 7660", "peer-port: 0", "key peer-port: expected a port"},
 		{"ip: 10.1.0.35", "ip: \"\"", "key ip: expected"},
+		{"ip: 10.1.0.35", "ip: 10.1.0.35\nadvertise-ip: here", "key advertise-ip: expected an IPv4 address"},
+		{"ip: 10.1.0.35", "ip: 10.1.0.35\nadvertise-ip: 2001:db8::7", "key advertise-ip: expected an IPv4 address"},
 		{"drain-limit: 8s", "drain-limit: 8", "duration with unit"},
 		{"vm: front-1", "vmm: front-1", "settings.yaml:"},
 	} {
@@ -74,6 +76,16 @@
 	}
 }
 
+// TestAdvertisedAddressDiffersFromTheLocalOne guards against a process behind address translation that
+// listens at an address which its VM does not have, or that others call at one which they do not reach.
+func TestAdvertisedAddressDiffersFromTheLocalOne(t *testing.T) {
+	for advertised, want := range map[string]string{"": "10.1.0.35:7660", "192.0.2.7": "192.0.2.7:7660"} {
+		s := Settings{IP: "10.1.0.35", AdvertiseIP: advertised, PeerPort: 7660}
+		assert.Equal(t, s.peerListen(), "10.1.0.35:7660")
+		assert.Equal(t, s.peerAddress(), want)
+	}
+}
+
 func TestExamplesAreValid(t *testing.T) {
 	for _, role := range []string{RoleEntry, RoleOwner} {
 		var s Settings
