Let the soak read jobs as the protocol says, and all again at the end

Change: reads allow 0 or 1 s and give up 1.5 s beyond it. Reads are counted by their answer, and by whether they were sent under faults (with 3 s after them), in calm or at the end. Bodies of items that are not listed are read too; one that is not found has to be listed 1 s later. At the end of each scenario that runs jobs, each accepted job is read from the start until it is whole, 15 s at most, and the bodies of unlisted items; a failure leads to the next entry. Jobs moved from caller.go to jobs.go.

Conclusion: the soak can see unanswered reads and lost jobs. It does not yet disturb the connections that are suspected.

--- a/cicadasoak/caller.go
+++ b/cicadasoak/caller.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -19,13 +18,9 @@
 )
 
 const (
-	deadline     = 5 * time.Second
-	maxResumes   = 6
-	retryDelay   = 60 * time.Millisecond
-	jobItems     = 6
-	jobTimeout   = 30 * time.Second
-	readInterval = 400 * time.Millisecond
-	rereadTime   = 8 * time.Second
+	deadline   = 5 * time.Second
+	maxResumes = 6
+	retryDelay = 60 * time.Millisecond
 )
 
 // A caller sends requests to entries, each on a connection of its own unless it keeps connections.
@@ -183,127 +178,6 @@
 	c.checks.count("streams given up")
 }
 
-type jobResult struct{ ID, State, Output string }
-
-type resultsPage struct {
-	Total, Next int
-	Results     []jobResult
-}
-
-// settleDelay is how long after a result was read it may still be missing elsewhere.
-const settleDelay = time.Second
-
-// jobReads is what a caller has read of a job.
-type jobReads struct {
-	job       string
-	results   []jobResult
-	firstRead []time.Time // by position
-}
-
-// add checks a page of results against those read before: a result that was read at a position
-// must be there, and the same, whatever entry is asked. sent is when the page was asked for.
-func (r *jobReads) add(c *checks, after int, page []jobResult, sent time.Time) {
-	for i, result := range page {
-		position := after + i
-		switch {
-		case position < len(r.results) && r.results[position] != result:
-			c.violate("another result at a position", r.job, fmt.Sprintf("position %d: %s, then %s", position, r.results[position].ID, result.ID))
-		case position < len(r.results):
-		case result.State == "complete":
-			c.checkOutput(result.ID, result.Output)
-		default:
-			c.count("items failed")
-		}
-		if position >= len(r.results) {
-			r.results, r.firstRead = append(r.results, result), append(r.firstRead, time.Now())
-		}
-	}
-	for position := after + len(page); position < len(r.results); position++ {
-		if age := sent.Sub(r.firstRead[position]); age > settleDelay {
-			c.violate(missingResults, r.job, fmt.Sprintf("position %d was read %v before", position, age))
-			return
-		}
-	}
-}
-
-// wholeFor reports whether all results were read at least d ago.
-func (r *jobReads) wholeFor(d time.Duration) bool {
-	return len(r.results) == jobItems && time.Since(r.firstRead[jobItems-1]) >= d
-}
-
-// runJob submits a job and reads it from any entry until all its results are listed, and for
-// rereadTime after that.
-func (c *caller) runJob(ctx context.Context) {
-	job := c.id()
-	var items []map[string]any
-	for range jobItems {
-		id := c.id()
-		items = append(items, map[string]any{"Id": id, "Path": batchPrefix + id, "Headers": map[string]string{"X-Model": "m"}, "Body": []byte("prompt"), "Tokens": 100})
-	}
-	body, err := json.Marshal(map[string]any{"Items": items})
-	if err != nil || !c.submit(ctx, job, body) {
-		return
-	}
-	c.checks.count("jobs accepted")
-	reads := &jobReads{job: job}
-	for end := time.Now().Add(jobTimeout); time.Now().Before(end) && !reads.wholeFor(rereadTime); {
-		if !cicadaretry.Sleep(ctx, readInterval) {
-			return
-		}
-		after, sent := c.intN(len(reads.results)+1), time.Now()
-		if page, ok := c.read(ctx, job, after); ok {
-			reads.add(c.checks, after, page.Results, sent)
-		}
-	}
-	if len(reads.results) == jobItems {
-		c.checks.count("jobs whole")
-	} else {
-		c.checks.count("jobs not whole in time")
-	}
-}
-
-func (c *caller) submit(ctx context.Context, job string, body []byte) bool {
-	for range 3 {
-		res, err := c.call(ctx, http.MethodPost, batchPrefix+job, map[string]string{"X-Request-Id": job}, body)
-		if err == nil && res == http.StatusAccepted {
-			return true
-		}
-		cicadaretry.Sleep(ctx, retryDelay)
-	}
-	return false
-}
-
-// call sends a request to any entry and returns the status.
-func (c *caller) call(ctx context.Context, method, path string, header map[string]string, body []byte) (int, error) {
-	ctx, cancel := context.WithTimeout(ctx, deadline)
-	defer cancel()
-	res, err := c.do(ctx, c.anyEntry(), method, path, header, body)
-	if err != nil {
-		return 0, err
-	}
-	return res.StatusCode, res.Body.Close()
-}
-
-// read reads the results of a job from a position on at any entry. It reports false if there is no
-// answer, or one that promises nothing.
-func (c *caller) read(ctx context.Context, job string, after int) (page resultsPage, ok bool) {
-	ctx, cancel := context.WithTimeout(ctx, deadline)
-	defer cancel()
-	res, err := c.do(ctx, c.anyEntry(), http.MethodGet, fmt.Sprintf("/cicadalink/lots/%s?After=%d", job, after), nil, nil)
-	if err != nil {
-		return page, false
-	}
-	defer res.Body.Close()
-	switch res.StatusCode {
-	case http.StatusNotFound, http.StatusGone:
-		c.checks.violate("accepted job not found", job, res.Status)
-		return page, false
-	case http.StatusOK:
-		return page, json.NewDecoder(res.Body).Decode(&page) == nil
-	}
-	return page, false
-}
-
 // watchConfig asks one entry for the newest version of the configuration that it has in force,
 // which must not go back while the process runs.
 func (c *caller) watchConfig(ctx context.Context, p *process, newest func() int) {
--- a/cicadasoak/check.go
+++ b/cicadasoak/check.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 )
@@ -21,12 +22,47 @@
 	mu         sync.Mutex
 	counts     map[string]int
 	violations map[string]int
+	// disturbedUntil is when the processes have recovered from the faults so far.
+	disturbedUntil time.Time
+	ended          bool
 }
 
 func newChecks(log hclog.Logger) *checks {
 	return &checks{log: log, maxMixed: maxMixedStreams, counts: make(map[string]int), violations: make(map[string]int)}
 }
 
+// recoveryTime is how long after the end of a fault its effects are to be expected.
+const recoveryTime = 3 * time.Second
+
+// disturb notes that a fault begins now that ends after a time.
+func (c *checks) disturb(length time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if until := time.Now().Add(length + recoveryTime); until.After(c.disturbedUntil) {
+		c.disturbedUntil = until
+	}
+}
+
+// end notes that there are no more faults and no more traffic.
+func (c *checks) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ended = true
+}
+
+// phase tells whether a time is under faults.
+func (c *checks) phase(at time.Time) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.ended:
+		return "at the end"
+	case at.Before(c.disturbedUntil):
+		return "under faults"
+	}
+	return "in calm"
+}
+
 // count counts an outcome that breaks no rule.
 func (c *checks) count(outcome string) {
 	c.mu.Lock()
@@ -45,6 +81,9 @@
 const (
 	mixedVersions  = "two versions in one stream"
 	missingResults = "results that were read are missing"
+	lostJob        = "accepted job lost at the end"
+	lostResults    = "results that were read lost at the end"
+	lostBody       = "body of an item lost at the end"
 )
 
 // broken reports whether a rule was broken.
--- a/cicadasoak/faults.go
+++ b/cicadasoak/faults.go
@@ -82,9 +82,10 @@
 	stop := s.startCallers(ctx, streamCallers-keepingCallers)
 	stopKeeping := s.startKeepingCallers(ctx)
 	s.injectFaults(ctx, of)
-	cicadaretry.Sleep(ctx, calmTime)
-	stopKeeping()
-	stop()
+	s.endCallers(ctx, func() {
+		stopKeeping()
+		stop()
+	})
 }
 
 // startKeepingCallers starts callers of streams that reuse connections. The returned function stops
--- a/cicadasoak/main.go
+++ b/cicadasoak/main.go
@@ -85,7 +85,7 @@
 	}
 	defer d.stop()
 	play(ctx, &soak{
-		deployment: d, checks: checks, log: log, duration: cmd.Duration("duration"), reportDelay: cmd.Duration("report-delay"), random: newRandom(cmd.Uint64("seed")),
+		deployment: d, checks: checks, log: log, duration: cmd.Duration("duration"), reportDelay: cmd.Duration("report-delay"), jobInterval: jobInterval, random: newRandom(cmd.Uint64("seed")),
 	})
 	fmt.Printf("seed %d: %s\n", cmd.Uint64("seed"), checks.summary())
 	if checks.broken() {
--- a/cicadasoak/scenario.go
+++ b/cicadasoak/scenario.go
@@ -28,6 +28,9 @@
 	config      atomic.Int64 // newest version of the configuration
 	passed      int          // addresses that passed to another endpoint
 	faults      sync.WaitGroup
+	accepted    acceptedJobs
+	// jobInterval is the time between submissions of jobs.
+	jobInterval time.Duration
 	// noStreams keeps callers from sending new streams.
 	noStreams atomic.Bool
 }
@@ -115,6 +118,7 @@
 	for end := time.Now().Add(s.duration); time.Now().Before(end) && cicadaretry.Sleep(ctx, ownerPause); {
 		p := s.pick(s.owners)
 		s.log.Info("owner stopped", "owner", p.name)
+		s.checks.disturb(ownerStop)
 		p.signal(syscall.SIGSTOP)
 		cicadaretry.Sleep(ctx, peakMargin)
 		s.noStreams.Store(true)
@@ -124,8 +128,7 @@
 		p.signal(syscall.SIGCONT)
 		s.checks.count("owners stopped")
 	}
-	cicadaretry.Sleep(ctx, calmTime)
-	stop()
+	s.endCallers(ctx, stop)
 }
 
 const (
@@ -143,8 +146,7 @@
 func (s *soak) playRandom(ctx context.Context) {
 	stop := s.startCallers(ctx, streamCallers)
 	s.injectFaults(ctx, faults)
-	cicadaretry.Sleep(ctx, calmTime)
-	stop()
+	s.endCallers(ctx, stop)
 }
 
 // startCallers starts callers of all kinds, so many of them for streams. The returned function stops
@@ -174,8 +176,8 @@
 		callers.Go(func() { c.watchConfig(ctx, p, func() int { return int(s.config.Load()) }) })
 	}
 	callers.Go(func() {
-		for cicadaretry.Sleep(ctx, jobInterval) {
-			callers.Go(func() { c.runJob(ctx) })
+		for cicadaretry.Sleep(ctx, s.jobInterval) {
+			callers.Go(func() { c.runJob(ctx, &s.accepted) })
 		}
 	})
 	return func() {
@@ -187,15 +189,20 @@
 // injectFaults injects faults for the duration and waits until they are over.
 func (s *soak) injectFaults(ctx context.Context, faults []fault) {
 	for end := time.Now().Add(s.duration); time.Now().Before(end) && cicadaretry.Sleep(ctx, time.Duration(s.random.Int64N(int64(2*faultInterval)))); {
-		f := faults[s.random.IntN(len(faults))]
-		length := 300*time.Millisecond + time.Duration(s.random.Int64N(int64(3700*time.Millisecond)))
-		s.log.Info("fault", "kind", f.kind, "for", length.String())
-		f.inject(ctx, s, length)
-		s.checks.count("fault " + f.kind)
+		s.inject(ctx, faults[s.random.IntN(len(faults))])
 	}
 	s.faults.Wait()
 }
 
+// inject injects a fault for a random time.
+func (s *soak) inject(ctx context.Context, f fault) {
+	length := 300*time.Millisecond + time.Duration(s.random.Int64N(int64(3700*time.Millisecond)))
+	s.log.Info("fault", "kind", f.kind, "for", length.String())
+	s.checks.disturb(length)
+	f.inject(ctx, s, length)
+	s.checks.count("fault " + f.kind)
+}
+
 // A fault is a disruption from outside the processes.
 type fault struct {
 	kind   string
--- a/cicadasoak/upgrade.go
+++ b/cicadasoak/upgrade.go
@@ -31,8 +31,7 @@
 	for i, end := 0, time.Now().Add(s.duration); time.Now().Before(end) && cicadaretry.Sleep(ctx, upgradePause); i++ {
 		s.upgrade(ctx, endpoints[i%len(endpoints)], fmt.Sprint("v", i/len(endpoints)+2))
 	}
-	cicadaretry.Sleep(ctx, calmTime)
-	stop()
+	s.endCallers(ctx, stop)
 }
 
 // upgrade upgrades an endpoint in place, and lets it report after a delay and then again and again.
@@ -45,6 +44,7 @@
 // startUpgraded crashes an endpoint and starts it again under its id and address with another
 // version. It returns nil if the endpoint does not start.
 func (s *soak) startUpgraded(ctx context.Context, e *endpoint, version string) *incarnation {
+	s.checks.disturb(upgradeDowntime)
 	e.crash()
 	cicadaretry.Sleep(ctx, upgradeDowntime)
 	if err := e.start(version); err != nil {
