Disturb the connections between processes in the soak

Change: in the scenarios silent-links (new) and disorder, processes advertise the address of a TCP proxy and a UDP forwarder, and reach the store through a proxy. TCP from a process is not cut one way for what it dials, since nothing tells these connections apart. A link whose pieces are held no longer passes them when it is reset, nor the end of one side while nothing may pass. A read counts as in calm if no fault was there from its start to its end (and 3 s before).

--- a/cicadasoak/check.go
+++ b/cicadasoak/check.go
@@ -50,14 +50,14 @@
 	c.ended = true
 }
 
-// phase tells whether a time is under faults.
-func (c *checks) phase(at time.Time) string {
+// phase tells whether something that lasted from a time until now met faults.
+func (c *checks) phase(from time.Time) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
 	case c.ended:
 		return "at the end"
-	case at.Before(c.disturbedUntil):
+	case from.Before(c.disturbedUntil): // of a fault that began before or meanwhile
 		return "under faults"
 	}
 	return "in calm"
--- a/cicadasoak/faults.go
+++ b/cicadasoak/faults.go
@@ -61,7 +61,7 @@
 		}
 	}},
 	{"processes stopped in series", func(ctx context.Context, s *soak, length time.Duration) { s.stopInSeries(ctx, length) }},
-}, faults...)
+}, append(linkFaults, faults...)...)
 
 // repeats are faults within streams that the protocol does not allow endpoints.
 var repeats = []fault{
--- a/cicadasoak/jobs.go
+++ b/cicadasoak/jobs.go
@@ -185,13 +185,14 @@
 	if wait > 0 {
 		header["X-Wait-Ms"] = strconv.FormatInt(wait.Milliseconds(), 10)
 	}
-	phase := c.checks.phase(time.Now())
+	sent := time.Now()
 	res, err := c.do(within, p, http.MethodGet, path, header, nil)
 	if err == nil {
 		status = res.StatusCode
 		body, err = io.ReadAll(res.Body)
 		_ = res.Body.Close()
 	}
+	phase := c.checks.phase(sent)
 	switch {
 	case ctx.Err() != nil:
 		return 0, nil
--- a/cicadasoak/jobs_test.go
+++ b/cicadasoak/jobs_test.go
@@ -139,7 +139,7 @@
 			assert.Equal(t, time.Since(sent), wait+readMargin)
 		}
 		assert.Equal(t, counts["reads unanswered in calm"], 2)
-		reader.checks.disturb(time.Minute)
+		time.AfterFunc(readMargin/2, func() { reader.checks.disturb(time.Minute) })
 		reader.readPage(t.Context(), reader.entries[0], reads, 0)
 		reader.client.Transport = &fakeSystem{refuses: func(*http.Request) int { return http.StatusServiceUnavailable }}
 		reader.readPage(t.Context(), reader.entries[0], reads, 0)
--- a/cicadasoak/main.go
+++ b/cicadasoak/main.go
@@ -10,6 +10,8 @@
 //	go run ./cicadasoak --scenario all-killed --seed 1
 //	go run ./cicadasoak --scenario stopped-owners --seed 1
 //	go run ./cicadasoak --scenario release-beside-stopped-entry --seed 1
+//	go run ./cicadasoak --scenario silent-links --seed 1
+//	go run ./cicadasoak --scenario silent-links --seed 1 --fault "all owners"
 //	go run ./cicadasoak --scenario upgrades-in-place --seed 1 --duration 15s --report-delay 1s
 //
 // It prints a line for each violation and a summary, and exits with 1 if a rule was broken and
@@ -48,7 +50,8 @@
 			&cli.StringFlag{Name: "settings", Value: "deploy/settings.yaml", Usage: "template of its settings"},
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "determines which faults come when"},
 			&cli.DurationFlag{Name: "duration", Value: 40 * time.Second, Usage: "time with faults, or of the upgrades"},
-			&cli.StringFlag{Name: "scenario", Value: "random", Usage: "random, disorder, late-reads, repeated-events, all-killed, stopped-owners, release-beside-stopped-entry or upgrades-in-place"},
+			&cli.StringFlag{Name: "scenario", Value: "random", Usage: "random, disorder, late-reads, repeated-events, all-killed, stopped-owners, release-beside-stopped-entry, upgrades-in-place or silent-links"},
+			&cli.StringFlag{Name: "fault", Usage: "inject only the faults whose name contains this `TEXT`, in silent-links"},
 			&cli.DurationFlag{Name: "report-delay", Value: time.Second, Usage: "time from the start of an upgraded endpoint to its first report"},
 			&cli.BoolFlag{Name: "born", Value: true, Usage: "endpoints state their start in registrations and reports"},
 			&cli.StringFlag{Name: "logs", Usage: "keep the logs of the processes in this `FOLDER`"},
@@ -79,13 +82,14 @@
 	d, err := startDeployment(ctx, deploymentConfig{
 		gateway: cmd.String("gateway"), template: cmd.String("settings"), logs: cmd.String("logs"),
 		entries: 5, owners: 3, endpoints: 4, statesStart: cmd.Bool("born"), proxied: proxied[cmd.String("scenario")],
+		linked: linked[cmd.String("scenario")],
 	}, log)
 	if err != nil {
 		return err
 	}
 	defer d.stop()
 	play(ctx, &soak{
-		deployment: d, checks: checks, log: log, duration: cmd.Duration("duration"), reportDelay: cmd.Duration("report-delay"), jobInterval: jobInterval, random: newRandom(cmd.Uint64("seed")),
+		deployment: d, checks: checks, log: log, duration: cmd.Duration("duration"), reportDelay: cmd.Duration("report-delay"), jobInterval: jobInterval, onlyFault: cmd.String("fault"), random: newRandom(cmd.Uint64("seed")),
 	})
 	fmt.Printf("seed %d: %s\n", cmd.Uint64("seed"), checks.summary())
 	if checks.broken() {
--- a/cicadasoak/network.go
+++ b/cicadasoak/network.go
@@ -15,6 +15,8 @@
 	// claimHost and claimPort are where a deployment listens in its network so that others leave it alone.
 	claimHost = 250
 	claimPort = 7661
+	// linkHosts is added to the host of a process for the address at which others reach it.
+	linkHosts = 100
 )
 
 var errNoNetwork = merry.Sentinel("cicadasoak: no loopback network is free")
--- a/cicadasoak/process.go
+++ b/cicadasoak/process.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -11,6 +12,7 @@
 	"regexp"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -42,6 +44,12 @@
 	entry    bool
 	front    *storeFront
 	storeAt  string
+	// link is the way of other processes to this one, and storeLink its way to the store, if
+	// connections between processes are disturbed.
+	link      *peerLink
+	storeLink *proxy
+	// downtime is how long the process stays down after its next end, in nanoseconds, if not restartDelay.
+	downtime atomic.Int64
 
 	mu       sync.Mutex
 	cmd      *exec.Cmd
@@ -84,6 +92,7 @@
 	entries, owners, endpoints int
 	statesStart                bool // of the endpoints
 	proxied                    bool // endpoints are reached through proxies
+	linked                     bool // processes and the store are
 }
 
 // A deployment is the processes of the gateway and what surrounds them.
@@ -142,6 +151,9 @@
 		if err := d.serveStore(p); err != nil {
 			return err
 		}
+		if err := d.linkProcess(p, i+1); err != nil {
+			return err
+		}
 		if err := d.start(p); err != nil {
 			return err
 		}
@@ -165,6 +177,21 @@
 	return nil
 }
 
+// linkProcess puts proxies between a process and the others, and between it and the store.
+func (d *deployment) linkProcess(p *process, host int) (err error) {
+	if !d.cfg.linked {
+		return nil
+	}
+	if p.link, err = startPeerLink(d.network.address(linkHosts+host, peerPort), d.network.address(host, peerPort)); err != nil {
+		return err
+	}
+	if p.storeLink, err = startProxy(p.storeAt); err != nil {
+		return err
+	}
+	p.storeAt = p.storeLink.address()
+	return nil
+}
+
 var (
 	section     = regexp.MustCompile(`(?s)\{\{([#^])([.\w]+)\}\}(.*?)\{\{/[.\w]+\}\}`)
 	placeholder = regexp.MustCompile(`\{\{[.\w]+\}\}`)
@@ -181,7 +208,11 @@
 	} else {
 		fields["DataDir"] = filepath.Join(d.dir, p.name+".data")
 	}
-	text := section.ReplaceAllStringFunc(d.template, func(s string) string {
+	template := d.template
+	if p.link != nil {
+		template += "advertise-ip: " + p.link.ip() + "\n"
+	}
+	text := section.ReplaceAllStringFunc(template, func(s string) string {
 		m := section.FindStringSubmatch(s)
 		if _, present := fields[m[2]]; present == (m[1] == "#") {
 			return m[3]
@@ -221,7 +252,7 @@
 	go func() {
 		_ = cmd.Wait()
 		close(done)
-		time.Sleep(restartDelay)
+		time.Sleep(cmp.Or(time.Duration(p.downtime.Swap(0)), restartDelay))
 		if err := d.start(p); err != nil {
 			d.log.Error("failed to start process again", "process", p.name, "error", err)
 		}
@@ -232,6 +263,15 @@
 func (d *deployment) waitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
+	if err := d.waitEntries(ctx); err != nil {
+		return err
+	}
+	cicadaretry.Sleep(ctx, settleTime)
+	return nil
+}
+
+// waitEntries waits until all entries are ready.
+func (d *deployment) waitEntries(ctx context.Context) error {
 	for _, p := range d.entries {
 		for !p.ready(ctx) {
 			if !cicadaretry.Sleep(ctx, 50*time.Millisecond) {
@@ -239,7 +279,6 @@
 			}
 		}
 	}
-	cicadaretry.Sleep(ctx, settleTime)
 	return nil
 }
 
@@ -295,6 +334,7 @@
 			_ = cmd.Process.Kill()
 			<-done
 		}
+		p.closeLinks()
 	}
 	d.network.release()
 	for _, server := range d.servers {
--- a/cicadasoak/proxy.go
+++ b/cicadasoak/proxy.go
@@ -20,6 +20,7 @@
 	delayed                   // each piece comes late
 	silent                    // nothing passes either way, and comes late afterwards
 	answersHeld               // requests pass, answers do not
+	requestsHeld              // answers pass, requests do not
 	cutInEvent                // the next piece of each answer is cut and its connection reset
 	answerDoubled             // an answer comes once more, at once or late
 	eventDoubled              // some events come twice
@@ -33,7 +34,7 @@
 	defaultRepeatEvery = 8
 )
 
-// A proxy forwards connections to an endpoint, and disturbs them.
+// A proxy forwards connections to an endpoint, a process or the store, and disturbs them.
 type proxy struct {
 	ln          net.Listener
 	repeatEvery int
@@ -46,8 +47,11 @@
 }
 
 // startProxy starts a proxy in front of an address.
-func startProxy(target string) (*proxy, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+func startProxy(target string) (*proxy, error) { return startProxyAt("127.0.0.1:0", target) }
+
+// startProxyAt starts a proxy at one address in front of another.
+func startProxyAt(address, target string) (*proxy, error) {
+	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, merry.Errorf("listen: %w", err)
 	}
@@ -70,6 +74,22 @@
 func (p *proxy) disturb(d disturbance) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.set(d)
+}
+
+// disturbNew ends a disturbance for new connections. Those that are open pass nothing any more, and
+// neither end is told.
+func (p *proxy) disturbNew() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for l := range p.links {
+		l.stick()
+	}
+	p.set(undisturbed)
+}
+
+// set sets the disturbance. The caller holds mu.
+func (p *proxy) set(d disturbance) {
 	p.now = d
 	close(p.changed)
 	p.changed = make(chan struct{})
@@ -129,31 +149,41 @@
 	p.mu.Lock()
 	p.links[l] = true
 	p.mu.Unlock()
-	go pump(l, caller, func(b []byte) bool { return p.passRequest(l, b) })
-	pump(l, endpoint, func(b []byte) bool { return p.passAnswer(l, b) })
+	go p.pump(l, false)
+	p.pump(l, true)
 	p.mu.Lock()
 	delete(p.links, l)
 	p.mu.Unlock()
 }
 
-// pump calls pass with what arrives, until either end is closed.
-func pump(l *link, from net.Conn, pass func([]byte) bool) {
+// pump passes on what arrives in a direction, until either end is closed. An end that is closed is
+// noticed at the other one as late as what it has sent.
+func (p *proxy) pump(l *link, answer bool) {
 	defer l.close()
+	from, pass := l.caller, p.passRequest
+	if answer {
+		from, pass = l.endpoint, p.passAnswer
+	}
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buf)
-		if n > 0 && !pass(buf[:n]) || errors.Is(err, io.EOF) {
+		if n > 0 && !pass(l, buf[:n]) {
 			return
 		}
-		if err != nil {
+		if err == nil {
+			continue
+		}
+		_, _ = p.wait(l, answer)
+		if !errors.Is(err, io.EOF) {
 			l.reset()
-			return
 		}
+		return
 	}
 }
 
-// wait waits while nothing may pass in a direction, and returns the disturbance afterwards.
-func (p *proxy) wait(l *link, answer bool) disturbance {
+// wait waits while nothing may pass in a direction, and returns the disturbance afterwards. It reports
+// false if the link is closed meanwhile.
+func (p *proxy) wait(l *link, answer bool) (d disturbance, ok bool) {
 	for {
 		p.mu.Lock()
 		d, changed := p.now, p.changed
@@ -161,19 +191,21 @@
 		l.mu.Lock()
 		stuck := l.stuck
 		l.mu.Unlock()
-		if !stuck && d != silent && !(d == answersHeld && answer) {
-			return d
+		if !stuck && d != silent && !(d == answersHeld && answer) && !(d == requestsHeld && !answer) {
+			return d, true
 		}
 		select {
 		case <-changed:
 		case <-l.done:
-			return d
+			return d, false
 		}
 	}
 }
 
 func (p *proxy) passRequest(l *link, b []byte) bool {
-	p.wait(l, false)
+	if _, ok := p.wait(l, false); !ok {
+		return false
+	}
 	l.mu.Lock()
 	l.answer, l.event = nil, nil
 	l.mu.Unlock()
@@ -182,7 +214,10 @@
 }
 
 func (p *proxy) passAnswer(l *link, b []byte) bool {
-	d := p.wait(l, true)
+	d, ok := p.wait(l, true)
+	if !ok {
+		return false
+	}
 	isEvent := bytes.Contains(b, []byte("id: ")) && bytes.HasSuffix(b, []byte("\n\n\r\n")) && !bytes.HasPrefix(b, []byte("HTTP/"))
 	switch {
 	case d == delayed:
--- a/cicadasoak/scenario.go
+++ b/cicadasoak/scenario.go
@@ -31,6 +31,7 @@
 	accepted    acceptedJobs
 	// jobInterval is the time between submissions of jobs.
 	jobInterval time.Duration
+	onlyFault   string // part of the names of the faults of silent links to inject, or empty
 	// noStreams keeps callers from sending new streams.
 	noStreams atomic.Bool
 }
@@ -44,6 +45,7 @@
 	"repeated-events":              func(ctx context.Context, s *soak) { s.playDisorder(ctx, repeats) },
 	"all-killed":                   func(ctx context.Context, s *soak) { s.playAllKilled(ctx) },
 	"stopped-owners":               func(ctx context.Context, s *soak) { s.playStoppedOwners(ctx) },
+	"silent-links":                 func(ctx context.Context, s *soak) { s.playSilentLinks(ctx) },
 	"upgrades-in-place":            func(ctx context.Context, s *soak) { s.playUpgrades(ctx) },
 	"release-beside-stopped-entry": func(ctx context.Context, s *soak) { s.playRelease(ctx) },
 }
