Read no job again at the end that is beyond its retention

Cause: jobs wait for their turn to be read again, 15 s each when they are lost; the retention was compared before the first, so that a long run could take a job that has expired for a loss.

Change: it is compared when the turn of a job comes; jobs that are too old are counted.

--- a/cicadasoak/jobs.go
+++ b/cicadasoak/jobs.go
@@ -102,6 +102,9 @@
 	return len(r.results) == jobItems && time.Since(r.firstRead[jobItems-1]) >= d
 }
 
+// expired reports whether the job cannot be read again, with all that this may take, within its retention.
+func (r *jobReads) expired() bool { return time.Since(r.accepted) > retention-2*rereadLimit }
+
 // acceptedJobs are the jobs that got a 202. It is safe for concurrent use.
 type acceptedJobs struct {
 	mu   sync.Mutex
@@ -114,11 +117,11 @@
 	a.jobs = append(a.jobs, r)
 }
 
-// readable returns the jobs that can be read for some time yet.
-func (a *acceptedJobs) readable() []*jobReads {
+// all returns the jobs in the order of their acceptance.
+func (a *acceptedJobs) all() []*jobReads {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return slices.DeleteFunc(slices.Clone(a.jobs), func(r *jobReads) bool { return time.Since(r.accepted) > retention-rereadLimit })
+	return slices.Clone(a.jobs)
 }
 
 // runJob submits a job and reads it from any entry until all its results are listed, and for
--- a/cicadasoak/reread.go
+++ b/cicadasoak/reread.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,12 +23,12 @@
 	stop()
 	s.checks.end()
 	c := newCaller(s.entries, s.checks, newRandom(s.random.Uint64()))
-	forEach(rereaders, s.accepted.readable(), func(r *jobReads) { c.readAgain(ctx, r) })
+	forEach(rereaders, s.accepted.all(), func(r *jobReads) { c.readAgain(ctx, r) })
 }
 
 // readAllAtOnce sends one read of each accepted job at the same time.
 func (s *soak) readAllAtOnce(ctx context.Context, c *caller) {
-	jobs := s.accepted.readable()
+	jobs := slices.DeleteFunc(s.accepted.all(), (*jobReads).expired)
 	forEach(len(jobs), jobs, func(r *jobReads) { c.readPage(ctx, c.anyEntry(), r, 0) })
 }
 
@@ -69,6 +70,10 @@
 // readAgain reads a job from the start until it is whole, and asks for the bodies of the items that
 // are not listed. After a failure it asks the next entry.
 func (c *caller) readAgain(ctx context.Context, reads *jobReads) {
+	if reads.expired() {
+		c.checks.count("jobs too old to be read again")
+		return
+	}
 	within, cancel := context.WithTimeout(ctx, rereadLimit)
 	defer cancel()
 	var bodies sync.WaitGroup
