--- a/cicadasoak/faults.go
+++ b/cicadasoak/faults.go
@@ -61,7 +61,7 @@
 		}
 	}},
 	{"processes stopped in series", func(ctx context.Context, s *soak, length time.Duration) { s.stopInSeries(ctx, length) }},
-}, faults...)
+}, append(linkFaults, faults...)...)
 
 // repeats are faults within streams that the protocol does not allow endpoints.
 var repeats = []fault{
@@ -82,9 +82,10 @@
 	stop := s.startCallers(ctx, streamCallers-keepingCallers)
 	stopKeeping := s.startKeepingCallers(ctx)
 	s.injectFaults(ctx, of)
-	cicadaretry.Sleep(ctx, calmTime)
-	stopKeeping()
-	stop()
+	s.endCallers(ctx, func() {
+		stopKeeping()
+		stop()
+	})
 }
 
 // startKeepingCallers starts callers of streams that reuse connections. The returned function stops
