Bound what a process keeps of answers that endpoints send without end

Callers saw: an entry whose endpoints send bodies without end kept up to 16 MiB of each. With many at once it runs out of memory, and the requests of all its callers are lost.

Cause: each answer was bounded, all of them together were not. io.ReadAll also doubles what it holds to grow.

Change: cicadamemory.Budget bounds what is kept of bytes received from others. An answer is read in chunks that are reserved before they are allocated, and is not copied to grow. A reservation grows only while it is not larger than what is left free (the dynamic threshold of Choudhury and Hahne). So the largest gives way first, n endless answers leave room for others, and nothing has to be revoked or waited for; a newest-first rule would refuse sound answers once endless ones have filled the budget. An answer that gives way has its connection closed at once and counts as an invalid response, as one beyond 16 MiB did: 502, or another endpoint where the request may run again.

The counter of the bodies of requests is now such a budget. It stays apart from that of the answers, so that callers' uploads take no room from answers of work that has run. Each has a quarter of the memory setting. TestMemoryOfBodiesInFlightIsLimited has a budget of two chunks in place of 100 bytes, as memory is reserved in chunks: one body fits, the second is refused.

Now under twice the budget of 16 MiB as the endpoints count them, and never more than the budget reserved; the sound answer is whole.

Conclusion: fixed for buffered answers and the reports of endpoints. Heads, events and the other paths follow.

--- a/cicadagateway/cicadaexchange/client.go
+++ b/cicadagateway/cicadaexchange/client.go
@@ -32,6 +32,8 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+
+	"cicadalink.example/cicadakernel/cicadamemory"
 )
 
 // Errors returned by Do and when reading a response.
@@ -109,6 +111,7 @@
 
 	identification Identification
 	starts         *startMemory
+	memory         *cicadamemory.Budget
 }
 
 // An Option configures a Client.
@@ -124,6 +127,13 @@
 	return func(c *Client) { c.onConnect = onConnect }
 }
 
+// WithMemory sets the budget for the bytes of responses. A response that exceeds it fails with
+// cicadamemory.ErrExhausted and ErrInvalidResponse, and its connection is closed. The default is
+// a budget of the default size.
+func WithMemory(memory *cicadamemory.Budget) Option {
+	return func(c *Client) { c.memory = memory }
+}
+
 // NewClient returns a Client without connections.
 func NewClient(opts ...Option) *Client {
 	dialer := &net.Dialer{Timeout: defaultDialTimeout, KeepAliveConfig: keepAliveConfig, Control: setTCPUserTimeout}
@@ -133,6 +143,7 @@
 			return dialer.DialContext(ctx, "tcp", address)
 		},
 		onConnect: func() {}, onLost: func(string) {}, starts: newStartMemory(),
+		memory: cicadamemory.NewBudget(0),
 	}
 	for _, opt := range opts {
 		opt(c)
@@ -274,18 +285,24 @@
 	return n, nil
 }
 
-// ReadAll reads the body to its end. It fails with ErrTooLarge beyond limit bytes.
-func (r *Response) ReadAll(limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(r, limit+1))
-	if err != nil {
-		return nil, err
-	}
-	if int64(len(body)) > limit {
+// ReadAll reads the body to its end. It fails with ErrTooLarge beyond limit bytes. The memory of
+// the body must be released.
+func (r *Response) ReadAll(limit int64) (*cicadamemory.Buffer, error) {
+	body, err := r.client.memory.ReadAll(r, limit)
+	switch {
+	case errors.Is(err, cicadamemory.ErrTooLarge):
+		_ = r.conn.Close()
 		return nil, merry.Errorf("body: %w: %w", ErrInvalidResponse, ErrTooLarge)
+	case errors.Is(err, cicadamemory.ErrExhausted):
+		_ = r.conn.Close()
+		return nil, merry.Errorf("body: %w: %w", ErrInvalidResponse, err)
 	}
-	return body, nil
+	return body, err
 }
 
+// Memory returns the budget for the bytes of responses.
+func (r *Response) Memory() *cicadamemory.Budget { return r.client.memory }
+
 // Discard reads the rest of a short body, so that the connection can be reused. After a
 // long one, Close closes the connection.
 func (r *Response) Discard() { _, _ = io.CopyN(io.Discard, r, maxDiscardedBytes) }
--- a/cicadagateway/cicadaexchange/incarnation.go
+++ b/cicadagateway/cicadaexchange/incarnation.go
@@ -142,9 +142,10 @@
 	if err != nil {
 		return merry.Errorf("read report: %w", err)
 	}
+	defer body.Release()
 	cn.ended = raw.Close || cn.r.Buffered() > 0
 	if raw.StatusCode == http.StatusOK {
-		cn.startedMs = max(c.identification.Decode(body), 0)
+		cn.startedMs = max(c.identification.Decode(body.Bytes()), 0)
 	}
 	if cn.startedMs != 0 {
 		c.starts.record(cn.address)
--- a/cicadagateway/cicadaexchange/incarnation_test.go
+++ b/cicadagateway/cicadaexchange/incarnation_test.go
@@ -113,8 +113,8 @@
 	}
 	body, err := res.ReadAll(100)
 	res.Close()
-	if err != nil || string(body) != "ok" {
-		return fmt.Sprintf("body %q, error %v", body, err)
+	if err != nil || string(body.Bytes()) != "ok" {
+		return fmt.Sprintf("body %v, error %v", body, err)
 	}
 	return fmt.Sprint("start ", res.StartedMs())
 }
--- a/cicadagateway/cicadaprocess/callers.go
+++ b/cicadagateway/cicadaprocess/callers.go
@@ -41,7 +41,7 @@
 		cicadarelay.WithScope(n.process.Scope()), cicadarelay.WithShuttingDown(n.leaving.Load), cicadarelay.WithShutdownEnd(n.connectionsEnd),
 		cicadarelay.WithJobHandlers(n.jobHandlers(client)),
 		cicadarelay.WithMonitor(n.crashes.monitor), cicadarelay.WithOrigins(n.origins),
-		cicadarelay.WithBodyMemory(int64(bodyMemoryFraction*float64(n.cfg.Memory))))
+		cicadarelay.WithBodyMemory(n.requestMemory))
 	var tracker connTracker
 	srv := &http.Server{
 		ConnState: tracker.setState,
--- a/cicadagateway/cicadaprocess/gauges.go
+++ b/cicadagateway/cicadaprocess/gauges.go
@@ -25,6 +25,8 @@
 	}
 	scope.Gauge("peers_live").Update(float64(len(n.group.Live(cicadapeer.RoleEntry)) + len(n.group.Live(cicadapeer.RoleOwner))))
 	scope.Gauge("log_lines_dropped").Update(float64(n.process.DroppedLogLines()))
+	n.requestMemory.UpdateGauge()
+	n.receivedMemory.UpdateGauge()
 	for _, load := range n.table.Loads() {
 		service := scope.Tagged(map[string]string{"service": load.Service})
 		service.Gauge("slots").Update(float64(load.Slots))
--- a/cicadagateway/cicadaprocess/process.go
+++ b/cicadagateway/cicadaprocess/process.go
@@ -27,6 +27,7 @@
 	"cicadalink.example/cicadagateway/cicadapeer"
 	"cicadalink.example/cicadagateway/cicadaplace"
 	"cicadalink.example/cicadakernel"
+	"cicadalink.example/cicadakernel/cicadamemory"
 	"cicadalink.example/cicadakernel/cicadaplatform"
 	"cicadalink.example/cicadakernel/cicadatask"
 	"cicadalink.example/cicadakernel/cicadaview"
@@ -34,9 +35,11 @@
 )
 
 const (
-	// bodyMemoryFraction is the fraction of the memory setting available to the bodies
-	// of requests in progress.
-	bodyMemoryFraction = 0.25
+	// requestMemoryFraction is the fraction of the memory setting available to the bodies of
+	// callers' requests in progress, and receivedMemoryFraction the one available to what
+	// endpoints, the store and other processes send.
+	requestMemoryFraction  = 0.25
+	receivedMemoryFraction = 0.25
 	// catchUpDelay leaves time for this process's own watch to deliver what a peer
 	// already knows.
 	catchUpDelay = 200 * time.Millisecond
@@ -56,9 +59,13 @@
 	process      *cicadakernel.Process
 	store        *cicadaplatform.Client
 	link         *cicadafollow.Link
-	table        *cicadaplace.Table
-	client       *cicadaexchange.Client
-	group        *cicadapeer.Group
+	// requestMemory and receivedMemory are the budgets of requestMemoryFraction and
+	// receivedMemoryFraction.
+	requestMemory  *cicadamemory.Budget
+	receivedMemory *cicadamemory.Budget
+	table          *cicadaplace.Table
+	client         *cicadaexchange.Client
+	group          *cicadapeer.Group
 
 	directory *directory
 	config    atomic.Pointer[cicadaview.Config]
@@ -95,6 +102,8 @@
 	n := &Node{cfg: cfg, settingsFile: p.SettingsFile(), log: p.Log(), process: p}
 	n.drainLimit.Store(int64(cfg.DrainLimit.Or(defaultDrainLimit)))
 	setMemoryLimit(cfg)
+	n.requestMemory = cfg.memoryBudget(requestMemoryFraction, p.Scope(), "requests")
+	n.receivedMemory = cfg.memoryBudget(receivedMemoryFraction, p.Scope(), "responses")
 	n.store = cicadaplatform.NewClient(backend, cicadaplatform.WithWriteRate(cfg.storeWriteRate()),
 		cicadaplatform.WithReadRate(cfg.storeReadRate()), cicadaplatform.WithScope(p.Scope()))
 	n.link = cicadafollow.NewLink(n.log, func(up bool) {
@@ -120,7 +129,7 @@
 		cicadaorigin.WithScope(p.Scope()), cicadaorigin.WithLog(p.Log()))
 	n.history = newVersionHistory(n.store, n.versions, n.log)
 	connectionsOpened := p.Scope().Counter("endpoint_connections")
-	n.client = cicadaexchange.NewClient(cicadaexchange.WithOnConnect(func() { connectionsOpened.Inc(1) }), cicadaexchange.WithOnLost(n.table.RecordLost),
+	n.client = cicadaexchange.NewClient(cicadaexchange.WithMemory(n.receivedMemory), cicadaexchange.WithOnConnect(func() { connectionsOpened.Inc(1) }), cicadaexchange.WithOnLost(n.table.RecordLost),
 		cicadaexchange.WithIdentification(cicadaexchange.Identification{Target: adapter.ReportPath, Decode: adapter.DecodeReportedStart}))
 	return n, nil
 }
--- a/cicadagateway/cicadaprocess/settings.go
+++ b/cicadagateway/cicadaprocess/settings.go
@@ -3,7 +3,10 @@
 import (
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"cicadalink.example/cicadakernel"
+	"cicadalink.example/cicadakernel/cicadamemory"
 	"cicadalink.example/cicadakernel/cicadasettings"
 )
 
@@ -60,6 +63,12 @@
 
 func (s *Settings) storeReadRate() float64 { return rateOrDefault(s.StoreReads, defaultStoreReads) }
 
+// memoryBudget returns a budget of a fraction of the memory setting, or of the default size
+// without it.
+func (s *Settings) memoryBudget(fraction float64, scope tally.Scope, purpose string) *cicadamemory.Budget {
+	return cicadamemory.NewBudget(int64(fraction*float64(s.Memory)), cicadamemory.WithScope(scope, purpose))
+}
+
 func rateOrDefault(rate, fallback float64) float64 {
 	if rate <= 0 {
 		return fallback
--- /dev/null
+++ b/cicadagateway/cicadarelay/endless_test.go
@@ -0,0 +1,130 @@
+package cicadarelay
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+
+	"cicadalink.example/cicadagateway/cicadaexchange"
+	"cicadalink.example/cicadagateway/cicadaplace"
+	"cicadalink.example/cicadakernel/cicadamemory"
+	"cicadalink.example/cicadakernel/cicadaview"
+	adapter "cicadalink.example/platform"
+)
+
+// endlessGuard ends a response that the relay should have given up long before, in bytes.
+const endlessGuard = 64 << 20
+
+// endlessFleet responds to requests of the path /p/sound with a whole response and to all others
+// with a start and then a block again and again. It counts the bytes of all responses that are
+// open: those that a relay has read and not let go of.
+type endlessFleet struct {
+	start, block string
+	mu           sync.Mutex
+	open, most   int64
+}
+
+// soundBody is a whole response, which is also one event.
+var soundBody = "data: " + strings.Repeat("s", 10_000) + "\n\n"
+
+func (f *endlessFleet) dial(context.Context, string) (net.Conn, error) {
+	client, server := net.Pipe()
+	go f.serve(server)
+	return client, nil
+}
+
+func (f *endlessFleet) serve(conn net.Conn) {
+	defer conn.Close()
+	req, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, req.Body)
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: x\r\n", adapter.HeaderRequestID, req.Header.Get(adapter.HeaderRequestID), adapter.HeaderSignature)
+	if strings.HasSuffix(req.RequestURI, "/sound") {
+		_, _ = fmt.Fprintf(conn, "%sContent-Type: text/event-stream\r\nContent-Length: %d\r\n\r\n%s", head, len(soundBody), soundBody)
+		return
+	}
+	text := head + f.start
+	sent := int64(0)
+	defer func() { f.count(-sent) }()
+	for sent < endlessGuard {
+		n, err := io.WriteString(conn, text)
+		sent += int64(n)
+		f.count(int64(n))
+		if err != nil {
+			return
+		}
+		text = f.block
+	}
+}
+
+// count adds to the bytes of open responses.
+func (f *endlessFleet) count(n int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.open += n
+	f.most = max(f.most, f.open)
+}
+
+// TestBytesWithoutEndFromManyEndpoints guards against a process that runs out of memory because
+// many endpoints at once send responses without end, each of which is limited.
+func TestBytesWithoutEndFromManyEndpoints(t *testing.T) {
+	const requests, limit = 150, 16 << 20
+	kilobyte := strings.Repeat("x", 1<<10)
+	for _, test := range []struct {
+		name, route, start, block string
+	}{
+		{"body", "safe", "\r\n", kilobyte},
+		{"chunks", "safe", "Transfer-Encoding: chunked\r\n\r\n", "400\r\n" + kilobyte + "\r\n"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &endlessFleet{start: test.start, block: test.block}
+				memory := cicadamemory.NewBudget(limit)
+				rl := endlessRelay(f, routes[test.route], requests+1, memory)
+				var wg sync.WaitGroup
+				for i := range requests {
+					wg.Go(func() {
+						status, _, _, _ := postWithID(t.Context(), rl, fmt.Sprint("id-", i), fmt.Sprint("/p/endless-", i), "")
+						assert.Check(t, status == http.StatusBadGateway, "status %d", status)
+					})
+				}
+				wg.Go(func() {
+					status, _, body, complete := postWithID(t.Context(), rl, "sound", "/p/sound", "")
+					assert.Check(t, complete && status == http.StatusOK && body == soundBody, "status %d, %d bytes", status, len(body))
+				})
+				wg.Wait()
+				synctest.Wait()
+				// The endpoints learn a little later that their responses are let go of.
+				assert.Check(t, f.most <= 2*limit, "%d bytes read and not let go of", f.most)
+				assert.Equal(t, memory.Used(), int64(0))
+			})
+		})
+	}
+}
+
+// endlessRelay returns a Relay with one route and an endpoint with one slot for each request.
+func endlessRelay(f *endlessFleet, route cicadaview.Route, endpoints int, memory *cicadamemory.Budget) *Relay {
+	table := cicadaplace.NewTable("me")
+	var all []cicadaview.Endpoint
+	for i := range endpoints {
+		all = append(all, cicadaview.Endpoint{ID: fmt.Sprint("e", i), Service: "s", Address: fmt.Sprint("e", i, ":1"), Slots: 1})
+	}
+	table.SetEndpoints(all)
+	route.Host, route.Prefix, route.MaxAttempts = "h.example", "/p/", 1
+	route.Targets = []cicadaview.Target{{Service: "s", Weight: 1}}
+	config := cicadaview.NewConfig(1, []cicadaview.Route{route}, nil, cicadaview.Limits{MaxBodyBytes: 100})
+	client := cicadaexchange.NewClient(cicadaexchange.WithDial(f.dial), cicadaexchange.WithMemory(memory))
+	return New(func() *cicadaview.Config { return config }, table, client, hclog.NewNullLogger())
+}
--- a/cicadagateway/cicadarelay/forward.go
+++ b/cicadagateway/cicadarelay/forward.go
@@ -49,12 +49,13 @@
 	if err != nil {
 		return merry.Errorf("read response: %w", err)
 	}
-	if len(body) == 0 && !res.Framed() && res.StatusCode == http.StatusOK && x.r.Method != http.MethodHead {
+	defer body.Release()
+	if body.Len() == 0 && !res.Framed() && res.StatusCode == http.StatusOK && x.r.Method != http.MethodHead {
 		return merry.Errorf("connection closed before the body: %w", cicadaexchange.ErrInvalidResponse)
 	}
 	x.stopTimer()
-	x.sendHeader(res, len(body))
-	if _, err := x.w.Write(body); err != nil {
+	x.sendHeader(res, body.Len())
+	if _, err := body.WriteTo(x.w); err != nil {
 		return merry.Errorf("write response: %w", err)
 	}
 	return nil
--- a/cicadagateway/cicadarelay/relay.go
+++ b/cicadagateway/cicadarelay/relay.go
@@ -34,6 +34,7 @@
 	"cicadalink.example/cicadagateway/cicadaexchange"
 	"cicadalink.example/cicadagateway/cicadaorigin"
 	"cicadalink.example/cicadagateway/cicadaplace"
+	"cicadalink.example/cicadakernel/cicadamemory"
 	"cicadalink.example/cicadakernel/cicadasuspect"
 	"cicadalink.example/cicadakernel/cicadatask"
 	"cicadalink.example/cicadakernel/cicadaview"
@@ -80,7 +81,7 @@
 	scope   tally.Scope
 	metrics *metrics
 	jobs    JobHandlers
-	bodies  bodyMemory
+	bodies  *cicadamemory.Budget // of requests
 	// shuttingDown reports whether the process is shutting down.
 	shuttingDown func() bool
 	// shutdownEnd returns when open connections are closed, or the zero time.
@@ -114,9 +115,11 @@
 	return func(r *Relay) { r.shutdownEnd = shutdownEnd }
 }
 
-// WithBodyMemory limits the memory for the bodies of all requests in flight, in
-// bytes.
-func WithBodyMemory(limit int64) Option { return func(r *Relay) { r.bodies.limit = limit } }
+// WithBodyMemory sets the budget for the bodies of all requests in flight. The default is a
+// budget of the default size.
+func WithBodyMemory(memory *cicadamemory.Budget) Option {
+	return func(r *Relay) { r.bodies = memory }
+}
 
 // WithMonitor sets the monitor of requests that crash endpoints, which may be shared
 // with other users.
@@ -135,8 +138,8 @@
 func New(config func() *cicadaview.Config, table *cicadaplace.Table, client *cicadaexchange.Client, log hclog.Logger, opts ...Option) *Relay {
 	r := &Relay{
 		config: config, table: table, client: client, log: log, scope: tally.NoopScope, shuttingDown: func() bool { return false },
-		shutdownEnd: func() time.Time { return time.Time{} },
-		monitor:     cicadasuspect.NewMonitor("", QuarantinePeriod), origins: cicadaorigin.NewTracker("", cicadaorigin.NewVersions()),
+		shutdownEnd: func() time.Time { return time.Time{} }, bodies: cicadamemory.NewBudget(0),
+		monitor: cicadasuspect.NewMonitor("", QuarantinePeriod), origins: cicadaorigin.NewTracker("", cicadaorigin.NewVersions()),
 	}
 	for _, opt := range opts {
 		opt(r)
@@ -177,20 +180,20 @@
 		rl.refuse(w, r, http.StatusNotFound, "no-route", 0)
 		return
 	}
-	body, size, err := rl.bodies.read(w, r, config.Limits().MaxBodyBytes)
-	defer rl.bodies.release(size)
+	body, err := rl.readBody(w, r, config.Limits().MaxBodyBytes)
 	if err != nil {
 		rl.refuseBody(w, r, err)
 		return
 	}
+	defer body.Release()
 	if rl.refuseLate(w, r, rl.timeLimit(r, route)) {
 		return
 	}
 	if route.Kind == cicadaview.Batch {
-		rl.submitJob(w, r, route, body)
+		rl.submitJob(w, r, route, body.Bytes())
 		return
 	}
-	rl.forward(w, r, route, body)
+	rl.forward(w, r, route, body.Bytes())
 }
 
 // timeLimit returns the longest time that a request may take once its body has been read.
@@ -254,7 +257,7 @@
 		rl.refuse(w, r, http.StatusRequestEntityTooLarge, "body-too-large", 0)
 		return
 	}
-	if errors.Is(err, errBodyMemory) {
+	if errors.Is(err, cicadamemory.ErrExhausted) {
 		rl.refuse(w, r, http.StatusServiceUnavailable, "bodies-in-flight", bodyRetryAfter)
 		return
 	}
--- a/cicadagateway/cicadarelay/relay_test.go
+++ b/cicadagateway/cicadarelay/relay_test.go
@@ -24,6 +24,7 @@
 
 	"cicadalink.example/cicadagateway/cicadaexchange"
 	"cicadalink.example/cicadagateway/cicadaplace"
+	"cicadalink.example/cicadakernel/cicadamemory"
 	"cicadalink.example/cicadakernel/cicadasuspect"
 	"cicadalink.example/cicadakernel/cicadaview"
 	adapter "cicadalink.example/platform"
@@ -225,7 +226,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := &endpointScript{disconnected: make(chan struct{})}
 		rl, _ := newRelay(s, routes["unsafe"], 1)
-		rl.bodies.limit = 100
+		rl.bodies = cicadamemory.NewBudget(2 << 10) // one body takes half of it
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan bool)
 		go func() {
@@ -239,7 +240,7 @@
 		cancel()
 		<-done
 		<-s.disconnected
-		assert.Equal(t, rl.bodies.used.Load(), int64(0), "all memory must be released")
+		assert.Equal(t, rl.bodies.Used(), int64(0), "all memory must be released")
 	})
 }
 
