Bound what a process keeps of events that endpoints send without end

Callers saw: as with bodies, events without end of many streams were each kept up to 1 MiB, and twice that while the buffer grew. And a request whose answer found no memory counted as one that crashes endpoints: after a few of them it was refused with 503 for 30 s.

Cause: only each stream was bounded. Bytes of an incomplete event were appended to one buffer and copied to another, and the whole buffer was searched for the end of the event again with each piece.

A response is closed before its memory is given back, here and for buffered answers, so that others cannot use it while it may still grow. An answer without memory is no evidence of a crash. The endpoint is still recorded as failed, as after other invalid responses.

Evidence: TestBytesWithoutEndFromManyEndpoints counts what was read from open connections. TestAnswerWithoutMemoryIsNoCrash fails without its condition (503 in place of 502).

--- a/cicadagateway/cicadaexchange/client.go
+++ b/cicadagateway/cicadaexchange/client.go
@@ -288,16 +288,20 @@
 // ReadAll reads the body to its end. It fails with ErrTooLarge beyond limit bytes. The memory of
 // the body must be released.
 func (r *Response) ReadAll(limit int64) (*cicadamemory.Buffer, error) {
-	body, err := r.client.memory.ReadAll(r, limit)
+	body := r.client.memory.NewBuffer()
+	err := body.ReadAll(r, limit)
+	if err == nil {
+		return body, nil
+	}
+	_ = r.conn.Close() // before others may use its memory
+	body.Release()
 	switch {
 	case errors.Is(err, cicadamemory.ErrTooLarge):
-		_ = r.conn.Close()
 		return nil, merry.Errorf("body: %w: %w", ErrInvalidResponse, ErrTooLarge)
 	case errors.Is(err, cicadamemory.ErrExhausted):
-		_ = r.conn.Close()
 		return nil, merry.Errorf("body: %w: %w", ErrInvalidResponse, err)
 	}
-	return body, err
+	return nil, err
 }
 
 // Memory returns the budget for the bytes of responses.
--- a/cicadagateway/cicadarelay/crash.go
+++ b/cicadagateway/cicadarelay/crash.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"cicadalink.example/cicadagateway/cicadaexchange"
+	"cicadalink.example/cicadakernel/cicadamemory"
 	"cicadalink.example/cicadakernel/cicadasuspect"
 	"cicadalink.example/cicadakernel/cicadaview"
 	adapter "cicadalink.example/platform"
@@ -56,9 +57,10 @@
 // recordCrash records a run that ended without a valid response. A run that had got an
 // event is no evidence: a request that crashes endpoints does so before, and the others
 // that they were running break off with it. The parts of the prompt are blamed only if the
-// endpoint has crashed, and not if an answer was lost.
+// endpoint has crashed, and not if an answer was lost. An answer for which this process had no
+// memory is no evidence either.
 func (x *exchange) recordCrash(endpoint cicadaview.Endpoint, err error) {
-	if x.answered {
+	if x.answered || errors.Is(err, cicadamemory.ErrExhausted) {
 		return
 	}
 	monitor, client := x.relay.monitor, x.relay.client
--- a/cicadagateway/cicadarelay/endless_test.go
+++ b/cicadagateway/cicadarelay/endless_test.go
@@ -26,21 +26,52 @@
 const endlessGuard = 64 << 20
 
 // endlessFleet responds to requests of the path /p/sound with a whole response and to all others
-// with a start and then a block again and again. It counts the bytes of all responses that are
-// open: those that a relay has read and not let go of.
+// with a start and then a block again and again. It counts the bytes that were read from all
+// connections that are open.
 type endlessFleet struct {
 	start, block string
 	mu           sync.Mutex
 	open, most   int64
 }
 
+// A countedConn is a connection that adds what was read from it to the bytes of its fleet until
+// it is closed.
+type countedConn struct {
+	net.Conn
+	fleet *endlessFleet
+	mu    sync.Mutex
+	read  int64
+}
+
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.read += int64(n)
+	c.fleet.count(int64(n))
+	return n, err
+}
+
+func (c *countedConn) Close() error {
+	err := c.Conn.Close()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.fleet.count(-c.read)
+	c.read = 0
+	return err
+}
+
+// connectionMemory is for the read buffer of a connection, the head of a response and the buffer
+// that copies a stream, in bytes.
+const connectionMemory = 24 << 10
+
 // soundBody is a whole response, which is also one event.
 var soundBody = "data: " + strings.Repeat("s", 10_000) + "\n\n"
 
 func (f *endlessFleet) dial(context.Context, string) (net.Conn, error) {
 	client, server := net.Pipe()
 	go f.serve(server)
-	return client, nil
+	return &countedConn{Conn: client, fleet: f}, nil
 }
 
 func (f *endlessFleet) serve(conn net.Conn) {
@@ -56,20 +87,15 @@
 		return
 	}
 	text := head + f.start
-	sent := int64(0)
-	defer func() { f.count(-sent) }()
-	for sent < endlessGuard {
-		n, err := io.WriteString(conn, text)
-		sent += int64(n)
-		f.count(int64(n))
-		if err != nil {
+	for sent := 0; sent < endlessGuard; sent += len(text) {
+		if _, err := io.WriteString(conn, text); err != nil {
 			return
 		}
 		text = f.block
 	}
 }
 
-// count adds to the bytes of open responses.
+// count adds to the bytes of open connections.
 func (f *endlessFleet) count(n int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -87,6 +113,7 @@
 	}{
 		{"body", "safe", "\r\n", kilobyte},
 		{"chunks", "safe", "Transfer-Encoding: chunked\r\n\r\n", "400\r\n" + kilobyte + "\r\n"},
+		{"event", "stream", "Content-Type: text/event-stream\r\n\r\ndata: ", kilobyte},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -106,8 +133,7 @@
 				})
 				wg.Wait()
 				synctest.Wait()
-				// The endpoints learn a little later that their responses are let go of.
-				assert.Check(t, f.most <= 2*limit, "%d bytes read and not let go of", f.most)
+				assert.Check(t, f.most <= limit+requests*connectionMemory, "%d bytes read of open responses", f.most)
 				assert.Equal(t, memory.Used(), int64(0))
 			})
 		})
@@ -128,3 +154,16 @@
 	client := cicadaexchange.NewClient(cicadaexchange.WithDial(f.dial), cicadaexchange.WithMemory(memory))
 	return New(func() *cicadaview.Config { return config }, table, client, hclog.NewNullLogger())
 }
+
+// TestAnswerWithoutMemoryIsNoCrash guards against requests that are refused as they are taken to
+// crash endpoints, while it was this process that had no memory for their answers.
+func TestAnswerWithoutMemoryIsNoCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &endlessFleet{start: "\r\n", block: strings.Repeat("x", 1<<10)}
+		rl := endlessRelay(f, routes["safe"], 10, cicadamemory.NewBudget(1<<20))
+		for i := range 10 {
+			status, _, _, _ := postWithID(t.Context(), rl, fmt.Sprint("id-", i), "/p/endless", "")
+			assert.Equal(t, status, http.StatusBadGateway)
+		}
+	})
+}
--- a/cicadagateway/cicadarelay/forward.go
+++ b/cicadagateway/cicadarelay/forward.go
@@ -69,14 +69,24 @@
 
 // forwardStream sends events as they arrive. It sends only complete events, so that
 // a broken stream can be resumed after the last one.
-func (x *exchange) forwardStream(ctx context.Context, res *cicadaexchange.Response, grant *cicadaplace.Grant) error {
+func (x *exchange) forwardStream(ctx context.Context, res *cicadaexchange.Response, grant *cicadaplace.Grant) (err error) {
 	buffer := copyBuffers.Get().(*[]byte)
 	defer copyBuffers.Put(buffer)
 	x.events.reset()
+	x.events.held = res.Memory().Reserve()
+	defer func() {
+		if err != nil {
+			res.Close() // before others may use its memory
+		}
+		x.events.release()
+	}()
 	for {
 		n, err := res.Read(*buffer)
 		if n > 0 {
-			events := x.events.add((*buffer)[:n])
+			events, err := x.events.add((*buffer)[:n])
+			if err != nil {
+				return merry.Errorf("event: %w: %w", cicadaexchange.ErrInvalidResponse, err)
+			}
 			if x.events.oversized {
 				return merry.Errorf("event: %w: %w", cicadaexchange.ErrInvalidResponse, cicadaexchange.ErrTooLarge)
 			}
@@ -130,7 +140,7 @@
 
 // endStream completes a stream whose response was read to its end.
 func (x *exchange) endStream(res *cicadaexchange.Response) error {
-	if len(x.events.partial) > 0 {
+	if x.events.incomplete() {
 		return merry.Errorf("stream ends within an event: %w", cicadaexchange.ErrInvalidResponse)
 	}
 	if x.events.lastID == "" && !x.answered && !res.Framed() {
--- a/cicadagateway/cicadarelay/relay_test.go
+++ b/cicadagateway/cicadarelay/relay_test.go
@@ -316,13 +316,21 @@
 
 func TestEventParser(t *testing.T) {
 	var p eventParser
-	assert.Equal(t, string(p.add([]byte("id: 1\nda"))), "")
-	assert.Equal(t, string(p.add([]byte("ta: a\n\nid: 2\ndata: b\n\nid: 3"))), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
+	assert.Equal(t, add(t, &p, "id: 1\nda"), "")
+	assert.Equal(t, add(t, &p, "ta: a\n\nid: 2\ndata: b\n\nid: 3"), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
 	assert.Equal(t, p.lastID, "2")
 	p.reset()
-	assert.Equal(t, string(p.add([]byte("id: 3\ndata: c\n\n"))), "id: 3\ndata: c\n\n")
+	assert.Equal(t, add(t, &p, "id: 3\ndata: c\n\n"), "id: 3\ndata: c\n\n")
 	assert.Equal(t, p.lastID, "3")
-	assert.Equal(t, len(p.partial), 0)
+	assert.Assert(t, !p.incomplete())
+}
+
+// add returns the events that a parser has after more bytes.
+func add(t *testing.T, p *eventParser, text string) string {
+	t.Helper()
+	events, err := p.add([]byte(text))
+	assert.NilError(t, err)
+	return string(events)
 }
 
 func BenchmarkEventParser(b *testing.B) {
@@ -330,6 +338,6 @@
 	event := []byte("id: 12\ndata: " + strings.Repeat("x", 95) + "\n\n")
 	b.ReportAllocs()
 	for b.Loop() {
-		p.add(event)
+		_, _ = p.add(event)
 	}
 }
--- a/cicadakernel/cicadamemory/buffer.go
+++ b/cicadakernel/cicadamemory/buffer.go
@@ -23,23 +23,34 @@
 	reserved *Reservation
 }
 
-// ReadAll reads up to limit bytes until the end of r. It fails with ErrTooLarge if there are more
-// and with ErrExhausted if the budget has no room for them. After an error nothing is held.
+// NewBuffer returns an empty Buffer.
+func (b *Budget) NewBuffer() *Buffer { return &Buffer{reserved: b.Reserve()} }
+
+// ReadAll is like Buffer.ReadAll with a new Buffer. After an error nothing is held.
 func (b *Budget) ReadAll(r io.Reader, limit int64) (*Buffer, error) {
-	buffer := &Buffer{reserved: b.Reserve()}
+	buffer := b.NewBuffer()
+	if err := buffer.ReadAll(r, limit); err != nil {
+		buffer.Release()
+		return nil, err
+	}
+	return buffer, nil
+}
+
+// ReadAll appends what r has until its end. It fails with ErrTooLarge if the Buffer would hold
+// more than limit bytes and with ErrExhausted if the budget has no room for them. Whatever was
+// read is held until Release, also after an error.
+func (b *Buffer) ReadAll(r io.Reader, limit int64) error {
 	for {
-		err := buffer.readChunk(r, min(max(buffer.size/growth, minChunkSize), maxChunkSize))
-		if int64(buffer.size) > limit && (err == nil || err == io.EOF) {
-			err = merry.Errorf("more than %d bytes: %w", limit, ErrTooLarge)
-		}
-		if err == nil {
-			continue
+		err := b.readChunk(r, min(max(b.size/growth, minChunkSize), maxChunkSize))
+		if int64(b.size) > limit && (err == nil || err == io.EOF) {
+			return merry.Errorf("more than %d bytes: %w", limit, ErrTooLarge)
 		}
 		if err == io.EOF {
-			return buffer, nil
+			return nil
+		}
+		if err != nil {
+			return err
 		}
-		buffer.Release()
-		return nil, err
 	}
 }
 
