Bound what an owner keeps of outputs that endpoints send without end

The run of each item kept up to 1 MiB of output, of an event and of a line, several times that while buffers grew, and an owner runs an item at each idle slot.

Cause: only each run was bounded.

Change: a run reserves twice the bytes of its output, its event and its line in the budget for received bytes, which its client brings, and releases them after its connection is closed. A run without memory is broken, as one whose event is too long: the item goes on from its last event. The buffer of a long event is no longer kept for the next one.

Conclusion: fixed for runs. What an item has got in earlier runs, until its result is listed, is not counted: it is limited to 1 MiB an item.

--- a/cicadagateway/cicadabatch/run.go
+++ b/cicadagateway/cicadabatch/run.go
@@ -16,6 +16,7 @@
 
 	"cicadalink.example/cicadagateway/cicadaexchange"
 	"cicadalink.example/cicadagateway/cicadaplace"
+	"cicadalink.example/cicadakernel/cicadamemory"
 	"cicadalink.example/cicadakernel/cicadaplatform"
 	"cicadalink.example/cicadakernel/cicadaview"
 	adapter "cicadalink.example/platform"
@@ -62,7 +63,8 @@
 	// onRateLimit is called with the limit that the endpoint states in its response, in
 	// requests a second, or 0.
 	onRateLimit func(perSecond float64)
-	onLeaving   func() // called if the endpoint states that it is leaving
+	onLeaving   func()                    // called if the endpoint states that it is leaving
+	held        *cicadamemory.Reservation // memory of the output, and of the event that is received
 }
 
 // execute runs an item and returns the outcome. Whatever the outcome, the run holds
@@ -77,6 +79,8 @@
 	if err != nil {
 		return r.classifyError(ctx, err)
 	}
+	r.held = resp.Memory().Reserve()
+	defer r.held.Release() // after resp.Close, before which others must not use the memory
 	defer resp.Close()
 	r.status = resp.StatusCode
 	if r.grant != nil {
@@ -143,7 +147,7 @@
 	lines := bufio.NewReaderSize(body, lineBufferSize)
 	var event sseEvent
 	for {
-		line, err := readLine(lines)
+		line, err := r.readLine(lines, &event)
 		if errors.Is(err, io.EOF) {
 			if len(line) > 0 || event.started {
 				return merry.Errorf("stream ends within an event: %w", cicadaexchange.ErrInvalidResponse)
@@ -153,6 +157,9 @@
 		if err != nil {
 			return merry.Errorf("read events: %w", err)
 		}
+		if err := r.reserve(len(line), &event); err != nil {
+			return err
+		}
 		line = bytes.TrimSuffix(line[:len(line)-1], []byte("\r"))
 		if len(line) > 0 {
 			if event.addLine(line); len(event.data) > maxEventBytes {
@@ -173,10 +180,21 @@
 // lineBufferSize is the size of most lines or more; longer ones are copied.
 const lineBufferSize = 4 << 10
 
-// readLine reads a line with its newline, of up to maxEventBytes. The line is valid until the
-// next call.
-func readLine(r *bufio.Reader) ([]byte, error) {
-	line, err := r.ReadSlice('\n')
+// bufferGrowth is how many times its bytes a buffer that grows may take in memory.
+const bufferGrowth = 2
+
+// reserve reserves the memory of the output, of an event and of a line with n bytes.
+func (r *run) reserve(n int, event *sseEvent) error {
+	if err := r.held.Resize(int64(bufferGrowth * (r.output.Len() + len(event.data) + n))); err != nil {
+		return merry.Errorf("read event: %w: %w", cicadaexchange.ErrInvalidResponse, err)
+	}
+	return nil
+}
+
+// readLine reads a line of an event with its newline, of up to maxEventBytes. The line is valid
+// until the next call.
+func (r *run) readLine(lines *bufio.Reader, event *sseEvent) ([]byte, error) {
+	line, err := lines.ReadSlice('\n')
 	if !errors.Is(err, bufio.ErrBufferFull) {
 		return line, err
 	}
@@ -185,7 +203,10 @@
 		if len(long) > maxEventBytes {
 			return nil, merry.Errorf("line: %w: %w", cicadaexchange.ErrInvalidResponse, cicadaexchange.ErrTooLarge)
 		}
-		line, err = r.ReadSlice('\n')
+		if err := r.reserve(len(long)+lineBufferSize, event); err != nil {
+			return nil, err
+		}
+		line, err = lines.ReadSlice('\n')
 		long = append(long, line...)
 	}
 	return long, err
@@ -243,7 +264,14 @@
 	data    []byte
 }
 
-func (e *sseEvent) reset() { *e = sseEvent{data: e.data[:0]} }
+// reset prepares for the next event. The memory of a long event is not kept for it.
+func (e *sseEvent) reset() {
+	data := e.data[:0]
+	if cap(data) > lineBufferSize {
+		data = nil
+	}
+	*e = sseEvent{data: data}
+}
 
 func (e *sseEvent) addLine(line []byte) {
 	e.started = true
--- a/cicadagateway/cicadabatch/run_test.go
+++ b/cicadagateway/cicadabatch/run_test.go
@@ -9,12 +9,17 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 
 	"gotest.tools/v3/assert"
 
 	"cicadalink.example/cicadagateway/cicadaexchange"
+	"cicadalink.example/cicadakernel/cicadamemory"
 	"cicadalink.example/cicadakernel/cicadaview"
+	adapter "cicadalink.example/platform"
 )
 
 // repeated reads a text again and again, up to limit bytes.
@@ -68,6 +73,56 @@
 	}
 }
 
+// TestOutputsWithoutEndOfManyItems guards against an owner that runs out of memory because many
+// endpoints at once send outputs or events without end, each of which is limited.
+func TestOutputsWithoutEndOfManyItems(t *testing.T) {
+	const runs, size, limit = 40, 512 << 10, 4 << 20
+	for _, test := range []struct{ name, start, block string }{
+		{"line", "id: 1\ndata: ", strings.Repeat("x", 1<<10)},
+		{"data lines", "id: 1\n", "data: " + strings.Repeat("x", 1<<10) + "\n"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				memory := cicadamemory.NewBudget(limit)
+				client := cicadaexchange.NewClient(cicadaexchange.WithMemory(memory), cicadaexchange.WithDial(func(context.Context, string) (net.Conn, error) {
+					conn, endpoint := net.Pipe()
+					go sendAndStall(endpoint, test.start, test.block, size/len(test.block))
+					return conn, nil
+				}))
+				var wg sync.WaitGroup
+				var failed atomic.Int64
+				for range runs {
+					wg.Go(func() {
+						got, err := (&run{}).execute(t.Context(), client, cicadaexchange.Request{Method: http.MethodPost, Target: "/p/1", Host: "h"}, cicadaview.Endpoint{Address: "e:1"})
+						assert.Check(t, got == runBroken, "%s: %v", got, err)
+						if errors.Is(err, cicadamemory.ErrExhausted) {
+							failed.Add(1)
+						}
+					})
+				}
+				wg.Wait()
+				assert.Check(t, failed.Load() >= runs-limit/size, "%d runs failed, so that more was kept than the limit", failed.Load())
+				assert.Equal(t, memory.Used(), int64(0))
+			})
+		})
+	}
+}
+
+// sendAndStall responds to a request with a start and a number of blocks, and then nothing until
+// the connection is closed.
+func sendAndStall(conn net.Conn, start, block string, blocks int) {
+	defer conn.Close()
+	r := bufio.NewReader(conn)
+	if _, err := http.ReadRequest(r); err != nil {
+		return
+	}
+	_, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+adapter.HeaderSignature+": s\r\n\r\n"+start)
+	for i := 0; err == nil && i < blocks; i++ {
+		_, err = io.WriteString(conn, block)
+	}
+	_, _ = io.Copy(io.Discard, r)
+}
+
 func TestOutputWithoutEnd(t *testing.T) {
 	var stream strings.Builder
 	for id := 1; id < 2000; id++ {
