Bound what a gateway keeps of messages that other processes send

Callers saw: nothing yet; the same class as bodies without end. A peer connection took a message of up to 32 MiB, and there may be any number of connections.

Cause: drpc limits the message of a connection only.

Change: a cicadawire server with WithMemory follows the frames of each connection and reserves twice the bytes of the message that it receives, from its first byte until something is sent after it was complete, the next message begins or the connection ends. A connection without memory is closed, which the caller learns as the end of its connection. The gateway's server of peers uses the budget for received bytes.

Conclusion: fixed for the gateway's server. Not counted are answers that its clients receive, and the buffer that drpc keeps on an idle connection. Servers of entries and agents of the other product have no budget yet.

--- a/cicadagateway/cicadaprocess/jobs.go
+++ b/cicadagateway/cicadaprocess/jobs.go
@@ -165,7 +165,7 @@
 
 // servePeers serves job calls from other processes.
 func (n *Node) servePeers(ctx context.Context, register func(drpc.Mux) error) error {
-	srv := cicadawire.NewServer()
+	srv := cicadawire.NewServer(cicadawire.WithMemory(n.receivedMemory))
 	if err := register(srv.Mux()); err != nil {
 		return err
 	}
--- a/cicadakernel/cicadawire/server.go
+++ b/cicadakernel/cicadawire/server.go
@@ -12,6 +12,8 @@
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 	"storj.io/drpc/drpcwire"
+
+	"cicadalink.example/cicadakernel/cicadamemory"
 )
 
 const (
@@ -35,17 +37,31 @@
 
 // A Server serves drpc connections.
 type Server struct {
-	mux *drpcmux.Mux
-	srv *drpcserver.Server
+	mux    *drpcmux.Mux
+	srv    *drpcserver.Server
+	memory *cicadamemory.Budget
+}
+
+// A ServerOption configures a Server.
+type ServerOption func(*Server)
+
+// WithMemory sets the budget for messages that are received. A connection on which one exceeds it
+// is closed. Without it each message is limited, but not all of them together.
+func WithMemory(memory *cicadamemory.Budget) ServerOption {
+	return func(s *Server) { s.memory = memory }
 }
 
 // NewServer returns a server. Services must be registered on Mux before Serve is
 // called.
-func NewServer() *Server {
+func NewServer(opts ...ServerOption) *Server {
 	mux := drpcmux.New()
 	manager := managerOptions()
 	manager.InactivityTimeout = inactivityTimeout
-	return &Server{mux: mux, srv: drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: manager})}
+	s := &Server{mux: mux, srv: drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: manager})}
+	for _, opt := range opts {
+		opt(s)
+	}
+	return s
 }
 
 // Mux returns the mux on which services are registered.
@@ -53,6 +69,9 @@
 
 // Serve accepts connections until ctx ends or the listener fails.
 func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
+	if s.memory != nil {
+		ln = receivedListener{Listener: ln, memory: s.memory}
+	}
 	if err := s.srv.Serve(ctx, ln); err != nil {
 		return merry.Errorf("serve drpc: %w", err)
 	}
