Bound what a process keeps of the store's responses

Callers saw: nothing yet; the same class as bodies without end. Each call to the store kept up to 8 MiB of a body, and its client up to 10 MiB of a header; a process has a call for each of its watches, writes and reads at once.

Cause: each response was bounded, all of them together were not.

The objects that are decoded from a page are state, not counted here.

--- a/cicadagateway/cicadaprocess/process.go
+++ b/cicadagateway/cicadaprocess/process.go
@@ -95,7 +95,8 @@
 
 // New returns a Node. Call Serve to run it.
 func New(cfg *Settings, p *cicadakernel.Process) (*Node, error) {
-	backend, err := cicadaplatform.Open(cfg.Platform)
+	receivedMemory := cfg.memoryBudget(receivedMemoryFraction, p.Scope(), "responses")
+	backend, err := cicadaplatform.Open(cfg.Platform, cicadaplatform.WithMemory(receivedMemory))
 	if err != nil {
 		return nil, merry.Errorf("open platform: %w", err)
 	}
@@ -103,7 +104,7 @@
 	n.drainLimit.Store(int64(cfg.DrainLimit.Or(defaultDrainLimit)))
 	setMemoryLimit(cfg)
 	n.requestMemory = cfg.memoryBudget(requestMemoryFraction, p.Scope(), "requests")
-	n.receivedMemory = cfg.memoryBudget(receivedMemoryFraction, p.Scope(), "responses")
+	n.receivedMemory = receivedMemory
 	n.store = cicadaplatform.NewClient(backend, cicadaplatform.WithWriteRate(cfg.storeWriteRate()),
 		cicadaplatform.WithReadRate(cfg.storeReadRate()), cicadaplatform.WithScope(p.Scope()))
 	n.link = cicadafollow.NewLink(n.log, func(up bool) {
--- a/cicadakernel/cicadaplatform/http.go
+++ b/cicadakernel/cicadaplatform/http.go
@@ -15,6 +15,8 @@
 
 	"github.com/ansel1/merry/v2"
 	"github.com/julienschmidt/httprouter"
+
+	"cicadalink.example/cicadakernel/cicadamemory"
 )
 
 // httpIdleTimeout is how long an idle connection to the store is kept.
@@ -26,7 +28,7 @@
 
 // Open returns a backend for a platform address such as http://127.0.0.1:7000.
 // The URL scheme selects the adapter.
-func Open(address string) (Backend, error) {
+func Open(address string, opts ...OpenOption) (Backend, error) {
 	scheme, _, ok := strings.Cut(address, "://")
 	if !ok {
 		return Backend{}, merry.Errorf("platform address %q has no scheme", address)
@@ -35,7 +37,26 @@
 	if err != nil {
 		return Backend{}, merry.Errorf("platform address %q: %w", address, err)
 	}
-	return open(address)
+	backend, err := open(address)
+	if err != nil {
+		return Backend{}, err
+	}
+	for _, opt := range opts {
+		opt(&backend)
+	}
+	return backend, nil
+}
+
+// An OpenOption configures the backend that Open returns.
+type OpenOption func(*Backend)
+
+// WithMemory sets the budget for what the store sends. The default is one of the default size.
+func WithMemory(memory *cicadamemory.Budget) OpenOption {
+	return func(b *Backend) {
+		if b.SetMemory != nil {
+			b.SetMemory(memory)
+		}
+	}
 }
 
 type objectBody struct {
--- a/cicadakernel/cicadaplatform/store.go
+++ b/cicadakernel/cicadaplatform/store.go
@@ -26,6 +26,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"cicadalink.example/cicadakernel"
+	"cicadalink.example/cicadakernel/cicadamemory"
 )
 
 // MaxValueSize is the largest value of an object as the store keeps it, in bytes. A backend may
@@ -144,6 +145,9 @@
 	// ValueSize returns the size of an object's value as the store keeps it, in bytes. If
 	// ValueSize is nil, values are kept as they are.
 	ValueSize func(name string, value []byte) int
+	// SetMemory sets the budget for what the store sends, before the first call. It is nil if the
+	// backend receives nothing from others.
+	SetMemory func(memory *cicadamemory.Budget)
 }
 
 // Adapters is the registry of platform adapters by URL scheme.
