Bound what an entry keeps of responses that it collects

An entry collects the responses of calls that are not streamed, up to 16 MiB each, of any number of calls at once. And of a chat response only the text counted: deltas with further fields were kept without any limit.

Cause: each response was bounded by its text, all of them together were not.

Change: text and deltas count to the limit of a response. Responses are collected within a budget, the new setting response-memory (128MiB, so that a single response of 16 MiB fits as before). A response without memory fails with engine-failed (502, it may have run), which a batch item tries again.

Evidence: TestDeltasWithoutEnd fails on the code before: 32 MiB of deltas were taken without an error.

Conclusion: fixed for collected responses. Not done: single events at agents (1 MiB each), the drpc servers of entries and agents, and the http:// store's bodies, which are without any limit.

--- a/cicadaentry/cicadacall/answer.go
+++ b/cicadaentry/cicadacall/answer.go
@@ -9,28 +9,67 @@
 
 	"cicadalink.example/cicadaentry/cicadadispatch"
 	"cicadalink.example/cicadakernel/cicadaerror"
+	"cicadalink.example/cicadakernel/cicadamemory"
 	"cicadalink.example/cicadakernel/cicadawire"
 )
 
 // MaxResponseBytes is the maximum size of a response that is collected in memory.
 const MaxResponseBytes = 16 << 20
 
-// A Response collects the chunks of a response. The zero value is an empty response.
+const (
+	// bufferGrowth is how many times its bytes a buffer that grows may take in memory.
+	bufferGrowth = 2
+	// deltaMemory is what a delta or header takes in memory besides its bytes, in bytes.
+	deltaMemory = 64
+)
+
+// A Response collects the chunks of a response.
 type Response struct {
 	status  int
 	headers []*cicadawire.Header
 	text    []byte
 	deltas  [][]byte
+	size    int // bytes of text and deltas
+	held    *cicadamemory.Reservation
+}
+
+// NewResponse returns an empty response. What it collects is held in a budget of memory, which
+// may be nil, until Release.
+func NewResponse(memory *cicadamemory.Budget) *Response {
+	return &Response{held: memory.Reserve()}
 }
 
-// Add appends a chunk. It fails if the data would exceed MaxResponseBytes.
+// Release gives the memory of the response back.
+func (r *Response) Release() { r.held.Release() }
+
+// reserve reserves the memory of a chunk.
+func (r *Response) reserve(chunk cicadadispatch.Chunk) error {
+	size := bufferGrowth * (len(chunk.Data) + len(chunk.Extra))
+	if len(chunk.Extra) > 0 {
+		size += deltaMemory
+	}
+	for _, h := range chunk.Headers {
+		size += len(h.GetName()) + len(h.GetValue()) + deltaMemory
+	}
+	if err := r.held.Grow(int64(size)); err != nil {
+		return cicadaerror.New(cicadaerror.EngineFailed, "there is no memory for a response of more than %d bytes", r.size)
+	}
+	return nil
+}
+
+// Add appends a chunk. It fails if the data would exceed MaxResponseBytes, or if there is no
+// memory for it.
 func (r *Response) Add(chunk cicadadispatch.Chunk) error {
 	if chunk.Head {
 		r.status, r.headers = chunk.Status, chunk.Headers
 	}
-	if len(r.text)+len(chunk.Data) > MaxResponseBytes {
+	r.size += len(chunk.Data) + len(chunk.Extra)
+	if r.size > MaxResponseBytes {
 		return cicadaerror.New(cicadaerror.TooLarge, "the response is larger than %d bytes", MaxResponseBytes)
 	}
+	if err := r.reserve(chunk); err != nil {
+		return err
+	}
 	r.text = append(r.text, chunk.Data...)
 	if len(chunk.Extra) > 0 {
 		r.deltas = append(r.deltas, chunk.Extra)
--- a/cicadaentry/cicadafront/front.go
+++ b/cicadaentry/cicadafront/front.go
@@ -38,6 +38,7 @@
 	"cicadalink.example/cicadaentry/cicadashard"
 	"cicadalink.example/cicadakernel/cicadaconfig"
 	"cicadalink.example/cicadakernel/cicadaerror"
+	"cicadalink.example/cicadakernel/cicadamemory"
 	"cicadalink.example/cicadakernel/cicadaplatform"
 	"cicadalink.example/cicadakernel/cicadawire"
 )
@@ -76,6 +77,8 @@
 	OperatorByHash func(hash string) (string, bool)
 	// MaxUpload is the largest size of an uploaded file, in bytes.
 	MaxUpload int64
+	// Memory is the budget for responses that are collected; nil if they are limited one by one only.
+	Memory *cicadamemory.Budget
 	// LocalStatus returns the status of this entry, as other entries report
 	// theirs.
 	LocalStatus func() *cicadawire.PeerReply
--- a/cicadaentry/cicadafront/infer.go
+++ b/cicadaentry/cicadafront/infer.go
@@ -45,7 +45,8 @@
 func notRun(err error) error { return cicadaerror.From(err).NotRun() }
 
 func (s *Server) respondComplete(w http.ResponseWriter, r *http.Request, req *cicadadispatch.Request, body *cicadacall.InferenceBody, id string) error {
-	var response cicadacall.Response
+	response := cicadacall.NewResponse(s.Memory)
+	defer response.Release()
 	result, err := s.Dispatcher.Run(r.Context(), req, response.Add)
 	if err != nil {
 		return err
--- a/cicadaentry/cicadafront/service.go
+++ b/cicadaentry/cicadafront/service.go
@@ -177,7 +177,8 @@
 // runClaimed runs a claimed call, buffers its response and records it before it
 // responds to the caller. It does so even if the caller disconnects.
 func (s *Server) runClaimed(w http.ResponseWriter, r *http.Request, req *cicadadispatch.Request, claim *cicadawire.ClaimRequest) error {
-	var response cicadacall.Response
+	response := cicadacall.NewResponse(s.Memory)
+	defer response.Release()
 	ctx := context.WithoutCancel(r.Context())
 	_, err := s.Dispatcher.Run(ctx, req, response.Add)
 	if err != nil {
--- a/cicadaentry/cicadanode/node.go
+++ b/cicadaentry/cicadanode/node.go
@@ -32,6 +32,7 @@
 	"cicadalink.example/cicadakernel"
 	"cicadalink.example/cicadakernel/cicadaconfig"
 	"cicadalink.example/cicadakernel/cicadamember"
+	"cicadalink.example/cicadakernel/cicadamemory"
 	"cicadalink.example/cicadakernel/cicadaplatform"
 	"cicadalink.example/cicadakernel/cicadaretry"
 	"cicadalink.example/cicadakernel/cicadasuspect"
@@ -60,6 +61,7 @@
 	limiter        *cicadaquota.Limiter
 	files          *cicadafile.Store
 	shards         *cicadashard.Manager
+	memory         *cicadamemory.Budget // for collected responses
 	callerListener net.Listener
 	peerListener   net.Listener
 	process        *cicadakernel.Process
@@ -82,6 +84,7 @@
 		scope:    p.Scope(),
 		setReady: p.SetReady,
 		process:  p,
+		memory:   cicadamemory.NewBudget(cfg.ResponseMemory.Or(DefaultResponseMemory), cicadamemory.WithScope(p.Scope(), "responses")),
 		store:    cicadaplatform.NewClient(backend, cicadaplatform.WithWriteRate(writeRate), cicadaplatform.WithScope(p.Scope())),
 	}
 	if err := n.listen(); err != nil {
@@ -197,6 +200,7 @@
 		Dial:         n.entryClient,
 		QueryAttempt: n.queryAttempt,
 		Nonce:        rand.Uint64,
+		Memory:       n.memory,
 		Log:          n.log,
 		Scope:        n.scope,
 	})
@@ -214,6 +218,7 @@
 		Store:          n.store,
 		OperatorByHash: n.cfg.operatorByHash,
 		MaxUpload:      n.cfg.MaxUpload.Or(DefaultMaxUpload),
+		Memory:         n.memory,
 		Log:            n.log,
 		Scope:          n.scope,
 		LocalStatus:    n.localStatus,
--- a/cicadaentry/cicadanode/settings.go
+++ b/cicadaentry/cicadanode/settings.go
@@ -17,6 +17,7 @@
 	DefaultDrainLimit     = 2 * time.Minute
 	DefaultMaxBody        = 8 << 20
 	DefaultMaxUpload      = 1 << 30
+	DefaultResponseMemory = 128 << 20 // bytes
 	DefaultMaxConnections = 10000
 	DefaultHeaderTimeout  = 10 * time.Second
 	DefaultReadyDelay     = 2 * time.Second
@@ -57,6 +58,8 @@
 	ReadyDelay cicadasettings.Duration `yaml:"ready-delay"`
 	// MaxUpload is the largest size of an uploaded file.
 	MaxUpload cicadasettings.Size `yaml:"max-upload"`
+	// ResponseMemory limits the memory for responses that are collected before they are passed on.
+	ResponseMemory cicadasettings.Size `yaml:"response-memory"`
 	// MaxConnections limits the open connections of callers and operators.
 	MaxConnections int `yaml:"max-connections"`
 	// Operators lists who may change the configuration.
--- a/cicadaentry/cicadashard/item.go
+++ b/cicadaentry/cicadashard/item.go
@@ -155,10 +155,11 @@
 }
 
 func (r *jobRunner) dispatch(ctx context.Context, it *item, in *itemLine, req *cicadadispatch.Request) itemOutcome {
-	var response cicadacall.Response
+	response := cicadacall.NewResponse(r.owner.manager.deps.Memory)
+	defer response.Release()
 	result, err := r.owner.manager.deps.Dispatcher.Run(ctx, req, response.Add)
 	if err == nil {
-		return itemOutcome{record: r.completedItem(it, in, &response, result)}
+		return itemOutcome{record: r.completedItem(it, in, response, result)}
 	}
 	apiErr := cicadaerror.From(err)
 	if apiErr.IsNotRun() && retryable(apiErr.Code()) {
@@ -304,7 +305,8 @@
 	}
 	req.Call.NonIdempotent = false
 	req.Deadline = time.Now().Add(outcomeQueryTimeout)
-	var response cicadacall.Response
+	response := cicadacall.NewResponse(m.deps.Memory)
+	defer response.Release()
 	if _, err := m.deps.Dispatcher.Run(ctx, req, response.Add); err != nil {
 		return nil, err
 	}
--- a/cicadaentry/cicadashard/manager.go
+++ b/cicadaentry/cicadashard/manager.go
@@ -34,6 +34,7 @@
 	"cicadalink.example/cicadakernel/cicadaconfig"
 	"cicadalink.example/cicadakernel/cicadalease"
 	"cicadalink.example/cicadakernel/cicadamember"
+	"cicadalink.example/cicadakernel/cicadamemory"
 	"cicadalink.example/cicadakernel/cicadaplatform"
 	"cicadalink.example/cicadakernel/cicadaretry"
 	"cicadalink.example/cicadakernel/cicadatask"
@@ -90,6 +91,8 @@
 	QueryAttempt func(ctx context.Context, group, customer, key string) (*cicadawire.AttemptReply, error)
 	// Nonce returns numbers that are unique across all entries and restarts.
 	Nonce func() uint64
+	// Memory is the budget for responses that are collected; nil if they are limited one by one only.
+	Memory *cicadamemory.Budget
 	// Log receives log lines, and Scope metrics.
 	Log   hclog.Logger
 	Scope tally.Scope
--- a/cicadakernel/cicadamemory/budget.go
+++ b/cicadakernel/cicadamemory/budget.go
@@ -77,8 +77,13 @@
 // UpdateGauge sets the gauge of the bytes that are reserved.
 func (b *Budget) UpdateGauge() { b.gauge.Update(float64(b.Used())) }
 
-// Reserve returns an empty Reservation.
-func (b *Budget) Reserve() *Reservation { return &Reservation{budget: b} }
+// Reserve returns an empty Reservation. That of a nil Budget is not limited.
+func (b *Budget) Reserve() *Reservation {
+	if b == nil {
+		return nil
+	}
+	return &Reservation{budget: b}
+}
 
 // A Reservation is a part of a Budget. It is not safe for concurrent use. A nil Reservation is
 // not limited.
