--- a/cicadakernel/cicadamemory/buffer.go
+++ b/cicadakernel/cicadamemory/buffer.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"sync"
 
 	"github.com/ansel1/merry/v2"
 )
@@ -20,6 +21,7 @@
 type Buffer struct {
 	chunks   [][]byte
 	size     int
+	joined   bool // whether chunks is one slice that Bytes has returned
 	reserved *Reservation
 }
 
@@ -60,7 +62,7 @@
 	if err := b.reserved.Grow(int64(size)); err != nil {
 		return err
 	}
-	chunk, n := make([]byte, size), 0
+	chunk, n := newChunk(size), 0
 	var err error
 	for n < size && err == nil {
 		var read int
@@ -72,6 +74,28 @@
 	return err
 }
 
+// chunkPool has chunks of maxChunkSize. Endless responses would otherwise leave more garbage than
+// the collector keeps up with.
+var chunkPool = sync.Pool{New: func() any { return new([maxChunkSize]byte) }}
+
+func newChunk(size int) []byte {
+	if size < maxChunkSize {
+		return make([]byte, size)
+	}
+	return chunkPool.Get().(*[maxChunkSize]byte)[:]
+}
+
+// dropChunks drops the chunks and reuses the largest. Bytes has returned none of those: it returns a
+// chunk only if it is the first, which is small.
+func (b *Buffer) dropChunks() {
+	for _, chunk := range b.chunks {
+		if cap(chunk) == maxChunkSize && !b.joined {
+			chunkPool.Put((*[maxChunkSize]byte)(chunk[:maxChunkSize]))
+		}
+	}
+	b.chunks = nil
+}
+
 // Len returns the number of bytes.
 func (b *Buffer) Len() int { return b.size }
 
@@ -87,7 +111,8 @@
 	for _, chunk := range b.chunks {
 		joined = append(joined, chunk...)
 	}
-	b.chunks = [][]byte{joined}
+	b.dropChunks()
+	b.chunks, b.joined = [][]byte{joined}, true
 	return joined
 }
 
@@ -106,6 +131,7 @@
 
 // Release gives the memory back to the budget.
 func (b *Buffer) Release() {
-	b.chunks, b.size = nil, 0
+	b.dropChunks()
+	b.size, b.joined = 0, false
 	b.reserved.Release()
 }
