Bound the headers that an agent keeps of its engine's responses

Callers saw: nothing yet; the same class as bodies without end. An engine that sends a header without end made its agent keep 10 MiB for each call.

Cause: net/http's default limit.

Change: a header may have 64 KiB, as at the gateway.

Evidence: TestHeaderWithoutEnd, 10,484,761 bytes read before, at most 128 KiB now. The tests of cicadaagent passed under the race detector.

Conclusion: fixed. An agent runs as many calls as its engine has slots, each with one event of at most 1 MiB, which is not counted in a budget.

--- a/cicadaagent/cicadaengine/plain.go
+++ b/cicadaagent/cicadaengine/plain.go
@@ -22,7 +22,7 @@
 	readBufferBytes       = 32 << 10
 	// pollTimeout limits health checks and requests for load reports.
 	pollTimeout = time.Second
-	// maxBodyBytes limits the bodies of all responses that are not streamed.
+	// maxBodyBytes limits the header of a response, and the body of one that is not streamed.
 	maxBodyBytes = 64 << 10
 )
 
@@ -43,6 +43,8 @@
 		IdleConnTimeout:     idleConnectionTimeout,
 		DialContext:         dialer.DialContext,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxBodyBytes,
 	}
 	return engineClient{baseURL: strings.TrimSuffix(address, "/"), client: &http.Client{Transport: transport}}
 }
