--- a/cicadagateway/cicadaexchange/client.go
+++ b/cicadagateway/cicadaexchange/client.go
@@ -32,6 +32,8 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+
+	"cicadalink.example/cicadakernel/cicadamemory"
 )
 
 // Errors returned by Do and when reading a response.
@@ -109,6 +111,7 @@
 
 	identification Identification
 	starts         *startMemory
+	memory         *cicadamemory.Budget
 }
 
 // An Option configures a Client.
@@ -124,6 +127,13 @@
 	return func(c *Client) { c.onConnect = onConnect }
 }
 
+// WithMemory sets the budget for the bytes of responses. A response that exceeds it fails with
+// cicadamemory.ErrExhausted and ErrInvalidResponse, and its connection is closed. The default is
+// a budget of the default size.
+func WithMemory(memory *cicadamemory.Budget) Option {
+	return func(c *Client) { c.memory = memory }
+}
+
 // NewClient returns a Client without connections.
 func NewClient(opts ...Option) *Client {
 	dialer := &net.Dialer{Timeout: defaultDialTimeout, KeepAliveConfig: keepAliveConfig, Control: setTCPUserTimeout}
@@ -133,6 +143,7 @@
 			return dialer.DialContext(ctx, "tcp", address)
 		},
 		onConnect: func() {}, onLost: func(string) {}, starts: newStartMemory(),
+		memory: cicadamemory.NewBudget(0),
 	}
 	for _, opt := range opts {
 		opt(c)
@@ -235,10 +246,16 @@
 
 // readResponse reads the response header. It skips responses to other requests,
 // because an endpoint may have sent an earlier response twice.
-func (cn *conn) readResponse(req Request) (*http.Response, error) {
-	defer func() { cn.limit.limited = false }()
+func (cn *conn) readResponse(req Request) (res *http.Response, err error) {
+	defer func() {
+		cn.limit.limited = false
+		if err != nil {
+			_ = cn.Close() // before others may use its memory
+			cn.limit.held.Release()
+		}
+	}()
 	for range maxSkippedResponses {
-		cn.limit.limited, cn.limit.left = true, maxHeaderBytes
+		cn.limit.begin()
 		res, err := http.ReadResponse(cn.r, &http.Request{Method: req.Method})
 		if err != nil {
 			return nil, merry.Errorf("read header: %w", err)
@@ -278,18 +295,28 @@
 	return n, nil
 }
 
-// ReadAll reads the body to its end. It fails with ErrTooLarge beyond limit bytes.
-func (r *Response) ReadAll(limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(r, limit+1))
-	if err != nil {
-		return nil, err
+// ReadAll reads the body to its end. It fails with ErrTooLarge beyond limit bytes. The memory of
+// the body must be released.
+func (r *Response) ReadAll(limit int64) (*cicadamemory.Buffer, error) {
+	body := r.client.memory.NewBuffer()
+	err := body.ReadAll(r, limit)
+	if err == nil {
+		return body, nil
 	}
-	if int64(len(body)) > limit {
+	_ = r.conn.Close() // before others may use its memory
+	body.Release()
+	switch {
+	case errors.Is(err, cicadamemory.ErrTooLarge):
 		return nil, merry.Errorf("body: %w: %w", ErrInvalidResponse, ErrTooLarge)
+	case errors.Is(err, cicadamemory.ErrExhausted):
+		return nil, merry.Errorf("body: %w: %w", ErrInvalidResponse, err)
 	}
-	return body, nil
+	return nil, err
 }
 
+// Memory returns the budget for the bytes of responses.
+func (r *Response) Memory() *cicadamemory.Budget { return r.client.memory }
+
 // Discard reads the rest of a short body, so that the connection can be reused. After a
 // long one, Close closes the connection.
 func (r *Response) Discard() { _, _ = io.CopyN(io.Discard, r, maxDiscardedBytes) }
@@ -316,8 +343,10 @@
 	}
 	if !open || !r.complete || !r.framed || r.Response.Close || r.conn.r.Buffered() > 0 || len(r.conn.failedIDs) > maxFailedIDs {
 		_ = r.conn.Close()
+		r.conn.limit.held.Release()
 		return
 	}
+	r.conn.limit.held.Release()
 	r.client.putIdle(r.conn, idleTimeout(r.Header))
 }
 
--- a/cicadagateway/cicadarelay/relay_test.go
+++ b/cicadagateway/cicadarelay/relay_test.go
@@ -24,6 +24,7 @@
 
 	"cicadalink.example/cicadagateway/cicadaexchange"
 	"cicadalink.example/cicadagateway/cicadaplace"
+	"cicadalink.example/cicadakernel/cicadamemory"
 	"cicadalink.example/cicadakernel/cicadasuspect"
 	"cicadalink.example/cicadakernel/cicadaview"
 	adapter "cicadalink.example/platform"
@@ -225,7 +226,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := &endpointScript{disconnected: make(chan struct{})}
 		rl, _ := newRelay(s, routes["unsafe"], 1)
-		rl.bodies.limit = 100
+		rl.bodies = cicadamemory.NewBudget(2 << 10) // one body takes half of it
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan bool)
 		go func() {
@@ -239,7 +240,7 @@
 		cancel()
 		<-done
 		<-s.disconnected
-		assert.Equal(t, rl.bodies.used.Load(), int64(0), "all memory must be released")
+		assert.Equal(t, rl.bodies.Used(), int64(0), "all memory must be released")
 	})
 }
 
@@ -315,13 +316,21 @@
 
 func TestEventParser(t *testing.T) {
 	var p eventParser
-	assert.Equal(t, string(p.add([]byte("id: 1\nda"))), "")
-	assert.Equal(t, string(p.add([]byte("ta: a\n\nid: 2\ndata: b\n\nid: 3"))), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
+	assert.Equal(t, add(t, &p, "id: 1\nda"), "")
+	assert.Equal(t, add(t, &p, "ta: a\n\nid: 2\ndata: b\n\nid: 3"), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
 	assert.Equal(t, p.lastID, "2")
 	p.reset()
-	assert.Equal(t, string(p.add([]byte("id: 3\ndata: c\n\n"))), "id: 3\ndata: c\n\n")
+	assert.Equal(t, add(t, &p, "id: 3\ndata: c\n\n"), "id: 3\ndata: c\n\n")
 	assert.Equal(t, p.lastID, "3")
-	assert.Equal(t, len(p.partial), 0)
+	assert.Assert(t, !p.incomplete())
+}
+
+// add returns the events that a parser has after more bytes.
+func add(t *testing.T, p *eventParser, text string) string {
+	t.Helper()
+	events, err := p.add([]byte(text))
+	assert.NilError(t, err)
+	return string(events)
 }
 
 func BenchmarkEventParser(b *testing.B) {
@@ -329,6 +338,6 @@
 	event := []byte("id: 12\ndata: " + strings.Repeat("x", 95) + "\n\n")
 	b.ReportAllocs()
 	for b.Loop() {
-		p.add(event)
+		_, _ = p.add(event)
 	}
 }
--- a/cicadakernel/cicadaplatform/store.go
+++ b/cicadakernel/cicadaplatform/store.go
@@ -27,6 +27,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"cicadalink.example/cicadakernel"
+	"cicadalink.example/cicadakernel/cicadamemory"
 )
 
 // MaxValueSize is the largest value of an object as the store keeps it, in bytes. A backend may
@@ -149,6 +150,9 @@
 	// have fallen silent, with a time since which nothing was received on one. If OnSilent is
 	// nil, that is not found out.
 	OnSilent func(f func(since time.Time))
+	// SetMemory sets the budget for what the store sends, before the first call. It is nil if the
+	// backend receives nothing from others.
+	SetMemory func(memory *cicadamemory.Budget)
 }
 
 // Adapters is the registry of platform adapters by URL scheme.
