--- a/cicadagateway/cicadaexchange/client.go
+++ b/cicadagateway/cicadaexchange/client.go
@@ -174,7 +174,7 @@
 	if err != nil {
 		return nil, err
 	}
-	cn.limit.heardAt = time.Now()
+	cn.limit.activeAt = time.Now()
 	stopCancel := context.AfterFunc(ctx, cn.cancel)
 	if _, err := cn.Write(req.encode()); err != nil {
 		stopCancel()
--- a/cicadagateway/cicadaexchange/incarnation.go
+++ b/cicadagateway/cicadaexchange/incarnation.go
@@ -127,7 +127,7 @@
 // readReport requests the report of the endpoint and sets the start that it states.
 func (c *Client) readReport(cn *conn, echoHeader string) error {
 	req := Request{Method: http.MethodGet, Target: c.identification.Target, Host: cn.address}
-	cn.limit.heardAt = time.Now()
+	cn.limit.activeAt = time.Now()
 	if _, err := cn.Write(req.encode()); err != nil {
 		return merry.Errorf("request report: %w", err)
 	}
--- a/cicadagateway/cicadaexchange/pool.go
+++ b/cicadagateway/cicadaexchange/pool.go
@@ -57,13 +57,13 @@
 // memory of the header.
 type headerLimit struct {
 	net.Conn
-	limited bool
-	left    int
-	heardAt time.Time // when bytes were last received, or began to be awaited
-	ended   bool      // whether the blank line after the header was read
-	line    int       // bytes of an incomplete line
-	held    *cicadamemory.Reservation
-	err     error // after which nothing is read, as not all readers of headers stop at the first error
+	limited  bool
+	left     int
+	activeAt time.Time // when bytes were last received, or began to be awaited
+	ended    bool      // whether the blank line after the header was read
+	line     int       // bytes of an incomplete line
+	held     *cicadamemory.Reservation
+	err      error // after which nothing is read, as not all readers of headers stop at the first error
 }
 
 // begin begins a header. The memory of the one before is given back.
@@ -94,7 +94,7 @@
 func (l *headerLimit) read(p []byte) (int, error) {
 	n, err := l.Conn.Read(p)
 	if n > 0 {
-		l.heardAt = time.Now()
+		l.activeAt = time.Now()
 	}
 	return n, err
 }
--- a/cicadagateway/cicadaexchange/silent_test.go
+++ b/cicadagateway/cicadaexchange/silent_test.go
@@ -119,7 +119,7 @@
 
 // Guards against a request that is lost on a kept connection, though others of the process are known
 // to have fallen silent, and against closing connections that are known to be sound.
-func TestUnheardConnectionsAreClosed(t *testing.T) {
+func TestInactiveConnectionsAreClosed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSilentTest(t)
 		defer s.client.CloseIdle("e:1")
@@ -128,11 +128,11 @@
 		since := time.Now()
 		s.e.silence()
 		time.Sleep(time.Second)
-		s.client.CloseUnheard(since)
+		s.client.CloseInactive(since)
 		opened := s.e.opened
 		assert.Assert(t, s.send("body", time.Second))
 		assert.Equal(t, s.e.opened, opened+1)
-		s.client.CloseUnheard(since)
+		s.client.CloseInactive(since)
 		assert.Assert(t, s.send("body", time.Second))
 		assert.Equal(t, s.e.opened, opened+1, "a sound connection was closed")
 	})
--- a/cicadagateway/cicadaprocess/process.go
+++ b/cicadagateway/cicadaprocess/process.go
@@ -139,7 +139,7 @@
 func (n *Node) leaveSilentConnections(since time.Time) {
 	n.process.Scope().Counter("store_connections_silent").Inc(1)
 	n.log.Warn("kept connections to the store fell silent, replaced", "silent-for", time.Since(since).String())
-	n.client.CloseUnheard(since)
+	n.client.CloseInactive(since)
 }
 
 func (n *Node) notifyPeers() {
