--- a/cicadasoak/check.go
+++ b/cicadasoak/check.go
@@ -18,6 +18,8 @@
 	log hclog.Logger
 	// maxMixed is the number of streams and outputs that may hold events of two versions.
 	maxMixed int
+	// answersInCalm is set if each read in calm must have an answer.
+	answersInCalm bool
 
 	mu         sync.Mutex
 	counts     map[string]int
@@ -43,6 +45,14 @@
 	}
 }
 
+// recordUnanswered counts a read that got no answer from an entry, and reports it if it must have one.
+func (c *checks) recordUnanswered(path, entry, phase string) {
+	c.count("reads unanswered " + phase)
+	if c.answersInCalm && phase != underFaults {
+		c.violate(unansweredRead, path, fmt.Sprintf("%s, %s", entry, phase))
+	}
+}
+
 // end notes that there are no more faults and no more traffic.
 func (c *checks) end() {
 	c.mu.Lock()
@@ -50,6 +60,8 @@
 	c.ended = true
 }
 
+const underFaults = "under faults" // a phase
+
 // phase tells whether something that lasted from a time until now met faults.
 func (c *checks) phase(from time.Time) string {
 	c.mu.Lock()
@@ -58,7 +70,7 @@
 	case c.ended:
 		return "at the end"
 	case from.Before(c.disturbedUntil): // of a fault that began before or meanwhile
-		return "under faults"
+		return underFaults
 	}
 	return "in calm"
 }
@@ -81,6 +93,7 @@
 const (
 	mixedVersions  = "two versions in one stream"
 	missingResults = "results that were read are missing"
+	unansweredRead = "read without an answer in calm"
 	lostJob        = "accepted job lost at the end"
 	lostResults    = "results that were read lost at the end"
 	lostBody       = "body of an item lost at the end"
--- a/cicadasoak/jobs.go
+++ b/cicadasoak/jobs.go
@@ -200,7 +200,7 @@
 	case ctx.Err() != nil:
 		return 0, nil
 	case errors.Is(err, context.DeadlineExceeded):
-		c.checks.count("reads unanswered " + phase)
+		c.checks.recordUnanswered(path, p.name, phase)
 		return 0, nil
 	case err != nil:
 		c.checks.count("reads broken off " + phase)
--- a/cicadasoak/jobs_test.go
+++ b/cicadasoak/jobs_test.go
@@ -150,6 +150,10 @@
 		reader.checks.end()
 		assert.Equal(t, reader.checks.phase(time.Now()), "at the end")
 		assert.Assert(t, !reader.checks.broken())
+		reader.checks.answersInCalm = true
+		reader.client.Transport = &fakeSystem{silent: always}
+		reader.get(t.Context(), reader.entries[0], "/", 0)
+		assert.Equal(t, reader.checks.violations[unansweredRead], 1)
 	})
 }
 
--- a/cicadasoak/silentlinks.go
+++ b/cicadasoak/silentlinks.go
@@ -66,6 +66,7 @@
 // jobs. Each kind comes once before one comes again.
 func (s *soak) playSilentLinks(ctx context.Context) {
 	s.jobInterval = silentLinksJobs
+	s.checks.answersInCalm = true
 	stop := s.startCallers(ctx, silentLinksStreams)
 	var order []fault
 	for end := time.Now().Add(s.duration); time.Now().Before(end); {
