Bound what entries and agents keep of messages that other processes send

Callers saw: nothing yet; the same class as bodies without end, as at the gateway's server.

Cause: the servers of entries and of agents limited each message, of any number of connections.

Change: both use a budget. An entry's is that of response-memory, an agent's 128 MiB, so that a call with the largest body of 8 MiB fits.

Evidence: the mechanism is tested in cicadawire (TestMessagesWithoutEndOnManyConnections); here only the wiring is new. The tests of cicadadeployment, cicadaentry and cicadaagent passed under the race detector.

--- a/cicadaagent/cicadaendpoint/agent.go
+++ b/cicadaagent/cicadaendpoint/agent.go
@@ -26,6 +26,7 @@
 	"cicadalink.example/cicadaagent/cicadagate"
 	"cicadalink.example/cicadakernel"
 	"cicadalink.example/cicadakernel/cicadaadmit"
+	"cicadalink.example/cicadakernel/cicadamemory"
 	"cicadalink.example/cicadakernel/cicadaplatform"
 	"cicadalink.example/cicadakernel/cicadaretry"
 	"cicadalink.example/cicadakernel/cicadatask"
@@ -38,6 +39,8 @@
 	// closeDelay is how long connections stay open after the drain, so that the last
 	// frames and load reports reach the entries.
 	closeDelay = 100 * time.Millisecond
+	// messageMemory limits the memory for calls that are received at a time.
+	messageMemory = 128 << 20 // bytes
 )
 
 // OrderObjectName returns the name of the platform object that holds an endpoint's
@@ -112,7 +115,7 @@
 	defer a.initiateShutdown()
 	var tasks cicadatask.Group
 	defer tasks.Wait()
-	server := cicadawire.NewServer()
+	server := cicadawire.NewServer(cicadawire.WithMemory(cicadamemory.NewBudget(messageMemory)))
 	if err := cicadawire.DRPCRegisterAgent(server.Mux(), &service{agent: a}); err != nil {
 		return merry.Errorf("register agent service: %w", err)
 	}
--- a/cicadaentry/cicadanode/node.go
+++ b/cicadaentry/cicadanode/node.go
@@ -61,7 +61,7 @@
 	limiter        *cicadaquota.Limiter
 	files          *cicadafile.Store
 	shards         *cicadashard.Manager
-	memory         *cicadamemory.Budget // for collected responses
+	memory         *cicadamemory.Budget // for collected responses and received messages
 	callerListener net.Listener
 	peerListener   net.Listener
 	process        *cicadakernel.Process
@@ -157,7 +157,7 @@
 	var tasks cicadatask.Group
 	defer tasks.Wait()
 	defer n.reports.Wait()
-	peerServer := cicadawire.NewServer()
+	peerServer := cicadawire.NewServer(cicadawire.WithMemory(n.memory))
 	if err := cicadawire.DRPCRegisterEntry(peerServer.Mux(), &peerService{n}); err != nil {
 		return merry.Errorf("register entry service: %w", err)
 	}
--- a/cicadaentry/cicadanode/settings.go
+++ b/cicadaentry/cicadanode/settings.go
@@ -58,7 +58,8 @@
 	ReadyDelay cicadasettings.Duration `yaml:"ready-delay"`
 	// MaxUpload is the largest size of an uploaded file.
 	MaxUpload cicadasettings.Size `yaml:"max-upload"`
-	// ResponseMemory limits the memory for responses that are collected before they are passed on.
+	// ResponseMemory limits the memory for responses that are collected before they are passed
+	// on, and for messages of other entries.
 	ResponseMemory cicadasettings.Size `yaml:"response-memory"`
 	// MaxConnections limits the open connections of callers and operators.
 	MaxConnections int `yaml:"max-connections"`
