Charge the tokens of a job once when a second owner gets it

Callers saw: jobs that fit in the limit of their route were refused (429) for up to 10 s after an owner was slow to answer a submission.

Cause: the entry then makes a further attempt at a second owner, which reserves the tokens as well. When the watch reports the job of the first owner, the second one returns its tokens; but a reservation that was still being written then was charged after that, and nothing returned it before it expired (10 s). That the job exists, the answer of the store to the write that follows, did not either.

Change: once the tokens are reserved, the event loop looks whether the job has become known meanwhile as that of another owner. If so, the tokens are returned and the submission is accepted without a write. A job that becomes known later finds the tokens charged, and returns them as before.

A submission that is a duplicate by then saves its write.

Conclusion: the tokens are charged twice only from the reservation until the watch reports the job. While a watch is late, both charges last that long.

--- a/cicadagateway/cicadabatch/submit.go
+++ b/cicadagateway/cicadabatch/submit.go
@@ -55,6 +55,12 @@
 	if refusal := o.reserve(ctx, c, sumTokens(items)); refusal != nil {
 		return o.confirmRefusal(ctx, c, *refusal)
 	}
+	if !o.runInLoop(ctx, func() { exists = o.releaseDuplicate(c) }) {
+		return outcomeUnknown()
+	}
+	if exists {
+		return Response{Status: http.StatusAccepted}
+	}
 	now := time.Now()
 	r := jobRecord{
 		Host: c.Host, Path: c.Path, AcceptedMs: now.UnixMilli(), DueMs: c.Due.Milliseconds(), GiveUpMs: c.GiveUp.Milliseconds(),
--- a/cicadagateway/cicadabatch/waiting.go
+++ b/cicadagateway/cicadabatch/waiting.go
@@ -134,3 +134,15 @@
 		o.limiter.Release(route.Name, id)
 	}
 }
+
+// releaseDuplicate returns the tokens reserved for a submission if another owner has accepted the job
+// and it became known while they were reserved. It reports whether one has. If the job becomes known
+// later, applyJob returns them.
+func (o *Owner) releaseDuplicate(c *Call) bool {
+	j := o.jobs[c.Job]
+	if j == nil || j.record.SubmittedBy == o.name {
+		return false
+	}
+	o.releaseTokens(c.Host, c.Path, c.Job)
+	return true
+}
