Repeat the reports of waiting tokens, which may be lost

Callers saw: jobs that fit in the limit of their route were refused (429) until an earlier job expired, minutes after all its items had finished.

Cause: an owner that runs jobs of the account of another one noted a report of their waiting tokens as sent before it was, and sent none again unless the tokens changed. If the last one is lost, nothing changes any more. An owner that starts anew knows no report of finished jobs either, and charges them in full.

Change: reports are repeated while the job is known, after 5 s, 10 s, 20 s and then each 30 s. They state the count, so that one that arrives twice changes nothing.

The deployment of the tests guards its owners with a mutex, as one is now started while another one reports. No call to the store.

Conclusion: tokens of finished jobs stay charged for at most 30 s after the owners reach each other again. Owners that are reached by relay only get no reports still.

--- a/cicadagateway/cicadabatch/job.go
+++ b/cicadagateway/cicadabatch/job.go
@@ -85,6 +85,8 @@
 	// reportedWaiting is the last report of the job's waiting tokens: sent by this process
 	// if it runs the job, otherwise received.
 	reportedWaiting int64
+	lastReport      time.Time     // when this process last sent one
+	repeatAfter     time.Duration // from lastReport to its repetition
 }
 
 // A jobRecord is a job as stored in its object.
--- a/cicadagateway/cicadabatch/owner.go
+++ b/cicadagateway/cicadabatch/owner.go
@@ -113,6 +113,7 @@
 	loads             loadBreaker
 	absentJobs        map[string]time.Time // refused jobs, by when the store did not have them
 	lastWaitingReport time.Time
+	lastWaitingRepeat time.Time // when reports of waiting tokens were last considered for repetition
 }
 
 // An Option configures an Owner.
--- a/cicadagateway/cicadabatch/waiting.go
+++ b/cicadagateway/cicadabatch/waiting.go
@@ -12,6 +12,14 @@
 // jobs that others have accepted.
 const waitingReportInterval = 500 * time.Millisecond
 
+// A report is not acknowledged, and an owner that has started anew knows none. Reports are
+// therefore repeated for as long as the job is known, at intervals that double from
+// minRepeatInterval to maxRepeatInterval.
+const (
+	minRepeatInterval = 5 * time.Second
+	maxRepeatInterval = 30 * time.Second
+)
+
 // A WaitingTokens reports how many tokens of a job still wait. It is sent by the owner that
 // runs the job, for owners on whose account the tokens wait.
 type WaitingTokens struct {
@@ -60,6 +68,7 @@
 	w := cicadareservation.Waiting{Own: make(map[string]map[string]int64), Others: make(map[string]map[string]int64)}
 	var reports []WaitingTokens
 	reporting := now.Sub(o.lastWaitingReport) >= waitingReportInterval
+	repeating := reporting && now.Sub(o.lastWaitingRepeat) >= minRepeatInterval
 	for id, j := range o.jobs {
 		route, ok := limitedRoute(config, j.record.Host, j.record.Path)
 		if !ok {
@@ -71,18 +80,36 @@
 			continue
 		}
 		addTokens(w.Others, route.Name, j.record.SubmittedBy, tokens)
-		if reporting && j.owned && j.loaded && tokens != j.reportedWaiting {
-			j.reportedWaiting = tokens
+		if reporting && j.owned && j.loaded && j.reportDue(tokens, repeating, now) {
 			reports = append(reports, WaitingTokens{Job: id, Tokens: tokens})
 		}
 	}
 	o.limiter.SetWaiting(w)
+	if repeating {
+		o.lastWaitingRepeat = now
+	}
 	if len(reports) > 0 {
 		o.lastWaitingReport = now
 		o.wg.Go(func() { o.sendWaiting(o.ctx, reports) })
 	}
 }
 
+// reportDue reports whether the waiting tokens of a job of another owner's account must be reported,
+// because they have changed or, if repeating is set, because the last report was long ago. It records
+// that they are.
+func (j *job) reportDue(tokens int64, repeating bool, now time.Time) bool {
+	switch {
+	case tokens != j.reportedWaiting:
+		j.reportedWaiting, j.repeatAfter = tokens, minRepeatInterval
+	case repeating && now.Sub(j.lastReport) >= j.repeatAfter:
+		j.repeatAfter = min(max(2*j.repeatAfter, minRepeatInterval), maxRepeatInterval)
+	default:
+		return false
+	}
+	j.lastReport = now
+	return true
+}
+
 func addTokens(byRoute map[string]map[string]int64, route, key string, tokens int64) {
 	m := byRoute[route]
 	if m == nil {
--- a/cicadagateway/cicadabatch/waiting_test.go
+++ b/cicadagateway/cicadabatch/waiting_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -21,6 +23,7 @@
 // owners reach each other unless they are cut off.
 type limitedDeployment struct {
 	*testDeployment
+	mu            sync.Mutex
 	limitedOwners map[string]*testOwner
 }
 
@@ -35,7 +38,10 @@
 
 func (d *limitedDeployment) startLimited(name string, owners func() []string) *testOwner {
 	others := func(call func(o *testOwner)) {
-		for other, o := range d.limitedOwners {
+		d.mu.Lock()
+		current := maps.Clone(d.limitedOwners)
+		d.mu.Unlock()
+		for other, o := range current {
 			if other != name {
 				call(o)
 			}
@@ -48,6 +54,8 @@
 	o := d.startOwner(name, owners, WithLimiter(limiter, func(_ context.Context, reports []WaitingTokens) {
 		others(func(o *testOwner) { o.enqueue(func() { o.applyWaiting(reports) }) })
 	}))
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	d.limitedOwners[name] = o
 	return o
 }
@@ -120,6 +128,29 @@
 	})
 }
 
+// TestRestartedAcceptorLearnsOfFinishedItems guards against tokens that stay reserved for a job that is finished,
+// because the owner that accepted it has started anew and has lost the reports.
+func TestRestartedAcceptorLearnsOfFinishedItems(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newLimitedDeployment(500)
+		var eligible atomic.Value
+		eligible.Store("o1")
+		owners := func() []string { return []string{eligible.Load().(string)} }
+		o1, o2 := d.startLimited("o1", owners), d.startLimited("o2", owners)
+		defer o2.stop()
+		time.Sleep(time.Second)
+		assert.Equal(t, o1.call(t, limitedCall("j1", 60, 60, 60, 60, 60)).Status, http.StatusAccepted)
+		eligible.Store("o2")
+		time.Sleep(8 * time.Second)
+		assert.Equal(t, len(o2.results(t, "j1", 0).Results), 5)
+		o1.stop()
+		o1 = d.startLimited("o1", owners)
+		defer o1.stop()
+		time.Sleep(maxRepeatInterval + minRepeatInterval)
+		assert.Equal(t, o1.call(t, limitedCall("j2", 20, 20, 20, 20, 20)).Status, http.StatusAccepted)
+	})
+}
+
 // TestRefusalOfAJobAcceptedElsewhere covers a repeated submission that reaches an owner which
 // has not learnt of the job yet. The job is accepted, so it must not be refused.
 func TestRefusalOfAJobAcceptedElsewhere(t *testing.T) {
