Look up each job before it is refused

Callers saw: a job that an owner had accepted was refused (429) by another one, if its watch was late, for up to 5 s after the latter had first refused it. Further attempts at a submission make it likelier that two owners get it.

Cause: an owner remembered for 5 s that the store did not have a refused job, and refused it again without asking. Another owner may have accepted it since.

Change: nothing is remembered. Before each refusal the store is asked; a job that it has is known to the owner from then on, so that it is not looked up again.

Evidence, virtual time: TestReviewRefusalIsNotRememberedBesideAnotherAttempt, before: 429 two times of two; after: 429 while the first owner has not stored the job, 202 once it has. Retry-After is up to 5 s and more with its jitter, so that callers who keep to it rarely came back sooner. If the store cannot be asked, such a caller now gets 502, as others did, and not a refusal that may be untrue.

Conclusion: an owner refuses only what is not in the store. A submission that another owner is still storing is what the sender of the further attempts must tell apart.

--- a/cicadagateway/cicadabatch/owner.go
+++ b/cicadagateway/cicadabatch/owner.go
@@ -111,7 +111,6 @@
 	recoveryDone   bool                                 // recovered progress has been assigned to jobs or dropped
 
 	loads             loadBreaker
-	absentJobs        map[string]time.Time // refused jobs, by when the store did not have them
 	lastWaitingReport time.Time
 	lastWaitingRepeat time.Time // when reports of waiting tokens were last considered for repetition
 }
@@ -172,7 +171,6 @@
 		sendCheckpoint: func(context.Context, Checkpoint) error { return nil },
 		peers:          func() []cicadapeer.OwnerView { return nil },
 		onRoster:       func() {},
-		absentJobs:     make(map[string]time.Time),
 		roster:         newRoster(name), tenure: tenure{terms: make(map[string]term)},
 		retention: defaultRetention, saveFull: true, metrics: newMetrics(tally.NoopScope),
 	}
@@ -315,7 +313,6 @@
 	}
 	o.reassignJobs()
 	o.checkTenure(now)
-	o.forgetAbsentJobs(now)
 	o.handOverRecovered()
 	o.checkpoint(now)
 	for _, j := range o.jobs {
--- a/cicadagateway/cicadabatch/submit.go
+++ b/cicadagateway/cicadabatch/submit.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"maps"
 	"net/http"
 	"time"
 
@@ -126,37 +125,22 @@
 	return tokens
 }
 
-// lookupTTL is how long the store's answer that a refused job does not exist is trusted.
-// Callers may return many times within their time, and each look-up is a call to the store.
-const lookupTTL = 5 * time.Second
-
-// confirmRefusal returns the refusal of a job that is not in the store. A job that another
-// owner has accepted, and this one does not know yet, is not refused.
+// confirmRefusal returns the refusal of a job that is not in the store. A job that another owner has
+// accepted, and this one does not know yet, is not refused. That the store did not have a job earlier
+// says nothing: another owner may have got the same submission since, and the watch may be late.
 func (o *Owner) confirmRefusal(ctx context.Context, c *Call, refusal Response) Response {
-	recent := false
-	if !o.runInLoop(ctx, func() { recent = time.Since(o.absentJobs[c.Job]) < lookupTTL }) {
-		return outcomeUnknown()
-	}
-	if recent {
-		return refusal
-	}
-	_, err := o.store.Get(ctx, JobsPrefix+c.Job)
+	obj, err := o.store.Get(ctx, JobsPrefix+c.Job)
 	switch {
 	case err == nil:
+		o.enqueue(func() { o.applyJob(obj, true) })
 		return Response{Status: http.StatusAccepted}
 	case errors.Is(err, cicadaplatform.ErrNotFound):
-		o.enqueue(func() { o.absentJobs[c.Job] = time.Now() })
 		return refusal
 	}
 	o.log.Warn("failed to look up refused job", "job", c.Job, "error", err)
 	return outcomeUnknown()
 }
 
-// forgetAbsentJobs removes look-ups that are not trusted any more.
-func (o *Owner) forgetAbsentJobs(now time.Time) {
-	maps.DeleteFunc(o.absentJobs, func(_ string, at time.Time) bool { return now.Sub(at) >= lookupTTL })
-}
-
 func (o *Owner) submitError(c *Call, err error) Response {
 	o.log.Warn("failed to store job", "job", c.Job, "error", err)
 	switch {
