Keep what a read of results has found beside a write

Callers could see: a result that they had read was missing at another owner.

Cause, found by reading the code: a read of the store that found several chunks dropped them all if this owner had stored the first of them meanwhile, and still counted as a read of all results. A later chunk of another owner, which a reader may have got there, was missing until the next read.

Change: the chunks after those that are known are added. A chunk is created once, so that those in memory are the same.

Evidence: TestReadKeepsChunksBesideAWrite, before: 1 of 2 results.

--- a/cicadagateway/cicadabatch/load.go
+++ b/cicadagateway/cicadabatch/load.go
@@ -92,8 +92,8 @@
 func (o *Owner) resultsLoaded(j *job, from int, chunks []chunk, err error) {
 	j.loading = false
 	o.loads.record(errors.Is(err, cicadaplatform.ErrUnavailable) || errors.Is(err, cicadaplatform.ErrInDoubt), time.Now())
-	if j.chunkCount == from {
-		for _, c := range chunks {
+	for i, c := range chunks {
+		if from+i == j.chunkCount { // this owner may have written one meanwhile
 			o.appendChunk(j, c)
 		}
 	}
--- a/cicadagateway/cicadabatch/load_test.go
+++ b/cicadagateway/cicadabatch/load_test.go
@@ -12,8 +12,30 @@
 	"gotest.tools/v3/assert"
 
 	"cicadalink.example/cicadakernel/cicadaplatform"
+	adapter "cicadalink.example/platform"
 )
 
+// TestReadKeepsChunksBesideAWrite guards against results that a read of the store has found, and that are dropped
+// because this owner stored a chunk before them meanwhile: a reader at another owner may have got them.
+func TestReadKeepsChunksBesideAWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newTestDeployment()
+		d.stalled = true
+		o := d.startOwner("o1", fixedOwners("o1"))
+		defer o.stop()
+		time.Sleep(time.Second)
+		assert.Equal(t, o.call(t, submitCall("j", manyEvents, manyEvents)).Status, http.StatusAccepted)
+		o.enqueueAndWait(func() {
+			own := chunk{Writer: "o1", Results: []adapter.Result{{ID: "j-0", State: adapter.StateComplete}}}
+			other := chunk{Writer: "o2", Results: []adapter.Result{{ID: "j-1", State: adapter.StateComplete}}}
+			j := o.jobs["j"]
+			o.chunkWritten(j, 0, own, nil)
+			o.resultsLoaded(j, 0, []chunk{own, other}, nil)
+		})
+		assert.Equal(t, len(o.results(t, "j", 0).Results), 2)
+	})
+}
+
 // TestReadsOfABusyStoreAreFew covers a store that refuses all calls at once while many jobs
 // have moved to an owner and callers read them. The owner must not repeat the reads as fast
 // as they are refused, and must read the jobs soon after the store is back.
