Count a read of results from when the store is asked

Callers saw: readers got 503, or no answer in their time, for as long as an owner had to read more jobs from the store than its share of the rate allows, for instance after it or another owner had started. The store was read at its rate meanwhile, and hardly any read served a reader.

Cause: a read serves the readers that came before it began, and it counted as begun when it was asked for, before its wait for the rate. With a wait of 2 s, a reader had left when the read that served it was done, and the results that had just been read counted as 2 s old, beyond the 0.3 s for which they are served again.

Change: a read counts from when the store is asked, after the wait. Results stored by then are in what it finds, so that it serves all who came by then. The line "job loaded" says how long a read took, with its wait.

For the mechanism TestReadIsAsOfTheTimeTheStoreWasAsked.

Conclusion: each read serves those who wait for it. Where more is asked than the rate allows, half of the readers still get none in their time, and loads wait without a limit, at most one for each job, also when the readers that asked for them have left.

--- a/cicadagateway/cicadabatch/job.go
+++ b/cicadagateway/cicadabatch/job.go
@@ -74,7 +74,7 @@
 	owned          bool               // this process runs the job
 	ownedSince     time.Time          // when it moved here; zero if it was accepted here
 	loadStarted    time.Time          // when the latest read of results was begun
-	refreshedAt    time.Time          // when the latest read of results that succeeded was begun
+	refreshedAt    time.Time          // every result stored before is in memory, by the latest read that succeeded
 	lastSource     resultSource       // of the latest answer to a reader
 	noRouteSince   time.Time          // when the configuration was first found to have no route for the job
 	waiters        []func()           // called once when results change
--- a/cicadagateway/cicadabatch/load.go
+++ b/cicadagateway/cicadabatch/load.go
@@ -65,31 +65,24 @@
 		parts = j.record.Parts
 	}
 	o.wg.Go(func() {
-		var chunks []chunk
 		items, err := readParts(o.ctx, o.store, j.id, parts)
 		if err != nil {
-			o.enqueue(func() { o.resultsLoaded(j, from, nil, err) })
+			o.enqueue(func() { o.resultsLoaded(j, from, nil, time.Time{}, err) })
 			return
 		}
-		for n := from; ; n++ {
-			c, found, readErr := readChunk(o.ctx, o.store, j.id, n)
-			if readErr != nil || !found {
-				err = readErr
-				break
-			}
-			chunks = append(chunks, c)
-		}
+		chunks, asOf, err := readChunks(o.ctx, o.store, j.id, from)
 		o.enqueue(func() {
 			if parts > 0 && err == nil {
 				err = j.setBodies(items)
 			}
-			o.resultsLoaded(j, from, chunks, err)
+			o.resultsLoaded(j, from, chunks, asOf, err)
 		})
 	})
 	return true
 }
 
-func (o *Owner) resultsLoaded(j *job, from int, chunks []chunk, err error) {
+// resultsLoaded ends a read of results. They hold every result that was stored by asOf.
+func (o *Owner) resultsLoaded(j *job, from int, chunks []chunk, asOf time.Time, err error) {
 	j.loading = false
 	o.loads.record(errors.Is(err, cicadaplatform.ErrUnavailable) || errors.Is(err, cicadaplatform.ErrInDoubt), time.Now())
 	for i, c := range chunks {
@@ -101,8 +94,9 @@
 		o.log.Warn("failed to read results", "job", j.id, "chunks", j.chunkCount, "error", err)
 	} else {
 		j.loaded = true
-		j.refreshedAt = j.loadStarted
-		o.log.Info("job loaded", "job", j.id, "chunks", j.chunkCount, "listed", len(j.results), "items", j.record.Total)
+		j.refreshedAt = asOf
+		o.log.Info("job loaded", "job", j.id, "chunks", j.chunkCount, "listed", len(j.results), "items", j.record.Total,
+			"took", time.Since(j.loadStarted).String())
 	}
 	o.notifyWaiters(j)
 	o.Wake()
--- a/cicadagateway/cicadabatch/load_test.go
+++ b/cicadagateway/cicadabatch/load_test.go
@@ -30,12 +30,36 @@
 			other := chunk{Writer: "o2", Results: []adapter.Result{{ID: "j-1", State: adapter.StateComplete}}}
 			j := o.jobs["j"]
 			o.chunkWritten(j, 0, own, nil)
-			o.resultsLoaded(j, 0, []chunk{own, other}, nil)
+			o.resultsLoaded(j, 0, []chunk{own, other}, time.Now(), nil)
 		})
 		assert.Equal(t, len(o.results(t, "j", 0).Results), 2)
 	})
 }
 
+// TestReadIsAsOfTheTimeTheStoreWasAsked guards against a read that counts as older than it is, by the time that it
+// has waited for the owner's share of the store's rate.
+func TestReadIsAsOfTheTimeTheStoreWasAsked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newTestDeployment()
+		var asked time.Time
+		get := d.backend.Get
+		d.backend.Get = func(ctx context.Context, name string) (cicadaplatform.Object, error) {
+			asked = time.Now()
+			time.Sleep(200 * time.Millisecond)
+			return get(ctx, name)
+		}
+		client := cicadaplatform.NewClient(d.backend)
+		client.SetRates(1, 1)
+		start := time.Now()
+		for range 10 { // more than may be read at once
+			_, asOf, err := readChunks(t.Context(), client, "j", 0)
+			assert.NilError(t, err)
+			assert.Equal(t, asOf, asked)
+		}
+		assert.Assert(t, time.Since(start) > 4*time.Second, "no read waited")
+	})
+}
+
 // TestReadsOfABusyStoreAreFew covers a store that refuses all calls at once while many jobs
 // have moved to an owner and callers read them. The owner must not repeat the reads as fast
 // as they are refused, and must read the jobs soon after the store is back.
--- a/cicadagateway/cicadabatch/store.go
+++ b/cicadagateway/cicadabatch/store.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 
@@ -27,18 +28,36 @@
 
 // readChunk reads a chunk of results. found is false if it does not exist.
 func readChunk(ctx context.Context, store *cicadaplatform.Client, id string, number int) (c chunk, found bool, err error) {
-	obj, err := store.Get(ctx, chunkName(id, number))
+	c, _, found, err = readChunkAsOf(ctx, store, id, number)
+	return c, found, err
+}
+
+// readChunkAsOf does what readChunk does, and returns the time when the store was asked.
+func readChunkAsOf(ctx context.Context, store *cicadaplatform.Client, id string, number int) (c chunk, asOf time.Time, found bool, err error) {
+	obj, asOf, err := store.GetAsOf(ctx, chunkName(id, number))
 	if errors.Is(err, cicadaplatform.ErrNotFound) {
-		return chunk{}, false, nil
+		return chunk{}, asOf, false, nil
 	}
 	if err != nil {
-		return chunk{}, false, err
+		return chunk{}, asOf, false, err
 	}
 	if err := json.Unmarshal(obj.Value(), &c); err != nil {
-		return chunk{}, false, merry.Errorf("decode results of %s: %w", id, err)
+		return chunk{}, asOf, false, merry.Errorf("decode results of %s: %w", id, err)
 	}
 	c.version = obj.Version()
-	return c, true, nil
+	return c, asOf, true, nil
+}
+
+// readChunks reads the chunks of results from a number on. They hold every result that was stored by
+// asOf, when the store was asked for the chunk after them: a chunk is stored after all before it.
+func readChunks(ctx context.Context, store *cicadaplatform.Client, id string, from int) (chunks []chunk, asOf time.Time, err error) {
+	for n := from; ; n++ {
+		c, asOf, found, err := readChunkAsOf(ctx, store, id, n)
+		if err != nil || !found {
+			return chunks, asOf, err
+		}
+		chunks = append(chunks, c)
+	}
 }
 
 // writeChunk creates the chunk with the given number. If another owner has created it
--- a/cicadakernel/cicadaplatform/client.go
+++ b/cicadakernel/cicadaplatform/client.go
@@ -177,17 +177,25 @@
 
 // Get returns an object, or ErrNotFound if it does not exist.
 func (c *Client) Get(ctx context.Context, name string) (Object, error) {
+	obj, _, err := c.GetAsOf(ctx, name)
+	return obj, err
+}
+
+// GetAsOf does what Get does, and returns the time when the store was asked, after the wait for the
+// read budget. What it returns reflects every write that was complete then.
+func (c *Client) GetAsOf(ctx context.Context, name string) (Object, time.Time, error) {
 	if err := c.acquireRead(ctx, "get"); err != nil {
-		return Object{}, err
+		return Object{}, time.Time{}, err
 	}
-	defer c.recordLatency("get", time.Now())
+	asOf := time.Now()
+	defer c.recordLatency("get", asOf)
 	ctx, cancel := context.WithTimeout(ctx, c.deadline)
 	defer cancel()
 	obj, err := c.backend.Get(ctx, name)
 	if err != nil {
-		return Object{}, merry.Errorf("read object: %w", err)
+		return Object{}, asOf, merry.Errorf("read object: %w", err)
 	}
-	return obj, nil
+	return obj, asOf, nil
 }
 
 // List returns up to limit objects whose names have the prefix and sort after the
