Show a refusal of a job that an earlier submission has stored

Callers could see: 502, then 503 for the same job, which runs.

Cause, not mended: what an owner answers when the store is away rests on the latest submission alone. That the outcome of an earlier one is unknown is not remembered. On a route with a limit the tokens are returned with the refusal as well, by the code; no test shows that.

TestRefusalIsTrueAfterASubmissionInDoubt, virtual time: 503, wanted 502.

--- a/cicadagateway/cicadabatch/submit_test.go
+++ b/cicadagateway/cicadabatch/submit_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -104,3 +105,48 @@
 		})
 	}
 }
+
+// TestRefusalIsTrueAfterASubmissionInDoubt guards against a submission that is refused with 503, as not accepted, while
+// an earlier one of the same job, whose outcome was unknown, has stored it.
+func TestRefusalIsTrueAfterASubmissionInDoubt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newTestDeployment()
+		var down, mended atomic.Bool
+		create, get, watch := d.backend.Create, d.backend.Get, d.backend.Watch
+		d.backend.Create = func(ctx context.Context, name string, value []byte) (cicadaplatform.Object, error) {
+			if down.Load() {
+				return cicadaplatform.Object{}, cicadaplatform.ErrUnavailable
+			}
+			obj, err := create(ctx, name, value)
+			if strings.HasPrefix(name, JobsPrefix) && !mended.Load() {
+				down.Store(true)
+				<-ctx.Done() // the answer is lost
+				return cicadaplatform.Object{}, ctx.Err()
+			}
+			return obj, err
+		}
+		d.backend.Get = func(ctx context.Context, name string) (cicadaplatform.Object, error) {
+			if down.Load() {
+				return cicadaplatform.Object{}, cicadaplatform.ErrUnavailable
+			}
+			return get(ctx, name)
+		}
+		d.backend.Watch = func(ctx context.Context, prefix string, from int64) (cicadaplatform.Page, error) {
+			page, err := watch(ctx, prefix, from)
+			if down.Load() {
+				return cicadaplatform.Page{}, cicadaplatform.ErrUnavailable
+			}
+			return page, err
+		}
+		o := d.startOwner("o1", fixedOwners("o1"))
+		defer o.stop()
+		time.Sleep(time.Second)
+		assert.Equal(t, o.call(t, submitCall("j", 5)).Status, http.StatusBadGateway)
+		again := o.call(t, submitCall("j", 5)).Status
+		mended.Store(true)
+		down.Store(false)
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, len(o.results(t, "j", 0).Results), 1)
+		assert.Equal(t, again, http.StatusBadGateway, "the job has run")
+	})
+}
