--- a/cicadagateway/cicadabatch/owner.go
+++ b/cicadagateway/cicadabatch/owner.go
@@ -79,6 +79,7 @@
 	sendWaiting    func(ctx context.Context, reports []WaitingTokens)
 	limiter        *cicadareservation.Limiter // nil if the limits of routes are not enforced
 	submissions    singleflight.Group         // by job
+	doubts         doubts
 	checkpointFile *CheckpointFile
 	retention      time.Duration
 	metrics        *metrics
@@ -111,8 +112,8 @@
 	recoveryDone   bool                                 // recovered progress has been assigned to jobs or dropped
 
 	loads             loadBreaker
-	absentJobs        map[string]time.Time // refused jobs, by when the store did not have them
 	lastWaitingReport time.Time
+	lastWaitingRepeat time.Time // when reports of waiting tokens were last considered for repetition
 }
 
 // An Option configures an Owner.
@@ -171,7 +172,6 @@
 		sendCheckpoint: func(context.Context, Checkpoint) error { return nil },
 		peers:          func() []cicadapeer.OwnerView { return nil },
 		onRoster:       func() {},
-		absentJobs:     make(map[string]time.Time),
 		roster:         newRoster(name), tenure: tenure{terms: make(map[string]term)},
 		retention: defaultRetention, saveFull: true, metrics: newMetrics(tally.NoopScope),
 	}
@@ -314,7 +314,6 @@
 	}
 	o.reassignJobs()
 	o.checkTenure(now)
-	o.forgetAbsentJobs(now)
 	o.handOverRecovered()
 	o.checkpoint(now)
 	for _, j := range o.jobs {
--- a/cicadagateway/cicadabatch/pending.go
+++ b/cicadagateway/cicadabatch/pending.go
@@ -57,6 +57,9 @@
 // isWrite reports whether an owner that has not answered may have done what its caller must know of.
 func (c *Call) isWrite() bool { return c.Kind == CallSubmit || c.Kind == CallEndJob }
 
+// anyOwner reports whether another owner than the job's can serve the call. Progress is of use to one owner only.
+func (c *Call) anyOwner() bool { return c.Kind != CallHandOver && c.Kind != CallCheckpoint }
+
 // errRefusedLater reports that an owner refused a call which another one may have served.
 var errRefusedLater = merry.Sentinel("cicadabatch: refused after an attempt whose outcome is unknown")
 
@@ -100,6 +103,9 @@
 func newPendingCall(client *Client, call *Call, ranked []Peer) *pendingCall {
 	p := &pendingCall{client: client, call: call, policy: call.policy(), start: time.Now(), checked: make(chan bool, 1), failure: CallFailure{err: errNoOwner}}
 	p.peers = slices.DeleteFunc(ranked, func(peer Peer) bool { return peer.Relayed && call.Relayed })
+	if !call.anyOwner() && len(p.peers) > 1 {
+		p.peers = p.peers[:1]
+	}
 	p.results = make(chan attemptResult, len(p.peers)+1)
 	return p
 }
--- a/cicadagateway/cicadabatch/pending_test.go
+++ b/cicadagateway/cicadabatch/pending_test.go
@@ -248,3 +248,19 @@
 		assert.Equal(t, next.calls.Load(), int32(0))
 	})
 }
+
+// TestProgressGoesToOneOwner guards against progress of a job that counts as delivered because an owner that does
+// not run the job has taken it.
+func TestProgressGoesToOneOwner(t *testing.T) {
+	for _, first := range []*fakeOwner{{}, {down: true}} {
+		synctest.Test(t, func(t *testing.T) {
+			next := &fakeOwner{delay: time.Millisecond, status: http.StatusOK}
+			c := newFakeClient(t, first, next)
+			ctx, cancel := context.WithTimeout(t.Context(), handOverTimeout)
+			defer cancel()
+			assert.Check(t, c.HandOver(ctx, testJob, []Progress{{Item: "i"}}) != nil)
+			assert.Check(t, c.Replicate(ctx, Checkpoint{Job: testJob, Items: []Progress{{Item: "i"}}}) != nil)
+			assert.Equal(t, next.calls.Load(), int32(0))
+		})
+	}
+}
