Take no refusal of a probe for an answer of the store

Callers would see: with a store that is slow and refuses calls beyond its rate at once, reads that are sent 2 to 3 times, writes left in doubt, and all watches sent again, which adds calls to a store that refuses them.

Cause: any status of the probe on a new connection counted as an answer.

Change: only 200 and 404 count.

Evidence, virtual time: TestReviewRefusedProbeIsNoAnswer failed before (call sent 3 times, watch 3 times, 2 reports) and passes.

While a store refuses probes, dead connections are left by the deadlines of calls.

--- a/cicadakernel/cicadaplatform/transport.go
+++ b/cicadakernel/cicadaplatform/transport.go
@@ -255,7 +255,8 @@
 	}
 }
 
-// get reports whether a GET is answered in time.
+// get reports whether a GET is answered in time, by more than a refusal: a store that is slow may
+// refuse calls at once.
 func (t *Transport) get(ctx context.Context, over http.RoundTripper, url string, timeout time.Duration) bool {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -269,7 +270,7 @@
 	}
 	defer res.Body.Close()
 	_, err = io.Copy(io.Discard, io.LimitReader(res.Body, MaxValueSize))
-	return err == nil
+	return err == nil && (res.StatusCode == http.StatusOK || res.StatusCode == http.StatusNotFound)
 }
 
 // responseBody releases the resources of a call once its body is closed.
