Replace connections to the store only if another kept one is dead too

Callers would see: a write left in doubt, a list sent 2 to 4 times and all watches sent again because the store takes longer for them than for one object; and for one lost answer, all connections of the process replaced, idle ones to endpoints as well.

Cause: a call without an answer, with a new connection that answers, counted against all kept connections, though it shows only that its own may be dead.

Change: after 0.5 s the store is checked on a new connection and, if it answers, on another one that was kept when the call was sent. Only if that one is dead are all replaced, and then calls on connections active since are left. Else a write is left its time, and a read gets one second attempt after 1 s, beside the first. So that there is mostly another kept connection, health checks take a second pool in turn, and every 20 s in a process with other calls. A check is no longer cancelled when the last watch ends, which closed its connection. Checks are stale reads. NewTransport has no URL for probes any more; the test that calls it is changed in that alone. The file is split into sending, connections, diagnosis and health checks.

The tests of watches in quiet and busy processes failed with checks that were cancelled (when one met the end of a watch), and pass.

Dead connections are left after 0.75 s instead of 0.5 s in virtual time. A process without another kept connection leaves its watches to their time-out.

--- a/cicadagateway/cicadaprocess/silent_store_test.go
+++ b/cicadagateway/cicadaprocess/silent_store_test.go
@@ -122,7 +122,7 @@
 			go s.serve(server, process)
 			return client, nil
 		}}
-	}, "http://store/", "http://store/")
+	}, "http://store/")
 	read := func(ctx context.Context, over http.RoundTripper, query string) (cicadaplatform.Page, error) {
 		ctx, cancel := context.WithTimeout(ctx, testWatchWait+2*time.Second)
 		defer cancel()
--- a/cicadakernel/cicadaplatform/http.go
+++ b/cicadakernel/cicadaplatform/http.go
@@ -23,8 +23,8 @@
 	httpIdleTimeout = 90 * time.Second
 	// httpWatchMargin is added to watchTimeout for the network and the store.
 	httpWatchMargin = 2 * time.Second
-	// httpProbePath names no object. Its answer shows that the store answers.
-	httpProbePath = "/objects/probe"
+	// httpCheckPath names no object. It is read by health checks.
+	httpCheckPath = "/objects/probe"
 )
 
 func init() {
@@ -179,7 +179,7 @@
 func newHTTPBackend(base string, dial func(ctx context.Context, network, address string) (net.Conn, error)) *httpBackend {
 	transport := NewTransport(func() *http.Transport {
 		return &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 16, IdleConnTimeout: httpIdleTimeout}
-	}, base+httpProbePath, base+httpProbePath)
+	}, base+httpCheckPath)
 	return &httpBackend{
 		base: base, client: &http.Client{Transport: transport}, watches: &http.Client{Transport: transport.Watches()}, onSilent: transport.OnSilent,
 	}
--- a/cicadakernel/cicadaplatform/transport.go
+++ b/cicadakernel/cicadaplatform/transport.go
@@ -6,43 +6,29 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 
-	"cicadalink.example/cicadakernel/cicadaretry"
 	"cicadalink.example/cicadakernel/cicadatask"
 )
 
-const (
-	// silenceDelay is how long a call on a kept connection has no answer before a new connection is
-	// tried.
-	silenceDelay = 500 * time.Millisecond
-	// probeTimeout limits the time in which the store answers on a new connection.
-	probeTimeout = time.Second
-	// checkInterval is the time without an answered call after which the kept connections are
-	// checked while watches wait, and checkTimeout limits a check.
-	checkInterval = 2 * time.Second
-	checkTimeout  = 2 * time.Second
-)
-
-// errSilent ends a call on a connection that has fallen silent.
-var errSilent = merry.Sentinel("cicadaplatform: connection has fallen silent")
+// errDead ends a call on a connection that was found dead.
+var errDead = merry.Sentinel("cicadaplatform: connection is dead")
 
-// A Transport is a http.RoundTripper that keeps connections to the store and does not believe in
-// them for ever. A kept connection may fall silent without being closed. If a call on one has no
-// answer for a while, and the store answers a call on a new connection meanwhile, the Transport
-// replaces all connections: it sends reads and watches again, and ends writes, whose outcome is then
-// unknown. A store that is slow on new connections as well is left its time.
+// A Transport is a http.RoundTripper that keeps connections to the store and leaves those that are
+// dead though nothing has closed them. A call that has no answer for a while is evidence against its
+// own connection only. The Transport then checks the health of the store on a new connection and on
+// another kept one. If only the new one answers, all kept connections are taken for dead and
+// replaced: reads and watches are sent again, and writes end, whose outcome is then unknown. If both
+// answer, a read gets a second attempt, beside the first, and a write is left its time.
 //
 // A watch has no answer for as long as nothing happens, so that its connection shows nothing. While
-// watches wait and no other calls are made, the Transport makes some itself.
+// watches wait, the Transport makes health checks by itself.
 type Transport struct {
 	newBase  func() *http.Transport
-	probeURL string
 	checkURL string
 
 	mu         sync.Mutex
@@ -54,29 +40,14 @@
 	wg         cicadatask.Group
 }
 
-// connections are the connections that were opened between two replacements.
-type connections struct {
-	base     *http.Transport
-	probing  bool // guarded by Transport.mu
-	replaced context.Context
-	replace  context.CancelFunc
-}
-
-// NewTransport returns a Transport that gets a http.Transport for its connections from newBase. It
-// probes new connections with a GET of probeURL, which the store must answer no sooner than other
-// reads, and checks kept ones with a GET of checkURL, which should be cheap.
-func NewTransport(newBase func() *http.Transport, probeURL, checkURL string) *Transport {
-	t := &Transport{newBase: newBase, probeURL: probeURL, checkURL: checkURL}
-	t.current, t.answeredAt = t.newConnections(), time.Now()
+// NewTransport returns a Transport that gets a http.Transport for its connections from newBase. Its
+// health checks are GETs of checkURL, which should be cheap.
+func NewTransport(newBase func() *http.Transport, checkURL string) *Transport {
+	t := &Transport{newBase: newBase, checkURL: checkURL}
+	t.current, t.answeredAt = newConnections(t.newPool(), t.newPool()), time.Now()
 	return t
 }
 
-func (t *Transport) newConnections() *connections {
-	c := &connections{base: t.newBase()}
-	c.replaced, c.replace = context.WithCancel(context.Background())
-	return c
-}
-
 // OnSilent adds a function that is called when the connections have been replaced. Nothing was
 // received on one of them since the given time.
 func (t *Transport) OnSilent(f func(since time.Time)) {
@@ -103,76 +74,93 @@
 	return w.t.roundTrip(req, true)
 }
 
-// beginWatch checks the kept connections until the last watch has ended.
-func (t *Transport) beginWatch() (end func()) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.watches++
-	if t.watches == 1 {
-		ctx, cancel := context.WithCancel(context.Background())
-		t.stopChecks = cancel
-		t.wg.Go(func() { t.checkKept(ctx) })
-	}
-	return func() {
-		t.mu.Lock()
-		defer t.mu.Unlock()
-		t.watches--
-		if t.watches == 0 {
-			t.stopChecks()
-		}
-	}
-}
-
-// checkKept makes a call whenever none was answered for checkInterval.
-func (t *Transport) checkKept(ctx context.Context) {
+func (t *Transport) roundTrip(req *http.Request, watch bool) (*http.Response, error) {
 	for {
 		t.mu.Lock()
-		idle := time.Since(t.answeredAt)
+		c := t.current
 		t.mu.Unlock()
-		if idle < checkInterval {
-			if !cicadaretry.Sleep(ctx, checkInterval-idle) {
-				return
-			}
-			continue
+		var res *http.Response
+		var err error
+		switch {
+		case watch:
+			res, err = t.send(c, c.base, req, &call{watch: true})
+		case isRead(req):
+			res, err = t.read(c, req)
+		default:
+			res, err = t.send(c, c.base, req, &call{})
 		}
-		if !t.get(ctx, t, t.checkURL, checkTimeout) && !cicadaretry.Sleep(ctx, checkInterval) {
-			return
+		if !errors.Is(err, errDead) || !isRead(req) || req.Context().Err() != nil {
+			return res, err
 		}
 	}
 }
 
-func (t *Transport) roundTrip(req *http.Request, watches bool) (*http.Response, error) {
-	for {
-		t.mu.Lock()
-		c := t.current
-		t.mu.Unlock()
-		res, err := t.send(c, req, watches)
-		if !errors.Is(err, errSilent) || req.Method != http.MethodGet || req.Context().Err() != nil {
-			return res, err
-		}
+func isRead(req *http.Request) bool {
+	return req.Method == http.MethodGet && (req.Body == nil || req.Body == http.NoBody)
+}
+
+// read sends a read, and sends it once more beside the first attempt if that stalls.
+func (t *Transport) read(c *connections, req *http.Request) (*http.Response, error) {
+	type result struct {
+		attempt int
+		res     *http.Response
+		err     error
+	}
+	results := make(chan result, 2)
+	var cancels [2]context.CancelFunc
+	start := func(attempt int, over *http.Transport, call *call) {
+		ctx, cancel := context.WithCancel(req.Context())
+		cancels[attempt] = cancel
+		t.wg.Go(func() {
+			res, err := t.send(c, over, req.WithContext(ctx), call)
+			if err != nil {
+				cancel()
+			} else {
+				res.Body = &responseBody{ReadCloser: res.Body, release: cancel}
+			}
+			results <- result{attempt, res, err}
+		})
+	}
+	stalled := make(chan struct{})
+	start(0, c.base, &call{onStalled: sync.OnceFunc(func() { close(stalled) })})
+	select {
+	case r := <-results:
+		return r.res, r.err
+	case <-stalled:
 	}
+	start(1, c.spare, &call{})
+	r := <-results
+	if r.err != nil {
+		r = <-results
+		return r.res, r.err
+	}
+	cancels[1-r.attempt]()
+	t.wg.Go(func() {
+		if other := <-results; other.err == nil {
+			_ = other.res.Body.Close()
+		}
+	})
+	return r.res, r.err
 }
 
-// send sends a request over one set of connections. It fails with errSilent if they were replaced
-// because they have fallen silent.
-func (t *Transport) send(c *connections, req *http.Request, watches bool) (*http.Response, error) {
+// send sends a request over one pool of connections. It fails with errDead if the request's
+// connection was found dead.
+func (t *Transport) send(c *connections, over *http.Transport, req *http.Request, call *call) (*http.Response, error) {
 	ctx, cancel := context.WithCancelCause(req.Context())
-	call := &call{sentAt: time.Now(), end: func() { cancel(errSilent) }}
-	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) { call.reused.Store(info.Reused) },
-	})
-	stopWaiting := t.await(c, call, watches)
-	res, err := c.base.RoundTrip(req.WithContext(traced))
+	call.connections, call.sentAt, call.end = c, time.Now(), func() { cancel(errDead) }
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: call.gotConn})
+	stopWaiting := t.await(c, call)
+	res, err := over.RoundTrip(req.WithContext(traced))
 	call.answered.Store(err == nil)
 	stopWaiting()
 	if err != nil {
-		if errors.Is(context.Cause(ctx), errSilent) {
-			err = merry.Errorf("%w: %w", errSilent, err)
+		if errors.Is(context.Cause(ctx), errDead) {
+			err = merry.Errorf("%w: %w", errDead, err)
 		}
 		cancel(nil)
 		return nil, err
 	}
-	if !watches {
+	if !call.watch {
 		t.mu.Lock()
 		t.answeredAt = time.Now()
 		t.mu.Unlock()
@@ -183,94 +171,29 @@
 
 // A call is a request that waits for the header of its response.
 type call struct {
-	sentAt   time.Time
-	reused   atomic.Bool // it was sent on a kept connection
-	answered atomic.Bool
-	end      func()
-}
-
-// await ends a call if the connections are replaced: a watch at once, another call when it had no
-// answer for silenceDelay. It probes the store while such a call waits on a kept connection.
-func (t *Transport) await(c *connections, call *call, watches bool) (stop func()) {
-	if watches {
-		stop := context.AfterFunc(c.replaced, call.end)
-		return func() { stop() }
-	}
-	done := make(chan struct{})
-	t.wg.Go(func() {
-		timer := time.NewTimer(silenceDelay)
-		defer timer.Stop()
-		select {
-		case <-timer.C:
-		case <-done:
-			return
-		}
-		for {
-			timer.Reset(silenceDelay)
-			if call.reused.Load() {
-				t.probe(c, call)
-			}
-			select {
-			case <-c.replaced.Done():
-				call.end()
-				return
-			case <-timer.C:
-			case <-done:
-				return
-			}
-		}
-	})
-	return func() { close(done) }
-}
-
-// probe replaces the connections if the store answers on a new one while a call still waits. One
-// probe at a time is sent for all calls.
-func (t *Transport) probe(c *connections, call *call) {
-	t.mu.Lock()
-	busy := c != t.current || c.probing
-	c.probing = true
-	t.mu.Unlock()
-	if busy {
-		return
-	}
-	next := t.newConnections()
-	answered := t.get(context.Background(), next.base, t.probeURL, probeTimeout)
-	t.mu.Lock()
-	c.probing = false
-	replace := answered && !call.answered.Load() && c == t.current
-	if replace {
-		t.current = next
-	}
-	onSilent := slices.Clone(t.onSilent)
-	t.mu.Unlock()
-	if !replace {
-		next.base.CloseIdleConnections()
-		next.replace()
-		return
-	}
-	c.replace()
-	c.base.CloseIdleConnections()
-	for _, f := range onSilent {
-		f(call.sentAt)
+	connections *connections
+	watch       bool
+	sentAt      time.Time
+	reused      atomic.Bool // it was sent on a kept connection
+	conn        atomic.Pointer[conn]
+	answered    atomic.Bool
+	end         func()
+	onStalled   func() // may be nil; called when a second attempt is due
+}
+
+func (c *call) gotConn(info httptrace.GotConnInfo) {
+	c.reused.Store(info.Reused)
+	c.conn.Store(unwrapConn(info.Conn))
+	if c.watch && c.connections.replaced.Err() != nil {
+		c.endIfDead()
 	}
 }
 
-// get reports whether a GET is answered in time, by more than a refusal: a store that is slow may
-// refuse calls at once.
-func (t *Transport) get(ctx context.Context, over http.RoundTripper, url string, timeout time.Duration) bool {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
-	if err != nil {
-		return false
-	}
-	res, err := over.RoundTrip(req)
-	if err != nil {
-		return false
+// endIfDead ends a call whose connections were replaced, unless its own was active since.
+func (c *call) endIfDead() {
+	if conn := c.conn.Load(); conn != nil && !conn.activeAfter(c.connections.deadSince) {
+		c.end()
 	}
-	defer res.Body.Close()
-	_, err = io.Copy(io.Discard, io.LimitReader(res.Body, MaxValueSize))
-	return err == nil && (res.StatusCode == http.StatusOK || res.StatusCode == http.StatusNotFound)
 }
 
 // responseBody releases the resources of a call once its body is closed.
