--- a/cicadagateway/cicadabatch/owner.go
+++ b/cicadagateway/cicadabatch/owner.go
@@ -188,6 +188,9 @@
 			case <-ctx.Done():
 				return
 			case f := <-o.tasks:
+				if ctx.Err() != nil {
+					return // the ends of runs that were cancelled begin no others
+				}
 				f()
 				continue
 			case <-ticker.C:
@@ -195,7 +198,9 @@
 				o.runMaintenance()
 			case <-o.wakeup:
 			}
-			o.schedule()
+			if ctx.Err() == nil {
+				o.schedule()
+			}
 		}
 	})
 	return o
--- a/cicadagateway/cicadaprocess/process.go
+++ b/cicadagateway/cicadaprocess/process.go
@@ -130,15 +130,15 @@
 	connectionsOpened := p.Scope().Counter("endpoint_connections")
 	n.client = cicadaexchange.NewClient(cicadaexchange.WithMemory(n.receivedMemory), cicadaexchange.WithOnConnect(func() { connectionsOpened.Inc(1) }), cicadaexchange.WithOnLost(n.table.RecordLost),
 		cicadaexchange.WithIdentification(cicadaexchange.Identification{Target: adapter.ReportPath, Decode: adapter.DecodeReportedStart}))
-	n.store.OnSilent(n.leaveSilentConnections)
+	n.store.OnDead(n.closeInactiveConnections)
 	return n, nil
 }
 
-// leaveSilentConnections closes the idle connections to endpoints that may have fallen silent with
-// those to the store.
-func (n *Node) leaveSilentConnections(since time.Time) {
-	n.process.Scope().Counter("store_connections_silent").Inc(1)
-	n.log.Warn("kept connections to the store fell silent, replaced", "silent-for", time.Since(since).String())
+// closeInactiveConnections closes the idle connections to endpoints that may have died with those to the
+// store.
+func (n *Node) closeInactiveConnections(since time.Time) {
+	n.process.Scope().Counter("store_connections_dead").Inc(1)
+	n.log.Warn("dead connections to the store replaced", "inactive-for", time.Since(since).String())
 	n.client.CloseInactive(since)
 }
 
--- a/cicadagateway/cicadaprocess/silent_test.go
+++ b/cicadagateway/cicadaprocess/silent_test.go
@@ -26,7 +26,7 @@
 func TestSilenceOfTheStoreClosesConnectionsToEndpoints(t *testing.T) {
 	var fallSilent func(since time.Time)
 	cicadaplatform.Adapters.Register("silent", func(string) (cicadaplatform.Backend, error) {
-		return cicadaplatform.Backend{OnSilent: func(f func(since time.Time)) { fallSilent = f }}, nil
+		return cicadaplatform.Backend{OnDead: func(f func(since time.Time)) { fallSilent = f }}, nil
 	})
 	var opened atomic.Int64
 	endpoint := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }))
--- a/cicadakernel/cicadaoperate/silent_test.go
+++ b/cicadakernel/cicadaoperate/silent_test.go
@@ -15,7 +15,7 @@
 
 // Guards against an operator's command that never returns, because its connection to the entry has
 // fallen silent.
-func TestCallOnSilentConnectionEnds(t *testing.T) {
+func TestCallOnDeadConnectionEnds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := NewClient("http://entry", "key", WithTLS(&tls.Config{MinVersion: tls.VersionTLS12}))
 		c.client.Transport.(*http.Transport).DialContext = func(context.Context, string, string) (net.Conn, error) {
--- a/cicadakernel/cicadaplatform/client.go
+++ b/cicadakernel/cicadaplatform/client.go
@@ -139,12 +139,12 @@
 	return c
 }
 
-// OnSilent adds a function that is called when kept connections to the store were found to have
-// fallen silent, with a time since which nothing was received on one. Others of the process may have
-// fallen silent with them.
-func (c *Client) OnSilent(f func(since time.Time)) {
-	if c.backend.OnSilent != nil {
-		c.backend.OnSilent(f)
+// OnDead adds a function that is called when kept connections to the store were found to be
+// dead, with a time since which nothing was received on one. Others of the process may have
+// died with them.
+func (c *Client) OnDead(f func(since time.Time)) {
+	if c.backend.OnDead != nil {
+		c.backend.OnDead(f)
 	}
 }
 
--- a/cicadakernel/cicadaplatform/diagnosis.go
+++ b/cicadakernel/cicadaplatform/diagnosis.go
@@ -93,7 +93,7 @@
 	if replace {
 		t.current = newConnections(base, t.newPool())
 	}
-	onSilent := slices.Clone(t.onSilent)
+	onDead := slices.Clone(t.onDead)
 	t.mu.Unlock()
 	if !replace {
 		base.CloseIdleConnections()
@@ -102,7 +102,7 @@
 	c.closeIdle()
 	c.deadSince = call.sentAt
 	c.replace()
-	for _, f := range onSilent {
+	for _, f := range onDead {
 		f(call.sentAt)
 	}
 }
--- a/cicadakernel/cicadaplatform/http.go
+++ b/cicadakernel/cicadaplatform/http.go
@@ -186,7 +186,7 @@
 	client  *http.Client
 	watches *http.Client
 
-	onSilent func(f func(since time.Time))
+	onDead func(f func(since time.Time))
 }
 
 func openHTTP(address string) (Backend, error) {
@@ -202,7 +202,7 @@
 		return &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 16, IdleConnTimeout: httpIdleTimeout}
 	}, base+httpCheckPath)
 	return &httpBackend{
-		base: base, client: &http.Client{Transport: transport}, watches: &http.Client{Transport: transport.Watches()}, onSilent: transport.OnSilent,
+		base: base, client: &http.Client{Transport: transport}, watches: &http.Client{Transport: transport.Watches()}, onDead: transport.OnDead,
 	}
 }
 
@@ -216,7 +216,7 @@
 		Watch:  b.watch,
 		VMs:    b.vms,
 
-		OnSilent: b.onSilent,
+		OnDead: b.onDead,
 	}
 }
 
--- a/cicadakernel/cicadaplatform/silent_test.go
+++ b/cicadakernel/cicadaplatform/silent_test.go
@@ -13,7 +13,7 @@
 
 // Guards against a watch that waits for ever on a connection that has fallen silent: the process
 // would never learn of a change again.
-func TestWatchOnSilentConnectionEnds(t *testing.T) {
+func TestWatchOnDeadConnectionEnds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newHTTPBackend("http://store", func(context.Context, string, string) (net.Conn, error) {
 			client, server := net.Pipe()
--- a/cicadakernel/cicadaplatform/store.go
+++ b/cicadakernel/cicadaplatform/store.go
@@ -146,10 +146,10 @@
 	// ValueSize returns the size of an object's value as the store keeps it, in bytes. If
 	// ValueSize is nil, values are kept as they are.
 	ValueSize func(name string, value []byte) int
-	// OnSilent adds a function that is called when kept connections to the store were found to
-	// have fallen silent, with a time since which nothing was received on one. If OnSilent is
+	// OnDead adds a function that is called when kept connections to the store were found
+	// dead, with a time since which nothing was received on one. If OnDead is
 	// nil, that is not found out.
-	OnSilent func(f func(since time.Time))
+	OnDead func(f func(since time.Time))
 	// SetMemory sets the budget for what the store sends, before the first call. It is nil if the
 	// backend receives nothing from others.
 	SetMemory func(memory *cicadamemory.Budget)
--- a/cicadakernel/cicadaplatform/transport.go
+++ b/cicadakernel/cicadaplatform/transport.go
@@ -32,7 +32,7 @@
 	checkURL string
 
 	mu         sync.Mutex
-	onSilent   []func(since time.Time)
+	onDead     []func(since time.Time)
 	current    *connections
 	answeredAt time.Time // when a call other than a watch was last answered, or the Transport made
 	watches    int       // that wait
@@ -48,12 +48,12 @@
 	return t
 }
 
-// OnSilent adds a function that is called when the connections have been replaced. Nothing was
+// OnDead adds a function that is called when the connections have been replaced. Nothing was
 // received on one of them since the given time.
-func (t *Transport) OnSilent(f func(since time.Time)) {
+func (t *Transport) OnDead(f func(since time.Time)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.onSilent = append(t.onSilent, f)
+	t.onDead = append(t.onDead, f)
 }
 
 // RoundTrip implements http.RoundTripper.
