--- a/cicadaentry/cicadafleet/review_link_test.go
+++ b/cicadaentry/cicadafleet/link_silence_test.go
@@ -33,9 +33,9 @@
 	}
 }
 
-// TestReviewLinkIsNotEndedForEarlierSilence guards against a link to an agent that was away, which is ended before
+// TestLinkIsNotEndedForEarlierSilence guards against a link to an agent that was away, which is ended before
 // its first heartbeat because the agent was not heard on the link before.
-func TestReviewLinkIsNotEndedForEarlierSilence(t *testing.T) {
+func TestLinkIsNotEndedForEarlierSilence(t *testing.T) {
 	for name, heardBefore := range map[string]bool{"never heard": false, "heard before": true} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/cicadagateway/cicadabatch/review_handover_test.go
+++ b/cicadagateway/cicadabatch/deadconnection_test.go
@@ -55,9 +55,9 @@
 	return c.Conn.Close()
 }
 
-// TestReviewProgressIsSentAgainAfterSilence guards against progress of a job that is lost because its only message
+// TestProgressIsSentAgainAfterADeadConnection guards against progress of a job that is lost because its only message
 // took a connection that had fallen silent, and its whole time, while new connections are sound.
-func TestReviewProgressIsSentAgainAfterSilence(t *testing.T) {
+func TestProgressIsSentAgainAfterADeadConnection(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		fallen := make(chan struct{})
 		srvCtx, stop := context.WithCancel(context.Background())
--- a/cicadagateway/cicadabatch/review_pending_test.go
+++ b/cicadagateway/cicadabatch/hunglast_test.go
@@ -9,9 +9,9 @@
 	"gotest.tools/v3/assert"
 )
 
-// TestReviewSoundOwnerHasTimeBesideTwoHungOnes guards against owners that hang one after the other and leave the
+// TestSoundOwnerHasTimeBesideTwoHungOnes guards against owners that hang one after the other and leave the
 // last, sound one no time to answer.
-func TestReviewSoundOwnerHasTimeBesideTwoHungOnes(t *testing.T) {
+func TestSoundOwnerHasTimeBesideTwoHungOnes(t *testing.T) {
 	for _, wait := range []time.Duration{0, time.Second} {
 		synctest.Test(t, func(t *testing.T) {
 			c := newFakeClient(t, &fakeOwner{}, &fakeOwner{}, &fakeOwner{delay: 100 * time.Millisecond, status: http.StatusOK})
@@ -22,9 +22,9 @@
 	}
 }
 
-// TestReviewHungRelayIsNotAskedForEachOwner guards against a relay that hangs and is asked again for the next owner
+// TestHungRelayIsNotAskedForEachOwner guards against a relay that hangs and is asked again for the next owner
 // behind it, while an owner that can be called directly gets no time.
-func TestReviewHungRelayIsNotAskedForEachOwner(t *testing.T) {
+func TestHungRelayIsNotAskedForEachOwner(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		relay, direct := &fakeOwner{}, &fakeOwner{delay: 100 * time.Millisecond, status: http.StatusOK}
 		c := newFakeClient(t, relay, &fakeOwner{}, direct)
@@ -39,9 +39,9 @@
 	})
 }
 
-// TestReviewUnsentWriteIsRefused guards against a submission or an end that is answered with an unknown outcome
+// TestUnsentWriteIsRefused guards against a submission or an end that is answered with an unknown outcome
 // though no owner was sent it, so that nothing can have been done.
-func TestReviewUnsentWriteIsRefused(t *testing.T) {
+func TestUnsentWriteIsRefused(t *testing.T) {
 	for name, owners := range map[string][]*fakeOwner{
 		"no owner":         nil,
 		"all owners down":  {{down: true}, {down: true}, {down: true}},
--- a/cicadagateway/cicadabatch/review_budget_test.go
+++ b/cicadagateway/cicadabatch/readrate_test.go
@@ -12,10 +12,10 @@
 	"gotest.tools/v3/assert"
 )
 
-// TestReviewReadsOfTheStoreServeReaders guards against readers that get no answer for as long as an owner reads the
+// TestReadsOfTheStoreServeReaders guards against readers that get no answer for as long as an owner reads the
 // store for them: a read of the store that began before a reader came does not serve it, and the next one waits for
 // the owner's share of the store's rate until the reader has left.
-func TestReviewReadsOfTheStoreServeReaders(t *testing.T) {
+func TestReadsOfTheStoreServeReaders(t *testing.T) {
 	const (
 		jobs     = 40
 		rate     = 20 // reads of the store per second
--- a/cicadagateway/cicadabatch/review_waiting_test.go
+++ b/cicadagateway/cicadabatch/reservation_test.go
@@ -16,9 +16,9 @@
 	"cicadalink.example/cicadakernel/cicadaplatform"
 )
 
-// TestReviewTokensAreReservedOnce guards against a submission that a second owner gets beside the first, and whose
+// TestTokensAreReservedOnce guards against a submission that a second owner gets beside the first, and whose
 // tokens stay reserved at both, so that jobs which fit are refused.
-func TestReviewTokensAreReservedOnce(t *testing.T) {
+func TestTokensAreReservedOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d := newLimitedDeployment(1000)
 		d.stalled = true
@@ -52,9 +52,9 @@
 	})
 }
 
-// TestReviewRefusalIsNotRememberedBesideAnotherAttempt guards against an owner that refuses a submission while
+// TestRefusalIsNotRememberedBesideAnotherAttempt guards against an owner that refuses a submission while
 // another one accepts it, and refuses it again later, because it remembers that the job did not exist.
-func TestReviewRefusalIsNotRememberedBesideAnotherAttempt(t *testing.T) {
+func TestRefusalIsNotRememberedBesideAnotherAttempt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d := newLimitedDeployment(500)
 		d.stalled = true
@@ -86,9 +86,9 @@
 	})
 }
 
-// TestReviewLostReportIsRepeated guards against tokens that stay reserved for a job that is finished, because the
+// TestLostReportIsRepeated guards against tokens that stay reserved for a job that is finished, because the
 // report of that was lost once and is not sent again.
-func TestReviewLostReportIsRepeated(t *testing.T) {
+func TestLostReportIsRepeated(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d := newLimitedDeployment(500)
 		var eligible atomic.Value
--- a/cicadagateway/cicadabatch/review_slowstore_test.go
+++ b/cicadagateway/cicadabatch/slowstore_test.go
@@ -16,8 +16,8 @@
 	"cicadalink.example/cicadakernel/cicadawire"
 )
 
-// reviewClient returns a client of real owners, and a function that stops the connections.
-func reviewClient(t *testing.T, owners ...*testOwner) (*Client, func()) {
+// newOwnersClient returns a client of real owners, and a function that stops the connections.
+func newOwnersClient(t *testing.T, owners ...*testOwner) (*Client, func()) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	listeners := make(map[string]*pipeListener)
@@ -70,7 +70,7 @@
 		for _, name := range names {
 			owners = append(owners, d.startOwner(name, fixedOwners(names...)))
 		}
-		c, stop := reviewClient(t, owners...)
+		c, stop := newOwnersClient(t, owners...)
 		known := rankPeers(testJob, c.owners())[:n]
 		c.owners = func() []Peer { return known }
 		time.Sleep(time.Second)
@@ -100,9 +100,9 @@
 	return served, gets
 }
 
-// TestReviewFurtherAttemptsSpareASlowStore guards against a store that gets several times as many reads when it is
+// TestFurtherAttemptsSpareASlowStore guards against a store that gets several times as many reads when it is
 // slow: an owner that waits for it is taken for hung, and the other owners read the store as well.
-func TestReviewFurtherAttemptsSpareASlowStore(t *testing.T) {
+func TestFurtherAttemptsSpareASlowStore(t *testing.T) {
 	for _, delay := range []time.Duration{700 * time.Millisecond, 900 * time.Millisecond} {
 		served, gets := readBesideSlowStore(t, 1, delay)
 		servedAll, getsAll := readBesideSlowStore(t, 3, delay)
--- a/cicadakernel/cicadawire/review_slow_test.go
+++ b/cicadakernel/cicadawire/slow_test.go
@@ -46,9 +46,9 @@
 	return near, far
 }
 
-// TestReviewSlowServerIsNotTakenForSilent guards against a server that is slow, and gets a new connection for each
+// TestSlowServerIsNotTakenForDead guards against a server that is slow, and gets a new connection for each
 // call and each call late, because it does not answer a ping in time.
-func TestReviewSlowServerIsNotTakenForSilent(t *testing.T) {
+func TestSlowServerIsNotTakenForDead(t *testing.T) {
 	const answerTime = 400 * time.Millisecond
 	synctest.Test(t, func(t *testing.T) {
 		s := newEchoServer(t)
