Identify customers by their keys on the gateway

Cause: in a deployment with customers the gateway forwarded keys to endpoints, named no customer, and ran requests with unknown keys.

Change: the configuration decodes customers; keys are kept as digests only. An entry identifies the customer of a request, refuses unknown keys with 401 and tells endpoints the customer's name. Jobs, their items, results and ends belong to a customer; caps on waiting tokens hold for each customer. Without customers nothing changes.

--- a/cicadagateway/cicadabatch/calls.go
+++ b/cicadagateway/cicadabatch/calls.go
@@ -21,16 +21,18 @@
 
 // A Call is a request about one job, as an entry sends it to the job's owner.
 type Call struct {
-	Kind   CallKind
-	Job    string
-	Host   string
-	Path   string
-	Due    time.Duration
-	GiveUp time.Duration
-	Body   []byte
-	After  int
-	Item   string
-	Wait   time.Duration
+	Kind CallKind
+	Job  string
+	// Customer is the name of the customer that the caller belongs to, or empty.
+	Customer string
+	Host     string
+	Path     string
+	Due      time.Duration
+	GiveUp   time.Duration
+	Body     []byte
+	After    int
+	Item     string
+	Wait     time.Duration
 	// Relayed is set by a process that relays the call for a sender that cannot reach
 	// the owner. Such a call is not relayed again.
 	Relayed bool
@@ -163,7 +165,7 @@
 			o.log.Warn("failed to read job to be ended", "job", c.Job, "error", err)
 			return unavailable()
 		}
-		done, resp := o.storeEnded(ctx, obj)
+		done, resp := o.storeEnded(ctx, c, obj)
 		if done {
 			return resp
 		}
@@ -172,12 +174,15 @@
 
 // storeEnded marks a job in the store as ended and removes the bodies of its items. It
 // reports false if the object has changed since it was read and must be read again.
-func (o *Owner) storeEnded(ctx context.Context, obj cicadaplatform.Object) (bool, Response) {
+func (o *Owner) storeEnded(ctx context.Context, c *Call, obj cicadaplatform.Object) (bool, Response) {
 	r, err := decodeRecord(obj.Value())
 	if err != nil {
 		o.log.Error("failed to decode job to be ended", "name", obj.Name(), "error", err)
 		return true, Response{Status: http.StatusInternalServerError}
 	}
+	if r.Customer != c.Customer {
+		return true, Response{Status: http.StatusNotFound}
+	}
 	if !r.Ended {
 		r.Ended = true
 		for i := range r.Items {
--- a/cicadagateway/cicadabatch/job.go
+++ b/cicadagateway/cicadabatch/job.go
@@ -93,7 +93,8 @@
 type jobRecord struct {
 	Host        string         `json:"host"`
 	Path        string         `json:"path"`
-	AcceptedMs  int64          `json:"accepted-ms"` // Unix time by the clock of the owner that accepted the job
+	Customer    string         `json:"customer,omitempty"` // to which the job belongs, and in whose name its items run
+	AcceptedMs  int64          `json:"accepted-ms"`        // Unix time by the clock of the owner that accepted the job
 	DueMs       int64          `json:"due-ms"`
 	GiveUpMs    int64          `json:"give-up-ms"`
 	Total       int            `json:"total"`
--- a/cicadagateway/cicadabatch/owner.go
+++ b/cicadagateway/cicadabatch/owner.go
@@ -260,7 +260,7 @@
 	j := o.addJob(id, r, now.Add(-age))
 	j.version, j.ownedSince = obj.Version(), now
 	if r.SubmittedBy != o.name {
-		o.releaseTokens(r.Host, r.Path, id)
+		o.releaseTokens(r.Host, r.Path, r.Customer, id)
 	}
 	if age > 0 {
 		j.clockSkew = maxClockSkew
--- a/cicadagateway/cicadabatch/reading.go
+++ b/cicadagateway/cicadabatch/reading.go
@@ -22,21 +22,25 @@
 	readTimeout     = 2 * time.Second // limit on reading a job and its results
 )
 
-// readJob runs f in the event loop with a job whose results in memory include every result that
+// readJob runs f in the event loop with the job of a call. It finds only jobs of the caller's
+// customer. The job is one whose results in memory include every result that
 // any owner may have returned to a reader before the call, and with the reason why they do. It
 // reads them from the store first if needed. If that fails, it returns an error response instead.
-func (o *Owner) readJob(ctx context.Context, id string, f func(j *job, source resultSource)) *Response {
-	called := time.Now()
+func (o *Owner) readJob(ctx context.Context, c *Call, f func(j *job, source resultSource)) *Response {
+	id, called := c.Job, time.Now()
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	for fetched := false; ; {
-		known, loading := false, (chan struct{})(nil)
+		known, foreign, loading := false, false, (chan struct{})(nil)
 		done := false
 		ran := o.runInLoop(ctx, func() {
 			j := o.jobs[id]
 			if known = j != nil; !known {
 				return
 			}
+			if foreign = j.record.Customer != c.Customer; foreign {
+				return
+			}
 			now := time.Now()
 			if source := o.resultsSource(j, now, called); source != sourceNone {
 				f(j, source)
@@ -50,6 +54,8 @@
 		case !ran:
 			resp := unavailable()
 			return &resp
+		case foreign:
+			return &Response{Status: http.StatusNotFound}
 		case done:
 			return nil
 		case !known && !fetched:
@@ -148,7 +154,7 @@
 		var page []adapter.Result
 		var changed chan struct{}
 		total := 0
-		errResp := o.readJob(ctx, c.Job, func(j *job, source resultSource) {
+		errResp := o.readJob(ctx, c, func(j *job, source resultSource) {
 			o.recordRead(j, source)
 			page, total = slices.Clone(j.resultsPage(c.After)), j.record.Total
 			if len(page) == 0 && !j.allListed() && !j.ended && time.Now().Before(deadline) {
@@ -189,7 +195,7 @@
 
 func (o *Owner) itemBody(ctx context.Context, c *Call) Response {
 	resp := Response{Status: http.StatusNotFound}
-	errResp := o.readJob(ctx, c.Job, func(j *job, _ resultSource) {
+	errResp := o.readJob(ctx, c, func(j *job, _ resultSource) {
 		if it := j.itemsByID[c.Item]; it != nil && it.state != itemListed && !j.ended {
 			resp = Response{Status: http.StatusOK, Body: it.Body}
 		}
--- a/cicadagateway/cicadabatch/schedule.go
+++ b/cicadagateway/cicadabatch/schedule.go
@@ -208,6 +208,13 @@
 
 func (o *Owner) runRequest(it *item, endpoint cicadaview.Endpoint) cicadaexchange.Request {
 	header := itemHeader(it.Item)
+	if o.dropsCredentials(it.job.record.Customer) {
+		header.Del(adapter.HeaderKey)
+		header.Del(adapter.HeaderCustomer)
+	}
+	if customer := it.job.record.Customer; customer != "" {
+		header.Set(adapter.HeaderCustomer, customer)
+	}
 	header.Set(adapter.HeaderRequestID, it.ID)
 	header.Set(adapter.HeaderExpectInstance, endpoint.ID)
 	deadline := time.Now().Add(max(time.Until(it.job.giveUpAt()), time.Second))
--- a/cicadagateway/cicadabatch/submit.go
+++ b/cicadagateway/cicadabatch/submit.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -35,12 +36,13 @@
 
 // accept stores a job, if its tokens fit in the limit of its route.
 func (o *Owner) accept(ctx context.Context, c *Call) Response {
-	exists, assignments := false, 0
-	if !o.runInLoop(ctx, func() { exists, assignments = o.jobs[c.Job] != nil, o.assignments }) {
+	var known *Response
+	assignments := 0
+	if !o.runInLoop(ctx, func() { known, assignments = o.repeated(c), o.assignments }) {
 		return outcomeUnknown()
 	}
-	if exists {
-		return Response{Status: http.StatusAccepted}
+	if known != nil {
+		return *known
 	}
 	items, err := adapter.DecodeJob(c.Body)
 	if err == nil {
@@ -54,36 +56,98 @@
 	if refusal := o.reserve(ctx, c, sumTokens(items)); refusal != nil {
 		return o.confirmRefusal(ctx, c, *refusal)
 	}
-	if !o.runInLoop(ctx, func() { exists = o.releaseDuplicate(c) }) {
+	if !o.runInLoop(ctx, func() {
+		if o.releaseDuplicate(c) {
+			known = o.repeated(c)
+		}
+	}) {
 		return outcomeUnknown()
 	}
-	if exists {
-		return Response{Status: http.StatusAccepted}
+	if known != nil {
+		return *known
+	}
+	if o.dropsCredentials(c.Customer) {
+		dropCredentials(items)
 	}
 	now := time.Now()
 	r := jobRecord{
-		Host: c.Host, Path: c.Path, AcceptedMs: now.UnixMilli(), DueMs: c.Due.Milliseconds(), GiveUpMs: c.GiveUp.Milliseconds(),
+		Host: c.Host, Path: c.Path, Customer: c.Customer, AcceptedMs: now.UnixMilli(), DueMs: c.Due.Milliseconds(), GiveUpMs: c.GiveUp.Milliseconds(),
 		Total: len(items), SubmittedBy: o.name, Items: items,
 	}
 	obj, parts, err := storeJob(ctx, o.store, c.Job, r)
 	if err != nil && !errors.Is(err, cicadaplatform.ErrExists) {
 		return o.submitError(c, err)
 	}
-	o.log.Info("job accepted", "job", c.Job, "items", len(items), "repeat", err != nil, "took", time.Since(now).String())
-	if err == nil {
-		o.enqueue(func() {
-			if o.jobs[c.Job] == nil {
-				j := o.addJob(c.Job, r, now)
-				j.version, j.ownedSince = obj.Version(), time.Now()
-				j.record.Parts = parts
-			}
-			o.applyAccepted(o.jobs[c.Job], items, now, assignments)
-			o.Wake()
-		})
+	o.log.Info("job accepted", "job", c.Job, "customer", c.Customer, "items", len(items), "repeat", err != nil, "took", time.Since(now).String())
+	if err != nil {
+		return o.confirmRepeat(ctx, c)
+	}
+	o.enqueue(func() {
+		if o.jobs[c.Job] == nil {
+			j := o.addJob(c.Job, r, now)
+			j.version, j.ownedSince = obj.Version(), time.Now()
+			j.record.Parts = parts
+		}
+		o.applyAccepted(o.jobs[c.Job], items, now, assignments)
+		o.Wake()
+	})
+	return Response{Status: http.StatusAccepted}
+}
+
+// repeated returns the response to the submission of a job that is known already, or nil. It is
+// called in the event loop.
+func (o *Owner) repeated(c *Call) *Response {
+	j := o.jobs[c.Job]
+	if j == nil {
+		return nil
+	}
+	resp := Response{Status: http.StatusAccepted}
+	if j.record.Customer != c.Customer {
+		resp.Status = http.StatusConflict
+	}
+	return &resp
+}
+
+// repeatResponse returns the response to the submission of a job that is in the store already.
+func repeatResponse(obj cicadaplatform.Object, c *Call) Response {
+	if r, err := decodeRecord(obj.Value()); err == nil && r.Customer != c.Customer {
+		return Response{Status: http.StatusConflict}
 	}
 	return Response{Status: http.StatusAccepted}
 }
 
+// confirmRepeat returns the response to the submission of a job that another owner has stored. Without
+// customers, the job can only be the same one.
+func (o *Owner) confirmRepeat(ctx context.Context, c *Call) Response {
+	if c.Customer == "" {
+		return Response{Status: http.StatusAccepted}
+	}
+	obj, err := o.store.Get(ctx, JobsPrefix+c.Job)
+	if err != nil {
+		o.log.Warn("failed to look up repeated job", "job", c.Job, "error", err)
+		return outcomeUnknown()
+	}
+	return repeatResponse(obj, c)
+}
+
+// dropsCredentials reports whether the headers of items must not name a key or a customer, as the
+// owner sets the customer itself.
+func (o *Owner) dropsCredentials(customer string) bool {
+	config := o.config()
+	return customer != "" || config != nil && config.HasCustomers()
+}
+
+// dropCredentials removes the headers of items that hold a key or name a customer.
+func dropCredentials(items []adapter.Item) {
+	for _, it := range items {
+		for name := range it.Headers {
+			if strings.EqualFold(name, adapter.HeaderKey) || strings.EqualFold(name, adapter.HeaderCustomer) {
+				delete(it.Headers, name)
+			}
+		}
+	}
+}
+
 // validateItems reports whether the items can be sent as requests.
 func validateItems(host string, items []adapter.Item) error {
 	for _, it := range items {
@@ -133,7 +197,7 @@
 	switch {
 	case err == nil:
 		o.enqueue(func() { o.applyJob(obj, true) })
-		return Response{Status: http.StatusAccepted}
+		return repeatResponse(obj, c)
 	case errors.Is(err, cicadaplatform.ErrNotFound):
 		return refusal
 	}
@@ -145,12 +209,12 @@
 	o.log.Warn("failed to store job", "job", c.Job, "error", err)
 	switch {
 	case errors.Is(err, cicadaplatform.ErrTooLarge):
-		o.releaseTokens(c.Host, c.Path, c.Job)
+		o.releaseTokens(c.Host, c.Path, c.Customer, c.Job)
 		return Response{Status: http.StatusRequestEntityTooLarge}
 	case errors.Is(err, cicadaplatform.ErrInDoubt):
 		return outcomeUnknown()
 	case errors.Is(err, cicadaplatform.ErrUnavailable):
-		o.releaseTokens(c.Host, c.Path, c.Job)
+		o.releaseTokens(c.Host, c.Path, c.Customer, c.Job)
 		return unavailable()
 	}
 	return outcomeUnknown()
--- a/cicadagateway/cicadabatch/waiting.go
+++ b/cicadagateway/cicadabatch/waiting.go
@@ -58,6 +58,15 @@
 	return route, ok && route.MaxWaitingTokens > 0
 }
 
+// accountName returns the name under which the waiting tokens of a customer on a route are limited,
+// or those of all callers if customer is empty.
+func accountName(route *cicadaview.Route, customer string) string {
+	if customer == "" {
+		return route.Name
+	}
+	return route.Name + "." + customer
+}
+
 // updateWaiting tells the limiter how many tokens wait on limited routes, and reports to
 // the other owners those of the jobs that this owner runs for them.
 func (o *Owner) updateWaiting(now time.Time) {
@@ -74,12 +83,12 @@
 		if !ok {
 			continue
 		}
-		tokens := j.waitingTokens()
+		tokens, account := j.waitingTokens(), accountName(route, j.record.Customer)
 		if j.record.SubmittedBy == o.name {
-			addTokens(w.Own, route.Name, id, tokens)
+			addTokens(w.Own, account, id, tokens)
 			continue
 		}
-		addTokens(w.Others, route.Name, j.record.SubmittedBy, tokens)
+		addTokens(w.Others, account, j.record.SubmittedBy, tokens)
 		if reporting && j.owned && j.loaded && j.reportDue(tokens, repeating, now) {
 			reports = append(reports, WaitingTokens{Job: id, Tokens: tokens})
 		}
@@ -140,7 +149,7 @@
 	if !ok || o.limiter == nil {
 		return nil
 	}
-	decision, err := o.limiter.Reserve(ctx, route.Name, c.Job, tokens, route.MaxWaitingTokens)
+	decision, err := o.limiter.Reserve(ctx, accountName(route, c.Customer), c.Job, tokens, route.MaxWaitingTokens)
 	if err != nil {
 		o.log.Warn("failed to reserve tokens", "job", c.Job, "route", route.Name, "tokens", tokens, "error", err)
 		resp := unavailable()
@@ -150,15 +159,15 @@
 		return nil
 	}
 	o.metrics.jobsRefused.Inc(1)
-	o.log.Info("job refused", "job", c.Job, "reason", "waiting-tokens", "route", route.Name, "tokens", tokens,
+	o.log.Info("job refused", "job", c.Job, "reason", "waiting-tokens", "route", route.Name, "customer", c.Customer, "tokens", tokens,
 		"reserved", decision.Reserved(), "limit", route.MaxWaitingTokens, "retry-after", decision.RetryAfter().String())
 	return &Response{Status: statusLimited, RetryAfter: decision.RetryAfter()}
 }
 
 // releaseTokens returns the tokens reserved for a job that this owner has not accepted.
-func (o *Owner) releaseTokens(host, path, id string) {
+func (o *Owner) releaseTokens(host, path, customer, id string) {
 	if route, ok := limitedRoute(o.config(), host, path); ok && o.limiter != nil {
-		o.limiter.Release(route.Name, id)
+		o.limiter.Release(accountName(route, customer), id)
 	}
 }
 
@@ -170,6 +179,6 @@
 	if j == nil || j.record.SubmittedBy == o.name {
 		return false
 	}
-	o.releaseTokens(c.Host, c.Path, c.Job)
+	o.releaseTokens(c.Host, c.Path, c.Customer, c.Job)
 	return true
 }
--- a/cicadagateway/cicadaprocess/jobs.go
+++ b/cicadagateway/cicadaprocess/jobs.go
@@ -42,16 +42,16 @@
 func (n *Node) jobHandlers(client *cicadabatch.Client) cicadarelay.JobHandlers {
 	return cicadarelay.JobHandlers{
 		Timeout: jobCallMargin,
-		Submit: func(ctx context.Context, route *cicadaview.Route, host, id string, body []byte) cicadarelay.JobResponse {
+		Submit: func(ctx context.Context, route *cicadaview.Route, host, customer, id string, body []byte) cicadarelay.JobResponse {
 			return n.callOwner(ctx, client, &cicadabatch.Call{
-				Kind: cicadabatch.CallSubmit, Job: id, Host: host, Path: route.Prefix, Due: route.Due, GiveUp: route.GiveUpAfter, Body: body,
+				Kind: cicadabatch.CallSubmit, Job: id, Customer: customer, Host: host, Path: route.Prefix, Due: route.Due, GiveUp: route.GiveUpAfter, Body: body,
 			})
 		},
-		Call: func(ctx context.Context, call adapter.JobCallKind, id, query string, wait time.Duration) cicadarelay.JobResponse {
+		Call: func(ctx context.Context, call adapter.JobCallKind, customer, id, query string, wait time.Duration) cicadarelay.JobResponse {
 			q, _ := url.ParseQuery(query)
 			after, _ := strconv.Atoi(q.Get(adapter.QueryAfter))
 			return n.callOwner(ctx, client, &cicadabatch.Call{
-				Kind: callKinds[call], Job: id, After: after, Item: q.Get(adapter.QueryItem), Wait: wait,
+				Kind: callKinds[call], Job: id, Customer: customer, After: after, Item: q.Get(adapter.QueryItem), Wait: wait,
 			})
 		},
 	}
--- a/cicadagateway/cicadarelay/exchange.go
+++ b/cicadagateway/cicadarelay/exchange.go
@@ -24,6 +24,8 @@
 	w           http.ResponseWriter
 	r           *http.Request
 	route       *cicadaview.Route
+	caller      caller
+	returnQuota func() // nil if the request has no share of a rate limit
 	body        []byte
 	id          string
 	fingerprint uint64
@@ -107,6 +109,9 @@
 		x.fail(ctx, errCrashesEndpoints)
 		return false
 	}
+	if !x.stillValid(ctx) {
+		return false
+	}
 	x.sends++
 	x.answered = false
 	sent := time.Now()
@@ -161,6 +166,7 @@
 func (x *exchange) endpointRequest(endpoint cicadaview.Endpoint) cicadaexchange.Request {
 	req := outgoing(x.r)
 	h := req.Header
+	x.relay.identifyCaller(h, x.caller)
 	h.Set(adapter.HeaderExpectInstance, endpoint.ID)
 	deadline := x.deadline
 	if limit := x.start.Add(x.route.Timeout); x.route.Kind != cicadaview.Stream && x.route.Timeout > 0 && limit.Before(deadline) {
@@ -272,8 +278,13 @@
 	reasonTimeout            = "timeout"
 	reasonBusy               = "busy"
 	reasonNoEndpoint         = "no-endpoint"
+	reasonKeyWithdrawn       = "key-withdrawn"
 )
 
+// errKeyWithdrawn reports that the key of a request that had run was not valid any more when it was
+// to be sent once more.
+var errKeyWithdrawn = merry.Sentinel("cicadarelay: key withdrawn")
+
 // fail ends the request without a complete response. The status is 503 only if the
 // request certainly did not run. Otherwise it is 502 or 504, and the caller cannot
 // tell whether the request ran. If the response has begun or the caller has
@@ -296,11 +307,13 @@
 		reason = reasonNoEndpoint
 	case errors.Is(err, errCrashesEndpoints):
 		reason = reasonCrashesEndpoints
+	case errors.Is(err, errKeyWithdrawn):
+		reason = reasonKeyWithdrawn
 	}
 	status := x.failureStatus(reason)
 	x.relay.scope.Tagged(map[string]string{"reason": reason}).Counter("failed").Inc(1)
 	x.relay.metrics.recordFailed(reason, time.Since(x.start))
-	x.relay.log.Info("request failed", "id", x.id, "route", x.route.Name, "kind", x.route.Kind.String(), "reason", reason,
+	x.relay.log.Info("request failed", "id", x.id, "route", x.route.Name, "customer", x.caller.name(), "kind", x.route.Kind.String(), "reason", reason,
 		"status", status, "runs", x.runs, "sends", x.sends, "started", x.headerSent,
 		"software-version", x.origin.Version, "resumes", x.r.Header.Get(adapter.HeaderResumes),
 		"resumed-after", x.r.Header.Get(adapter.HeaderLastEventID), "after", time.Since(x.start).String(), "error", err)
@@ -338,7 +351,7 @@
 	now := time.Now()
 	x.relay.scope.Tagged(map[string]string{"kind": x.route.Kind.String()}).Counter("answered").Inc(1)
 	x.relay.metrics.recordCompleted(x.route.Kind, grant.WaitTime(), x.events.timeToFirst(x.start), now.Sub(x.start))
-	x.relay.log.Info("request completed", "id", x.id, "route", x.route.Name, "kind", x.route.Kind.String(), "status", res.StatusCode,
+	x.relay.log.Info("request completed", "id", x.id, "route", x.route.Name, "customer", x.caller.name(), "kind", x.route.Kind.String(), "status", res.StatusCode,
 		"endpoint", grant.Endpoint().ID, "software-version", grant.Endpoint().SoftwareVersion, "registered-start", grant.Endpoint().StartedMs, "start", res.StartedMs(), "resumes", x.r.Header.Get(adapter.HeaderResumes),
 		"resumed-after", x.r.Header.Get(adapter.HeaderLastEventID), "rate-limit", res.Header.Get(adapter.HeaderRateLimit),
 		"load", grant.Load(), "waited", grant.WaitTime().String(), "sends", x.sends, "runs", x.runs,
--- a/cicadagateway/cicadarelay/relay.go
+++ b/cicadagateway/cicadarelay/relay.go
@@ -54,10 +54,10 @@
 
 // JobHandlers holds the handlers of batch jobs. Calls without a handler are refused.
 type JobHandlers struct {
-	// Submit accepts a job.
-	Submit func(ctx context.Context, route *cicadaview.Route, host, id string, body []byte) JobResponse
-	// Call handles a call on an accepted job.
-	Call func(ctx context.Context, call adapter.JobCallKind, id, query string, wait time.Duration) JobResponse
+	// Submit accepts a job of a customer, whose name may be empty.
+	Submit func(ctx context.Context, route *cicadaview.Route, host, customer, id string, body []byte) JobResponse
+	// Call handles a call of a customer on an accepted job.
+	Call func(ctx context.Context, call adapter.JobCallKind, customer, id, query string, wait time.Duration) JobResponse
 	// Timeout limits the time of either, in addition to the wait of a call.
 	Timeout time.Duration
 }
@@ -74,14 +74,15 @@
 
 // A Relay is the http.Handler that serves callers.
 type Relay struct {
-	config  func() *cicadaview.Config
-	table   *cicadaplace.Table
-	client  *cicadaexchange.Client
-	log     hclog.Logger
-	scope   tally.Scope
-	metrics *metrics
-	jobs    JobHandlers
-	bodies  *cicadamemory.Budget // of requests
+	config    func() *cicadaview.Config
+	table     *cicadaplace.Table
+	client    *cicadaexchange.Client
+	log       hclog.Logger
+	scope     tally.Scope
+	metrics   *metrics
+	jobs      JobHandlers
+	customers CustomerPolicy
+	bodies    *cicadamemory.Budget // of requests
 	// shuttingDown reports whether the process is shutting down.
 	shuttingDown func() bool
 	// shutdownEnd returns when open connections are closed, or the zero time.
@@ -139,7 +140,8 @@
 	r := &Relay{
 		config: config, table: table, client: client, log: log, scope: tally.NoopScope, shuttingDown: func() bool { return false },
 		shutdownEnd: func() time.Time { return time.Time{} }, bodies: cicadamemory.NewBudget(0),
-		monitor: cicadasuspect.NewMonitor("", QuarantinePeriod), origins: cicadaorigin.NewTracker("", cicadaorigin.NewVersions()),
+		customers: CustomerPolicy{Fresh: func() bool { return true }},
+		monitor:   cicadasuspect.NewMonitor("", QuarantinePeriod), origins: cicadaorigin.NewTracker("", cicadaorigin.NewVersions()),
 	}
 	for _, opt := range opts {
 		opt(r)
@@ -172,7 +174,7 @@
 		return
 	}
 	if call, id := adapter.ParseJobCall(r.Method, r.URL.Path); call != adapter.NoJobCall {
-		rl.callJob(w, r, call, id)
+		rl.callJob(w, r, config, call, id)
 		return
 	}
 	route, ok := config.Route(hostOf(r), r.URL.Path)
@@ -180,6 +182,11 @@
 		rl.refuse(w, r, http.StatusNotFound, "no-route", 0)
 		return
 	}
+	sender, status, reason := rl.authenticate(config, r, needsKey(route))
+	if status != 0 {
+		rl.refuseCaller(w, r, status, reason)
+		return
+	}
 	if err := outgoing(r).Validate(); err != nil {
 		rl.log.Info("invalid request", "id", r.Header.Get(adapter.HeaderRequestID), "error", err)
 		rl.refuse(w, r, http.StatusBadRequest, "invalid-request", 0)
@@ -195,10 +202,10 @@
 		return
 	}
 	if route.Kind == cicadaview.Batch {
-		rl.submitJob(w, r, route, body.Bytes())
+		rl.submitJob(w, r, route, sender, body.Bytes())
 		return
 	}
-	rl.forward(w, r, route, body.Bytes())
+	rl.forward(w, r, route, sender, body.Bytes())
 }
 
 // timeLimit returns the longest time that a request may take once its body has been read.
@@ -282,9 +289,9 @@
 }
 
 // forward sends a request to the endpoints of its route.
-func (rl *Relay) forward(w http.ResponseWriter, r *http.Request, route *cicadaview.Route, body []byte) {
+func (rl *Relay) forward(w http.ResponseWriter, r *http.Request, route *cicadaview.Route, sender caller, body []byte) {
 	x := &exchange{
-		relay: rl, w: w, r: r, route: route, body: body, start: time.Now(),
+		relay: rl, w: w, r: r, route: route, caller: sender, body: body, start: time.Now(),
 		id: r.Header.Get(adapter.HeaderRequestID),
 	}
 	x.searchStart = x.start
@@ -302,6 +309,10 @@
 		defer x.timer.Stop()
 		defer x.cancel(nil)
 	}
+	if !x.acquireQuota(ctx) {
+		return
+	}
+	defer x.releaseQuota()
 	x.run(ctx)
 }
 
@@ -324,7 +335,7 @@
 	return time.Duration(ms * float64(time.Millisecond))
 }
 
-func (rl *Relay) submitJob(w http.ResponseWriter, r *http.Request, route *cicadaview.Route, body []byte) {
+func (rl *Relay) submitJob(w http.ResponseWriter, r *http.Request, route *cicadaview.Route, sender caller, body []byte) {
 	id := r.Header.Get(adapter.HeaderRequestID)
 	if r.Method != http.MethodPost || id == "" {
 		rl.refuse(w, r, http.StatusBadRequest, "bad-submission", 0)
@@ -334,10 +345,15 @@
 		rl.refuse(w, r, http.StatusServiceUnavailable, "no-owner", time.Second)
 		return
 	}
-	rl.writeJobResponse(w, r, id, rl.jobs.Submit(r.Context(), route, hostOf(r), id, body))
+	rl.writeJobResponse(w, r, id, rl.jobs.Submit(r.Context(), route, hostOf(r), sender.name(), id, body))
 }
 
-func (rl *Relay) callJob(w http.ResponseWriter, r *http.Request, call adapter.JobCallKind, id string) {
+func (rl *Relay) callJob(w http.ResponseWriter, r *http.Request, config *cicadaview.Config, call adapter.JobCallKind, id string) {
+	sender, status, reason := rl.authenticate(config, r, !config.HasPublicBatch())
+	if status != 0 {
+		rl.refuseCaller(w, r, status, reason)
+		return
+	}
 	if rl.jobs.Call == nil {
 		rl.refuse(w, r, http.StatusServiceUnavailable, "no-owner", time.Second)
 		return
@@ -349,7 +365,7 @@
 	if rl.refuseLate(w, r, wait+rl.jobs.Timeout) {
 		return
 	}
-	rl.writeJobResponse(w, r, id, rl.jobs.Call(r.Context(), call, id, r.URL.RawQuery, wait))
+	rl.writeJobResponse(w, r, id, rl.jobs.Call(r.Context(), call, sender.name(), id, r.URL.RawQuery, wait))
 }
 
 func (rl *Relay) writeJobResponse(w http.ResponseWriter, r *http.Request, id string, res JobResponse) {
--- a/cicadagateway/cicadarelay/shutdown_test.go
+++ b/cicadagateway/cicadarelay/shutdown_test.go
@@ -90,10 +90,10 @@
 		route("/b/", cicadaview.Batch, 0),
 	}, nil, cicadaview.Limits{MaxBodyBytes: 1 << 20})
 	jobs := JobHandlers{
-		Submit: func(context.Context, *cicadaview.Route, string, string, []byte) JobResponse {
+		Submit: func(context.Context, *cicadaview.Route, string, string, string, []byte) JobResponse {
 			return JobResponse{Status: http.StatusAccepted}
 		},
-		Call: func(context.Context, adapter.JobCallKind, string, string, time.Duration) JobResponse {
+		Call: func(context.Context, adapter.JobCallKind, string, string, string, time.Duration) JobResponse {
 			return JobResponse{Status: http.StatusOK}
 		},
 		Timeout: 3 * time.Second,
--- a/cicadakernel/cicadaview/view.go
+++ b/cicadakernel/cicadaview/view.go
@@ -64,7 +64,7 @@
 	// may be abandoned.
 	GiveUpAfter time.Duration
 	// MaxWaitingTokens limits the tokens of a batch route's accepted items that have not
-	// finished, of all callers together. 0 means no limit.
+	// finished, of each customer or, without customers, of all callers together. 0 means no limit.
 	MaxWaitingTokens int64
 	// MaxAttempts is the maximum number of endpoints that one request runs on.
 	MaxAttempts int
@@ -72,7 +72,9 @@
 	Priority int
 	// Resumable streams can be continued by another endpoint after an event.
 	Resumable bool
-	Targets   []Target
+	// Public routes serve requests without a key.
+	Public  bool
+	Targets []Target
 }
 
 // Idempotent reports whether a request of the route may run more than once.
@@ -125,6 +127,9 @@
 	hosts    map[string][]*Route
 	services map[string]Service
 	limits   Limits
+	// customers is nil if the deployment has no customers.
+	customers      map[string]*Customer
+	customersByKey map[KeyDigest]*Customer
 }
 
 // NewConfig returns a configuration. Routes without a target are ignored.
