Look at the configuration once to identify a caller

Cause: each attempt looked up the configuration once more, which TestStreamOfAChangedRouteStaysAtItsIncarnation counts. Change: the caller remembers whether the deployment has customers.

--- a/cicadagateway/cicadarelay/customer.go
+++ b/cicadagateway/cicadarelay/customer.go
@@ -55,6 +55,9 @@
 type caller struct {
 	customer *cicadaview.Customer
 	key      cicadaview.KeyDigest
+	// customers is set if the deployment has customers, so that the headers of keys and customers
+	// are not the caller's to set.
+	customers bool
 }
 
 // name returns the name of the caller's customer, or "".
@@ -71,17 +74,18 @@
 	if !config.HasCustomers() {
 		return caller{}, 0, ""
 	}
+	c.customers = true
 	key := r.Header.Get(adapter.HeaderKey)
-	if key == "" && !needsKey {
-		return caller{}, 0, ""
-	}
-	if key == "" {
-		return caller{}, http.StatusUnauthorized, reasonNoKey
+	switch {
+	case key == "" && needsKey:
+		return c, http.StatusUnauthorized, reasonNoKey
+	case key == "":
+		return c, 0, ""
 	}
 	c.key = cicadaview.DigestKey(key)
 	status, reason = rl.verify(config, &c)
-	if status != 0 && !needsKey {
-		return caller{}, 0, ""
+	if !needsKey {
+		return c, 0, ""
 	}
 	return c, status, reason
 }
@@ -163,10 +167,10 @@
 	}
 }
 
-// identifyCaller replaces the key in the header of a request to an endpoint by the name of the
+// identify replaces the key in the header of a request to an endpoint by the name of the
 // customer.
-func (rl *Relay) identifyCaller(h http.Header, c caller) {
-	if config := rl.config(); config == nil || !config.HasCustomers() {
+func (c caller) identify(h http.Header) {
+	if !c.customers {
 		return
 	}
 	h.Del(adapter.HeaderKey)
--- a/cicadagateway/cicadarelay/exchange.go
+++ b/cicadagateway/cicadarelay/exchange.go
@@ -166,7 +166,7 @@
 func (x *exchange) endpointRequest(endpoint cicadaview.Endpoint) cicadaexchange.Request {
 	req := outgoing(x.r)
 	h := req.Header
-	x.relay.identifyCaller(h, x.caller)
+	x.caller.identify(h)
 	h.Set(adapter.HeaderExpectInstance, endpoint.ID)
 	deadline := x.deadline
 	if limit := x.start.Add(x.route.Timeout); x.route.Kind != cicadaview.Stream && x.route.Timeout > 0 && limit.Before(deadline) {
