--- a/cicadagateway/cicadapeer/members.go
+++ b/cicadagateway/cicadapeer/members.go
@@ -1,6 +1,7 @@
 package cicadapeer
 
 import (
+	"slices"
 	"sort"
 	"time"
 )
@@ -22,6 +23,46 @@
 	return true
 }
 
+// Coordinator returns the name of the coordinator, see IsCoordinator, or "" if there is none.
+func (g *Group) Coordinator(storeUp bool) string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	first := ""
+	if storeUp {
+		first = g.self.Name
+	}
+	for name, s := range g.members {
+		if s.live && s.state.StoreUp && !s.state.Leaving && (first == "" || name < first) {
+			first = name
+		}
+	}
+	return first
+}
+
+// InContact returns the names, sorted, of this member and of the live members of a role with which it
+// exchanges messages in both directions, and how many members of the role are known. A member that has
+// announced its end is not counted once it is silent.
+func (g *Group) InContact(role Role) (names []string, known int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	if g.self.Role == role {
+		names, known = append(names, g.self.Name), 1
+	}
+	for name, a := range g.addresses {
+		s := g.members[name]
+		if a.role != role || s != nil && !s.live && s.state.Leaving {
+			continue
+		}
+		known++
+		if s != nil && s.live && s.seenDirectly(now) && !slices.Contains(s.state.NotReceived, g.self.Name) {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	return names, known
+}
+
 // StoreStable reports whether some live member has a stable connection to the store.
 func (g *Group) StoreStable() bool {
 	g.mu.Lock()
--- a/cicadagateway/cicadapeer/peer.go
+++ b/cicadagateway/cicadapeer/peer.go
@@ -88,6 +88,7 @@
 type memberAddress struct {
 	text string
 	udp  *net.UDPAddr
+	role Role
 }
 
 // A Group is one member's view of all members.
@@ -192,7 +193,7 @@
 		return
 	}
 	g.log.Info("peer address set", "peer", m.Name, "address", m.Address)
-	g.addresses[m.Name] = memberAddress{text: m.Address, udp: address}
+	g.addresses[m.Name] = memberAddress{text: m.Address, udp: address, role: m.Role}
 }
 
 // Notify requests that the state be sent soon.
--- a/cicadagateway/cicadaprocess/callers.go
+++ b/cicadagateway/cicadaprocess/callers.go
@@ -40,7 +40,7 @@
 		cicadarelay.WithScope(n.process.Scope()), cicadarelay.WithShuttingDown(n.leaving.Load), cicadarelay.WithShutdownEnd(n.connectionsEnd),
 		cicadarelay.WithJobHandlers(n.jobHandlers(client)),
 		cicadarelay.WithMonitor(n.crashes.monitor), cicadarelay.WithOrigins(n.origins),
-		cicadarelay.WithBodyMemory(n.requestMemory))
+		cicadarelay.WithBodyMemory(n.requestMemory), cicadarelay.WithCustomers(n.customerPolicy()))
 	var tracker connTracker
 	srv := &http.Server{
 		ConnState: tracker.setState,
@@ -104,7 +104,7 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	if n.leaving.Load() || n.config.Load() == nil {
+	if n.leaving.Load() || n.config.Load() == nil || !n.customersServed() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- /dev/null
+++ b/cicadagateway/cicadaprocess/customers.go
@@ -0,0 +1,208 @@
+package cicadaprocess
+
+import (
+	"context"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"cicadalink.example/cicadagateway/cicadafollow"
+	"cicadalink.example/cicadagateway/cicadafreshness"
+	"cicadalink.example/cicadagateway/cicadapeer"
+	"cicadalink.example/cicadagateway/cicadaratelimit"
+	"cicadalink.example/cicadagateway/cicadarelay"
+	"cicadalink.example/cicadakernel/cicadaclock"
+	"cicadalink.example/cicadakernel/cicadaretry"
+	"cicadalink.example/cicadakernel/cicadaview"
+	adapter "cicadalink.example/platform"
+)
+
+const (
+	// customerTickInterval is the interval of the periodic work on confirmations and rate limits.
+	customerTickInterval = 100 * time.Millisecond
+	// revocationMargin is the time from the check of a key to the request's arrival at an endpoint,
+	// and the difference between the rates of two clocks over the revocation limit.
+	revocationMargin = 200 * time.Millisecond
+)
+
+// startCustomers starts what the requests of customers need: the confirmation of the
+// configuration, if withdrawn keys must not be accepted for long, and the rate limits.
+func (n *Node) startCustomers(ctx context.Context) {
+	if limit := time.Duration(n.cfg.RevocationLimit); limit > 0 {
+		n.freshness = cicadafreshness.New(n.cfg.Name, limit-revocationMargin,
+			func(member string, m cicadafreshness.Message) { n.sendMessage(member, m) },
+			cicadafreshness.WithClock(cicadaclock.SinceBoot),
+			cicadafreshness.WithMembers(n.liveMembers),
+			cicadafreshness.WithCoordinator(func() string { return n.group.Coordinator(n.storeUp.Load()) }),
+			cicadafreshness.WithRead(n.refreshConfig),
+			cicadafreshness.WithOnNewer(n.fetchNewerConfig),
+			cicadafreshness.WithLog(n.log), cicadafreshness.WithScope(n.process.Scope()))
+	}
+	if n.cfg.Role == RoleEntry {
+		n.quotas = cicadaratelimit.New(n.cfg.Name, n.contactedEntries,
+			func(member string, m cicadaratelimit.Message) { n.sendMessage(member, m) },
+			cicadaratelimit.WithClock(cicadaclock.SinceBoot), cicadaratelimit.WithSlack(n.cfg.QuotaSlack),
+			cicadaratelimit.WithLimitOf(n.limitOf),
+			cicadaratelimit.WithLog(n.log), cicadaratelimit.WithScope(n.process.Scope()))
+	}
+	n.wg.Go(func() {
+		for cicadaretry.Sleep(ctx, customerTickInterval) {
+			n.tickCustomers()
+		}
+	})
+}
+
+// tickCustomers does the periodic work. Without customers, nothing is exchanged.
+func (n *Node) tickCustomers() {
+	config := n.config.Load()
+	if config == nil || !config.HasCustomers() {
+		return
+	}
+	if n.freshness != nil {
+		n.freshness.Tick()
+	}
+	if n.quotas != nil {
+		n.quotas.Tick()
+	}
+}
+
+// configIsFresh reports whether keys can be checked: the configuration in force has been confirmed
+// within the revocation limit.
+func (n *Node) configIsFresh() bool { return n.freshness == nil || n.freshness.Fresh() }
+
+// customersServed reports whether the process can serve requests with keys, if there are any.
+func (n *Node) customersServed() bool {
+	config := n.config.Load()
+	return config == nil || !config.HasCustomers() || n.configIsFresh()
+}
+
+// confirmConfig records that the store held a version of the configuration when it was asked.
+func (n *Node) confirmConfig(c cicadafollow.Change, config *cicadaview.Config) {
+	if askedAt, ok := c.AskedAt(); ok && n.freshness != nil {
+		n.freshness.RecordRead(config.Version(), askedAt)
+	}
+}
+
+func (n *Node) refreshConfig() {
+	if n.followersStarted.Load() {
+		n.configFollower.Refresh()
+	}
+}
+
+// fetchNewerConfig reads the configuration if a peer still has a newer version once this process's
+// own watch has had time to deliver it.
+func (n *Node) fetchNewerConfig(version int64) {
+	time.AfterFunc(catchUpDelay, func() {
+		if c := n.config.Load(); c == nil || c.Version() < version {
+			n.refreshConfig()
+		}
+	})
+}
+
+func (n *Node) liveMembers() []string {
+	live, _ := n.group.Names()
+	return live
+}
+
+func (n *Node) contactedEntries() cicadaratelimit.Members {
+	names, known := n.group.InContact(cicadapeer.RoleEntry)
+	return cicadaratelimit.Members{Live: names, Known: known}
+}
+
+// limitOf returns a customer's rate limit in the configuration in force.
+func (n *Node) limitOf(customer string) (cicadaratelimit.Limit, bool) {
+	config := n.config.Load()
+	if config == nil {
+		return cicadaratelimit.Limit{}, false
+	}
+	c, ok := config.Customer(customer)
+	if !ok {
+		return cicadaratelimit.Limit{}, false
+	}
+	return cicadaratelimit.Limit(c.Rate), true
+}
+
+// customerPolicy returns what decides about the requests of customers.
+func (n *Node) customerPolicy() cicadarelay.CustomerPolicy {
+	return cicadarelay.CustomerPolicy{
+		Fresh: n.configIsFresh,
+		AcquireQuota: func(ctx context.Context, customer string, limit cicadaview.RateLimit) cicadarelay.Quota {
+			d := n.quotas.Acquire(ctx, customer, cicadaratelimit.Limit(limit))
+			return cicadarelay.Quota{
+				Allowed: d.Allowed(), Known: d.Known(), RetryAfter: d.RetryAfter(), Detail: d.String(),
+				Return: func() { n.quotas.Return(customer) },
+			}
+		},
+	}
+}
+
+// The first key of a message to one member tells its kind.
+const (
+	firstFreshnessKey = 10
+	firstRateLimitKey = 20
+)
+
+// receiveMessage passes on a message that another member has sent to this one.
+func (n *Node) receiveMessage(b []byte) {
+	switch key := firstMapKey(b); {
+	case key >= firstRateLimitKey:
+		receive(n, b, n.quotas != nil, func(m cicadaratelimit.Message) { n.quotas.Receive(m) })
+	case key >= firstFreshnessKey:
+		receive(n, b, n.freshness != nil, func(m cicadafreshness.Message) { n.freshness.Receive(m) })
+	default:
+		n.receiveOriginMessage(b)
+	}
+}
+
+// receive decodes a message and passes it on if this process takes in messages of its kind.
+func receive[M any](n *Node, b []byte, wanted bool, handle func(M)) {
+	if !wanted {
+		return
+	}
+	var m M
+	if err := cbor.Unmarshal(b, &m); err != nil {
+		n.log.Warn("invalid peer message ignored", "error", err)
+		return
+	}
+	handle(m)
+}
+
+// firstMapKey returns the first key of a CBOR map with small unsigned integers as keys, or 0 if there
+// is none.
+func firstMapKey(b []byte) int {
+	const (
+		maxShortKey = 23   // larger ones take another byte
+		oneByteKey  = 0x18 // precedes a key of one byte
+	)
+	switch {
+	case len(b) < 2:
+		return 0
+	case b[1] <= maxShortKey:
+		return int(b[1])
+	case b[1] == oneByteKey && len(b) > 2:
+		return int(b[2])
+	}
+	return 0
+}
+
+// sendMessage sends a message to one member.
+func (n *Node) sendMessage(member string, m any) {
+	message, err := cbor.Marshal(m)
+	if err != nil {
+		n.log.Error("failed to encode message", "to", member, "error", err)
+		return
+	}
+	if g := n.group; g != nil {
+		g.SendTo(member, message)
+	}
+}
+
+// decodeConfig decodes a configuration, or returns nil if it is invalid.
+func (n *Node) decodeConfig(value []byte, revision int64) *cicadaview.Config {
+	config, err := adapter.DecodeConfig(value)
+	if err != nil {
+		n.log.Error("invalid configuration ignored", "version", revision, "error", err)
+		return nil
+	}
+	return config
+}
--- a/cicadagateway/cicadaprocess/process.go
+++ b/cicadagateway/cicadaprocess/process.go
@@ -21,9 +21,11 @@
 	"cicadalink.example/cicadagateway/cicadabatch"
 	"cicadalink.example/cicadagateway/cicadaexchange"
 	"cicadalink.example/cicadagateway/cicadafollow"
+	"cicadalink.example/cicadagateway/cicadafreshness"
 	"cicadalink.example/cicadagateway/cicadaorigin"
 	"cicadalink.example/cicadagateway/cicadapeer"
 	"cicadalink.example/cicadagateway/cicadaplace"
+	"cicadalink.example/cicadagateway/cicadaratelimit"
 	"cicadalink.example/cicadakernel"
 	"cicadalink.example/cicadakernel/cicadamemory"
 	"cicadalink.example/cicadakernel/cicadaplatform"
@@ -82,6 +84,8 @@
 	versions         *cicadaorigin.Versions
 	origins          *cicadaorigin.Tracker
 	history          *versionHistory
+	freshness        *cicadafreshness.Tracker // nil if withdrawn keys need not be refused in time
+	quotas           *cicadaratelimit.Limiter // nil at an owner
 	refusalsReported tally.Counter
 	drainLimit       atomic.Int64              // longest time of a graceful shutdown, in nanoseconds
 	leaving          atomic.Bool               // this process is shutting down
@@ -163,6 +167,7 @@
 	if err := n.startPeers(workCtx); err != nil {
 		return err
 	}
+	n.startCustomers(workCtx)
 	n.startFollowers(workCtx)
 	n.wg.Go(func() { n.watchSettings(workCtx) })
 	n.wg.Go(func() { n.updateGauges(workCtx) })
@@ -179,7 +184,7 @@
 	}
 	self := cicadapeer.Member{Name: n.cfg.Name, Role: role, Address: n.cfg.peerAddress()}
 	group, err := cicadapeer.New(ctx, self, n.log, n.localState, n.applyPeerState, n.membershipChanged,
-		cicadapeer.WithScope(n.process.Scope()), cicadapeer.WithListen(n.cfg.peerListen()), cicadapeer.WithOnMessage(n.receiveOriginMessage))
+		cicadapeer.WithScope(n.process.Scope()), cicadapeer.WithListen(n.cfg.peerListen()), cicadapeer.WithOnMessage(n.receiveMessage))
 	if err != nil {
 		return merry.Errorf("start peers: %w", err)
 	}
@@ -309,17 +314,25 @@
 		if obj.Name() != adapter.ConfigName || obj.Value() == nil {
 			continue
 		}
-		config, err := adapter.DecodeConfig(obj.Value())
-		if err != nil {
-			n.log.Error("invalid configuration ignored", "version", obj.Version(), "error", err)
+		config := n.decodeConfig(obj.Value(), obj.Version())
+		if config == nil {
 			continue
 		}
-		if old := n.config.Load(); old != nil && config.Version() <= old.Version() {
-			continue
+		if old := n.config.Load(); old == nil || config.Version() > old.Version() {
+			n.setConfig(config, obj.Version())
 		}
-		n.config.Store(config)
-		n.process.SetReady(true)
-		n.log.Info("configuration applied", "version", config.Version(), "revision", obj.Version(), "routes", config.RouteCount())
-		n.notifyPeers()
+		n.confirmConfig(c, config)
+	}
+}
+
+// setConfig puts a newer configuration in force.
+func (n *Node) setConfig(config *cicadaview.Config, revision int64) {
+	n.config.Store(config)
+	if n.freshness != nil {
+		n.freshness.SetVersion(config.Version())
 	}
+	n.process.SetReady(true)
+	n.log.Info("configuration applied", "version", config.Version(), "revision", revision, "routes", config.RouteCount(),
+		"customers", config.CustomerCount())
+	n.notifyPeers()
 }
--- a/cicadagateway/cicadaprocess/settings.go
+++ b/cicadagateway/cicadaprocess/settings.go
@@ -56,6 +56,14 @@
 	KeepJobs cicadasettings.Duration `yaml:"keep-jobs"`
 	// DrainLimit is the longest time of a graceful shutdown.
 	DrainLimit cicadasettings.Duration `yaml:"drain-limit"`
+	// RevocationLimit is the longest time for which a withdrawn key may still be accepted. Without
+	// it, the configuration in force is trusted however old it is.
+	RevocationLimit cicadasettings.Duration `yaml:"revocation-limit"`
+	// QuotaSlack is how many requests a customer may have above its rate limit in a window of
+	// some seconds.
+	QuotaSlack float64 `yaml:"quota-slack"`
+	// LearnEndpointSpeed makes the process learn how fast endpoints are, and prefer fast ones.
+	LearnEndpointSpeed bool `yaml:"learn-endpoint-speed"`
 }
 
 const (
@@ -63,6 +71,8 @@
 	defaultKeepJobs    = 10 * time.Minute
 	defaultStoreWrites = 100
 	defaultStoreReads  = 500
+	// minRevocationLimit leaves time to confirm the configuration several times.
+	minRevocationLimit = 2 * time.Second
 )
 
 // peerListen returns the local address that serves other processes.
@@ -114,6 +124,12 @@
 	if s.Role == RoleEntry && (s.Listen == "" || s.Ready == "") {
 		return cicadasettings.Expected("listen", "an address such as 10.1.0.35:8144, and another at ready")
 	}
+	if limit := time.Duration(s.RevocationLimit); limit != 0 && limit < minRevocationLimit {
+		return cicadasettings.Expected("revocation-limit", "a duration of at least "+minRevocationLimit.String())
+	}
+	if s.QuotaSlack < 0 {
+		return cicadasettings.Expected("quota-slack", "a number of requests that is not negative")
+	}
 	if s.PeerPort <= 0 || s.PeerPort > 65535 {
 		return cicadasettings.Expected("peer-port", "a port from 1 to 65535")
 	}
