Tell when a full list of a follower was asked for

Cause: the age of the configuration is measured from the time at which the store was asked, and a follower did not report it.

--- a/cicadagateway/cicadafollow/follow.go
+++ b/cicadagateway/cicadafollow/follow.go
@@ -23,6 +23,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/sourcegraph/conc"
 
+	"cicadalink.example/cicadakernel/cicadaclock"
 	"cicadalink.example/cicadakernel/cicadaplatform"
 	"cicadalink.example/cicadakernel/cicadaretry"
 	"cicadalink.example/cicadakernel/cicadatask"
@@ -45,6 +46,7 @@
 type Change struct {
 	objects []cicadaplatform.Object
 	full    bool
+	askedAt time.Duration // of a full list
 }
 
 // Objects returns the objects. One with a nil value was deleted.
@@ -54,6 +56,11 @@
 // it does not contain does not exist.
 func (c Change) Full() bool { return c.full }
 
+// AskedAt returns when the first call of a full list began, by cicadaclock.SinceBoot. The list
+// reflects every write that was acknowledged before. Changes of a watch have no such time: the
+// store may deliver them late.
+func (c Change) AskedAt() (at time.Duration, ok bool) { return c.askedAt, c.full }
+
 // A Follower keeps track of the objects under one prefix.
 type Follower struct {
 	store         *cicadaplatform.Client
@@ -63,6 +70,7 @@
 	apply         func(Change)
 	refresh       chan struct{}
 	shouldPoll    func() bool
+	clock         func() time.Duration
 	coalesceDelay time.Duration
 	asOf          atomic.Int64
 	wg            cicadatask.Group
@@ -80,12 +88,15 @@
 // that changes in quick succession are read with one call.
 func WithCoalesceDelay(d time.Duration) Option { return func(f *Follower) { f.coalesceDelay = d } }
 
+// WithClock sets the clock of Change.AskedAt, which is cicadaclock.SinceBoot otherwise.
+func WithClock(clock func() time.Duration) Option { return func(f *Follower) { f.clock = clock } }
+
 // New starts a Follower of a prefix, which runs until ctx is done. All calls of apply
 // are made by one goroutine.
 func New(ctx context.Context, store *cicadaplatform.Client, prefix string, link *Link, log hclog.Logger, apply func(Change), opts ...Option) *Follower {
 	f := &Follower{
 		store: store, prefix: prefix, link: link, log: log, apply: apply, refresh: make(chan struct{}, 1),
-		shouldPoll: func() bool { return false },
+		shouldPoll: func() bool { return false }, clock: cicadaclock.SinceBoot,
 	}
 	for _, opt := range opts {
 		opt(f)
@@ -149,6 +160,7 @@
 func (f *Follower) list(ctx context.Context) (int64, error) {
 	var all []cicadaplatform.Object
 	after, version := "", int64(0)
+	askedAt := f.clock()
 	for {
 		page, err := f.store.List(ctx, f.prefix, after, pageSize)
 		if err != nil {
@@ -165,7 +177,7 @@
 		after = page.Objects()[len(page.Objects())-1].Name()
 	}
 	f.asOf.Store(version)
-	f.apply(Change{objects: all, full: true})
+	f.apply(Change{objects: all, full: true, askedAt: askedAt})
 	return version, nil
 }
 
