Track the age of the confirmation of the configuration

Cause: a process that is partitioned, suspended or rejected by the store goes on with keys that were revoked.

Processes learn it from their parents in a tree over the live members, with queries whose own time the reply returns.

--- /dev/null
+++ b/cicadagateway/cicadafreshness/metrics.go
@@ -0,0 +1,21 @@
+package cicadafreshness
+
+import "github.com/uber-go/tally/v4"
+
+type metrics struct {
+	queriesSent    tally.Counter
+	repliesSent    tally.Counter
+	repliesIgnored tally.Counter // those to no known query
+	readsRequested tally.Counter
+	expired        tally.Counter // times at which the version in force was no longer confirmed
+}
+
+func newMetrics(scope tally.Scope) metrics {
+	return metrics{
+		queriesSent:    scope.Counter("config_confirmation_queries_sent"),
+		repliesSent:    scope.Counter("config_confirmation_replies_sent"),
+		repliesIgnored: scope.Counter("config_confirmation_replies_ignored"),
+		readsRequested: scope.Counter("config_confirmation_reads"),
+		expired:        scope.Counter("config_confirmations_expired"),
+	}
+}
--- /dev/null
+++ b/cicadagateway/cicadafreshness/tree.go
@@ -0,0 +1,83 @@
+package cicadafreshness
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// fanOut is the number of processes that query one parent. With 16, 730 processes need three
+	// levels below the root.
+	fanOut = 16
+	// alternatives is the number of other members that are queried in place of a parent in each
+	// round.
+	alternatives = 2
+)
+
+// A tree is the order in which members pass on confirmations: the root, then the others by name.
+// The levels below the root hold fanOut members, fanOut times as many, and so on.
+type tree struct {
+	members []string
+	self    int // index of this process
+}
+
+// newTree returns the tree over the live members, whose names are sorted, and self, which names
+// may leave out. The first by name is the root if the coordinator is unknown.
+func newTree(self, coordinator string, names []string) tree {
+	members := slices.Clone(names)
+	if i, ok := slices.BinarySearch(members, self); !ok {
+		members = slices.Insert(members, i, self)
+	}
+	if coordinator != "" {
+		if i, ok := slices.BinarySearch(members, coordinator); ok {
+			members = slices.Delete(members, i, i+1)
+		}
+		members = slices.Insert(members, 0, coordinator)
+	}
+	return tree{members: members, self: slices.Index(members, self)}
+}
+
+// level returns the level of an index, and the range of indexes at this level. The root is at
+// level 0.
+func level(index int) (n, first, end int) {
+	width := 1
+	for end = 1; index >= end; n++ {
+		width *= fanOut
+		first, end = end, end+width
+	}
+	return n, first, end
+}
+
+// level returns the number of members through which confirmations of the root pass until they
+// reach this process.
+func (t tree) level() int {
+	n, _, _ := level(t.self)
+	return n
+}
+
+// candidates returns the members that are queried in one round until one has a recent
+// confirmation: the parent, members that have another parent than this process does, and the root.
+func (t tree) candidates(round int) []string {
+	if t.self == 0 {
+		return nil
+	}
+	parent := (t.self - 1) / fanOut
+	candidates := []string{t.members[parent]}
+	_, first, end := level(max(parent, 1)) // siblings if the parent is the root
+	end = min(end, len(t.members))
+	start := int(xxhash.Sum64String(t.members[t.self])%uint64(end-first)) + round*alternatives
+	for i := range end - first {
+		other := first + (start+i)%(end-first)
+		if other != parent && other != t.self {
+			candidates = append(candidates, t.members[other])
+		}
+		if len(candidates) > alternatives {
+			break
+		}
+	}
+	if parent != 0 || len(candidates) == 1 {
+		candidates = append(candidates, t.members[0])
+	}
+	return candidates
+}
