Add a token bucket as a source of leased tokens

cicadalimit granted leases for fixed windows only, and the limits of customers are bounds over sliding windows. Bucket grants from a rate and a burst, and Lease can take back a token that nobody used.

--- /dev/null
+++ b/cicadakernel/cicadalimit/bucket.go
@@ -0,0 +1,76 @@
+package cicadalimit
+
+import (
+	"math"
+	"time"
+)
+
+// BucketLeaseDuration is the lifetime of a bucket's grants. Tokens that were granted before
+// a window and are used in it exceed the limit by at most the rate times this duration.
+const BucketLeaseDuration = 200 * time.Millisecond
+
+// maxWait is the longest time that Wait returns, also if the bucket does not refill.
+const maxWait = time.Hour
+
+// A Bucket grants one customer's tokens from a token bucket. Time that does not advance
+// adds none. A Bucket is not safe for concurrent use.
+type Bucket struct {
+	rate  float64 // tokens per second
+	burst float64 // capacity
+	level float64
+	at    time.Time // of level
+}
+
+// NewBucket returns a bucket with the given level, refilled at a rate of tokens per second
+// up to burst.
+func NewBucket(now time.Time, rate, burst, level float64) *Bucket {
+	return &Bucket{rate: rate, burst: burst, level: min(level, burst), at: now}
+}
+
+// SetLimit changes the rate and the burst from now on. Tokens above the new burst are lost.
+func (b *Bucket) SetLimit(now time.Time, rate, burst float64) {
+	b.advance(now)
+	b.rate, b.burst = rate, burst
+	b.level = min(b.level, burst)
+}
+
+// Level returns the number of tokens in the bucket.
+func (b *Bucket) Level(now time.Time) float64 {
+	b.advance(now)
+	return b.level
+}
+
+// Grant leases up to want tokens. The caller returns the unused tokens of its earlier
+// grant.
+func (b *Bucket) Grant(now time.Time, want, unused int64) Grant {
+	b.advance(now)
+	b.level = min(b.level+float64(max(unused, 0)), b.burst)
+	tokens := min(max(want, 0), int64(b.level))
+	b.level -= float64(tokens)
+	return Grant{
+		Tokens:    tokens,
+		Expires:   now.Add(BucketLeaseDuration),
+		Limit:     int64(b.burst),
+		Remaining: int64(b.level),
+		Reset:     now.Add(b.Wait(now, 1)),
+	}
+}
+
+// Wait returns the time until the bucket holds n tokens.
+func (b *Bucket) Wait(now time.Time, n float64) time.Duration {
+	missing := n - b.Level(now)
+	if missing <= 0 {
+		return 0
+	}
+	if missing > b.rate*maxWait.Seconds() {
+		return maxWait
+	}
+	return time.Duration(math.Ceil(missing / b.rate * float64(time.Second)))
+}
+
+func (b *Bucket) advance(now time.Time) {
+	if elapsed := now.Sub(b.at); elapsed > 0 {
+		b.level = min(b.level+b.rate*elapsed.Seconds(), b.burst)
+		b.at = now
+	}
+}
--- a/cicadakernel/cicadalimit/limit.go
+++ b/cicadakernel/cicadalimit/limit.go
@@ -9,6 +9,9 @@
 // requests after they have passed, so a window may exceed its limit. Here tokens
 // are granted before they are used.
 //
+// A Bucket is a second source of grants: a token bucket with a rate and a burst, for
+// limits over every sliding window.
+//
 // # Usage
 //
 //	counter := cicadalimit.NewCounter(tiers) // at the customer's home entry
@@ -151,6 +154,16 @@
 	return l.grant.Tokens - l.used
 }
 
+// Return gives back a token that Take has used, unless the grant has expired since.
+func (l *Lease) Return(now time.Time) {
+	if l.used > 0 && now.Before(l.grant.Expires) {
+		l.used--
+	}
+}
+
+// Left returns the number of unused tokens, whether or not the grant has expired.
+func (l *Lease) Left() int64 { return l.grant.Tokens - l.used }
+
 // Used returns the number of used tokens of the grant.
 func (l *Lease) Used() int64 { return l.used }
 
