--- /dev/null
+++ b/cicadagateway/cicadaratelimit/entry.go
@@ -0,0 +1,376 @@
+package cicadaratelimit
+
+import (
+	"math"
+	"time"
+
+	"cicadalink.example/cicadakernel/cicadalimit"
+)
+
+const (
+	// GrantLifetime is how long granted tokens may be used, from the time at which they were
+	// asked for.
+	GrantLifetime = cicadalimit.BucketLeaseDuration
+	// returnTime is the time after the expiry of a grant within which unused tokens are
+	// returned. Tokens returned later could be granted again in a window that the bucket has
+	// filled for already.
+	returnTime = 100 * time.Millisecond
+	// replyTimeout is the time after which a request is repeated, and maxTimeouts the number
+	// of requests without a reply after which the limit counts as not known.
+	replyTimeout = 40 * time.Millisecond
+	maxTimeouts  = 2
+	// maxRequests limits the requests of one query, some of which may be redirected.
+	maxRequests = 5
+	// usageTime is the time constant of the average of recent usage, and usageFraction the
+	// part of that usage which a request for tokens adds to those that wait.
+	usageTime     = GrantLifetime
+	usageFraction = 0.75
+	maxWant       = 4096
+	// minBackoff and maxBackoff bound the time in which an entry refuses requests without
+	// asking again.
+	minBackoff = 25 * time.Millisecond
+	maxBackoff = GrantLifetime
+	// maxRetryAfter bounds the time that a refused caller is told to wait. Callers of plain
+	// requests wait no longer.
+	maxRetryAfter = 1500 * time.Millisecond
+	// unknownRetryAfter is the time to wait if the limit is not known.
+	unknownRetryAfter = 50 * time.Millisecond
+	// customerIdleTime is how long the state of an unused customer is kept.
+	customerIdleTime = 2 * Window
+)
+
+// customer is what an entry keeps of a customer that it serves.
+type customer struct {
+	name   string
+	limit  Limit
+	lease  cicadalimit.Lease
+	bucket uint64 // source of the lease
+	home   string // that granted or refused last
+	query  *query // nil if none is outstanding
+	usedAt time.Time
+
+	// taken is the decayed number of tokens taken.
+	taken   float64
+	takenAt time.Time
+
+	refusedUntil time.Time
+	retryAt      time.Time     // when the next caller that is refused may come back
+	retryStep    time.Duration // between callers
+	toldToWait   int64         // callers since the last request
+
+	// initial is the bucket that has granted tokens while it was new, at initialAt.
+	initial   uint64
+	initialAt time.Time
+}
+
+// A query asks for tokens on behalf of all requests that wait.
+type query struct {
+	waiters   []*waiter
+	attempts  []attempt
+	timeouts  int
+	redirect  string // home according to another entry
+	insteadOf string // home that is not ready
+	stop      func() bool
+}
+
+type attempt struct {
+	id      int64
+	to      string
+	at      time.Time
+	want    int64
+	waiting int64
+}
+
+// A waiter is a request that waits for a token.
+type waiter struct {
+	done      func(Decision) // must not block or call the Limiter
+	decided   bool
+	abandoned bool
+}
+
+func unknownDecision(home string) Decision {
+	return Decision{retryAfter: unknownRetryAfter, home: home}
+}
+
+func (l *Limiter) decide(w *waiter, d Decision) {
+	if w.abandoned || w.decided {
+		return
+	}
+	w.decided = true
+	switch {
+	case d.allowed:
+		l.metrics.allowed.Inc(1)
+	case d.known:
+		l.metrics.refused.Inc(1)
+	default:
+		l.metrics.unknown.Inc(1)
+	}
+	w.done(d)
+}
+
+// acquire decides on a request, now or when the home entry has replied.
+func (l *Limiter) acquire(name string, limit Limit, done func(Decision)) *waiter {
+	w := &waiter{done: done}
+	now := l.begin()
+	defer l.end()
+	if limit.PerSecond <= 0 {
+		l.decide(w, Decision{allowed: true, known: true})
+		return w
+	}
+	c := l.customers[name]
+	if c == nil {
+		c = &customer{name: name}
+		l.customers[name] = c
+	}
+	c.limit, c.usedAt = limit, now
+	switch {
+	case c.take(now):
+		l.decide(w, Decision{allowed: true, known: true, home: c.home})
+	case now.Before(c.refusedUntil):
+		l.decide(w, c.refuse(now))
+		c.toldToWait++
+	case c.query != nil:
+		c.query.waiters = append(c.query.waiters, w)
+	default:
+		c.query = &query{waiters: []*waiter{w}, stop: func() bool { return false }}
+		l.ask(c, now)
+	}
+	return w
+}
+
+// abandon ends the wait of a request.
+func (l *Limiter) abandon(w *waiter) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	w.abandoned = true
+}
+
+func (c *customer) take(now time.Time) bool {
+	if !c.lease.Take(now) {
+		return false
+	}
+	c.countTaken(now, 1)
+	return true
+}
+
+func (c *customer) countTaken(now time.Time, n float64) {
+	c.taken = max(c.recent(now)+n, 0)
+	c.takenAt = now
+}
+
+// recent returns about how many tokens were taken within the last usageTime.
+func (c *customer) recent(now time.Time) float64 {
+	return c.taken * math.Exp(-now.Sub(c.takenAt).Seconds()/usageTime.Seconds())
+}
+
+// refuse returns the decision for the next caller that is told to come back.
+func (c *customer) refuse(now time.Time) Decision {
+	at := c.retryAt
+	if at.Before(now) {
+		at = now
+	}
+	if latest := now.Add(maxRetryAfter); at.After(latest) {
+		at = latest
+	}
+	c.retryAt = at.Add(c.retryStep)
+	return Decision{known: true, retryAfter: at.Sub(now), home: c.home}
+}
+
+// takeUnused removes the unused tokens of a lease to return them. It returns 0 if they have
+// expired too long ago.
+func (c *customer) takeUnused(now time.Time) int64 {
+	left, expired := c.lease.Left(), now.Sub(c.lease.Grant().Expires)
+	c.lease.Renew(cicadalimit.Grant{})
+	if expired > returnTime {
+		return 0
+	}
+	return left
+}
+
+// newRequest returns a request with an ID of its own.
+func (l *Limiter) newRequest(c *customer, now time.Time) Request {
+	l.lastID = max(l.lastID+1, now.UnixNano())
+	return Request{ID: l.lastID, Customer: c.name, PerSecond: c.limit.PerSecond, Burst: c.limit.Burst}
+}
+
+// ask sends the request of a customer's query, or serves it if this entry is the home.
+func (l *Limiter) ask(c *customer, now time.Time) {
+	q := c.query
+	if len(q.attempts) >= maxRequests {
+		l.finishUnknown(c)
+		return
+	}
+	home := l.target(c, now)
+	if home == "" {
+		l.finishUnknown(c)
+		return
+	}
+	r := l.newRequest(c, now)
+	r.Waiting = int64(len(q.waiters))
+	r.Want = r.Waiting
+	if home != l.self {
+		r.Want += int64(usageFraction * max(c.recent(now)-1, 0))
+	}
+	r.Want = min(r.Want, maxWant)
+	r.Waiting = min(r.Waiting, r.Want)
+	r.Refused, c.toldToWait = c.toldToWait, 0
+	r.Bucket, r.Unused = c.bucket, c.takeUnused(now)
+	if c.initial != 0 && now.Sub(c.initialAt) < Window {
+		r.Initial = c.initial
+	}
+	r.InsteadOf = q.insteadOf
+	q.attempts = append(q.attempts, attempt{id: r.ID, to: home, at: now, want: r.Want, waiting: r.Waiting})
+	if home == l.self {
+		l.applyReply(c, q.attempts[len(q.attempts)-1], l.serve(l.self, r, now), now)
+		return
+	}
+	l.metrics.requests.Inc(1)
+	l.queue(home, Message{Request: &r})
+	q.stop()
+	q.stop = l.after(replyTimeout, func() { l.timeOut(c, q, r.ID) })
+}
+
+// target returns the entry that a query is to be sent to.
+func (l *Limiter) target(c *customer, now time.Time) string {
+	q := c.query
+	if q.redirect != "" {
+		home := q.redirect
+		q.redirect = ""
+		return home
+	}
+	home := l.view.home(c.name, q.insteadOf)
+	if home == l.self && l.starting(now) {
+		if q.insteadOf != "" {
+			return ""
+		}
+		q.insteadOf = l.self
+		home = l.view.home(c.name, l.self)
+	}
+	return home
+}
+
+// timeOut repeats a request that has had no reply.
+func (l *Limiter) timeOut(c *customer, q *query, id int64) {
+	now := l.begin()
+	defer l.end()
+	if c.query != q || q.attempts[len(q.attempts)-1].id != id {
+		return
+	}
+	if q.timeouts++; q.timeouts >= maxTimeouts {
+		l.finishUnknown(c)
+		return
+	}
+	l.metrics.retries.Inc(1)
+	l.ask(c, now)
+}
+
+func (l *Limiter) finishUnknown(c *customer) {
+	q := c.query
+	c.query = nil
+	q.stop()
+	home := ""
+	if n := len(q.attempts); n > 0 {
+		home = q.attempts[n-1].to
+	}
+	for _, w := range q.waiters {
+		l.decide(w, unknownDecision(home))
+	}
+}
+
+// receiveReply handles a reply of another entry. Tokens that no query waits for are returned.
+func (l *Limiter) receiveReply(from string, r Reply, now time.Time) {
+	c := l.customers[r.Customer]
+	if c != nil && c.query != nil {
+		for _, a := range c.query.attempts {
+			if a.id == r.ID && a.to == from {
+				l.applyReply(c, a, r, now)
+				return
+			}
+		}
+	}
+	age := now.Sub(time.Unix(0, r.ID))
+	if c != nil && r.Tokens > 0 && age >= 0 && age < GrantLifetime+returnTime {
+		l.returnTokens(c, from, r.Bucket, r.Tokens, now)
+	}
+}
+
+func (l *Limiter) returnTokens(c *customer, home string, bucket uint64, n int64, now time.Time) {
+	l.metrics.returned.Inc(n)
+	r := l.newRequest(c, now)
+	r.Bucket, r.Unused = bucket, n
+	if home == l.self {
+		l.serve(l.self, r, now)
+		return
+	}
+	l.queue(home, Message{Request: &r})
+}
+
+// applyReply applies a reply to a customer's query.
+func (l *Limiter) applyReply(c *customer, a attempt, r Reply, now time.Time) {
+	q := c.query
+	switch r.Status {
+	case statusGranted:
+		l.applyGrant(c, a, r, now)
+	case statusNotReady:
+		q.insteadOf = a.to
+		l.ask(c, now)
+	case statusNotHome:
+		q.redirect = r.Home
+		l.ask(c, now)
+	default:
+		l.finishUnknown(c)
+	}
+}
+
+// applyGrant gives the tokens of a reply to the requests that wait. If the home entry has
+// refused some, those that have joined since are refused too, and otherwise they are asked
+// for.
+func (l *Limiter) applyGrant(c *customer, a attempt, r Reply, now time.Time) {
+	q := c.query
+	q.stop()
+	c.query = nil
+	c.home, c.bucket = a.to, r.Bucket
+	if r.Initial {
+		c.initial, c.initialAt = r.Bucket, now
+	}
+	c.retryAt, c.retryStep = now.Add(micros(r.RetryMicros)), micros(r.StepMicros)
+	l.allowWaiters(c, q, now)
+	c.lease.Renew(cicadalimit.Grant{Tokens: r.Tokens, Expires: a.at.Add(GrantLifetime)})
+	l.allowWaiters(c, q, now)
+	switch {
+	case len(q.waiters) == 0:
+	case r.Tokens >= a.want:
+		c.query = &query{waiters: q.waiters, stop: q.stop}
+		l.ask(c, now)
+	default:
+		c.refusedUntil = now.Add(min(max(micros(r.NextMicros), minBackoff), maxBackoff))
+		c.toldToWait += max(int64(len(q.waiters))-(a.waiting-r.Tokens), 0)
+		for _, w := range q.waiters {
+			l.decide(w, c.refuse(now))
+		}
+	}
+}
+
+// allowWaiters allows the requests that wait for which the lease has tokens.
+func (l *Limiter) allowWaiters(c *customer, q *query, now time.Time) {
+	for len(q.waiters) > 0 && (q.waiters[0].abandoned || c.take(now)) {
+		l.decide(q.waiters[0], Decision{allowed: true, known: true, home: c.home})
+		q.waiters = q.waiters[1:]
+	}
+}
+
+func micros(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
+
+// tickCustomers returns the unused tokens of expired leases and drops idle customers.
+func (l *Limiter) tickCustomers(now time.Time) {
+	for name, c := range l.customers {
+		if c.query == nil && c.lease.Left() > 0 && !now.Before(c.lease.Grant().Expires) {
+			if n := c.takeUnused(now); n > 0 {
+				l.returnTokens(c, c.home, c.bucket, n, now)
+			}
+		}
+		if c.query == nil && now.Sub(c.usedAt) > customerIdleTime {
+			delete(l.customers, name)
+		}
+	}
+}
--- /dev/null
+++ b/cicadagateway/cicadaratelimit/view.go
@@ -0,0 +1,229 @@
+package cicadaratelimit
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cicadalink.example/cicadakernel/cicadamember"
+)
+
+const (
+	// viewRefreshInterval is the time for which a list of members is reused.
+	viewRefreshInterval = 20 * time.Millisecond
+	// knownTime is how long an entry is known after contact with it has ended.
+	knownTime = time.Minute
+	// peerViewTime is how long another entry's view is used.
+	peerViewTime = 5 * time.Second
+	// viewsPerTick limits the views sent on one tick, so that their volume doesn't grow with
+	// the number of entries.
+	viewsPerTick = 8
+	// viewRepeatTime is how long views are sent after the last entry has come back.
+	viewRepeatTime = 2 * time.Second
+	// maxMissing limits the names in a View.
+	maxMissing = 32
+)
+
+// Members are the entries that an entry knows.
+type Members struct {
+	// Live are the names of the entries with which messages pass both ways, including the
+	// entry itself.
+	Live []string
+	// Known is the number of entries known within the last minute, including the entry
+	// itself.
+	Known int
+}
+
+// A view is what an entry knows of the others: which it is in contact with, and, where these
+// are in contact with other entries than itself, which. Links that fail between some pairs of
+// entries only let several entries be the home of one customer for different others. Each
+// entry counts for one home, so that the shares of all homes add up to the limit.
+type view struct {
+	self    string
+	live    []string // sorted
+	known   int
+	digest  uint64
+	version uint64               // incremented when the view changes
+	gone    map[string]time.Time // entries that were live, and when contact with them ended
+	peers   map[string]peerView
+	// returnedAt is when an entry that had been gone was last in contact again. While it was
+	// gone, others may have been homes of the same customers.
+	returnedAt time.Time
+	refreshed  time.Time
+	sendNext   int // index of the live entry that is sent the next view
+}
+
+type peerView struct {
+	View
+	at time.Time
+}
+
+func newView(self string) *view {
+	return &view{self: self, live: []string{self}, known: 1, gone: make(map[string]time.Time), peers: make(map[string]peerView)}
+}
+
+// set sets the members.
+func (v *view) set(m Members, now time.Time) {
+	v.refreshed = now
+	live := slices.Sorted(slices.Values(m.Live))
+	if _, ok := slices.BinarySearch(live, v.self); !ok {
+		live = append(live, v.self)
+		slices.Sort(live)
+	}
+	known := max(m.Known, len(live))
+	if known == v.known && slices.Equal(live, v.live) {
+		return
+	}
+	for _, name := range v.live {
+		if _, ok := slices.BinarySearch(live, name); !ok {
+			v.gone[name] = now
+			delete(v.peers, name)
+		}
+	}
+	for _, name := range live {
+		if _, ok := v.gone[name]; ok {
+			delete(v.gone, name)
+			v.returnedAt = now
+		}
+	}
+	v.live, v.known, v.digest = live, known, digestOf(live)
+	v.version++
+}
+
+func digestOf(names []string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	for _, name := range names {
+		_, _ = d.WriteString(name)
+		_, _ = d.Write([]byte{0})
+	}
+	return d.Sum64()
+}
+
+// expire removes entries that are no longer known.
+func (v *view) expire(now time.Time) {
+	before := len(v.gone) + len(v.peers)
+	maps.DeleteFunc(v.gone, func(_ string, at time.Time) bool { return now.Sub(at) > knownTime })
+	maps.DeleteFunc(v.peers, func(_ string, p peerView) bool { return now.Sub(p.at) > peerViewTime })
+	if len(v.gone)+len(v.peers) != before {
+		v.version++
+	}
+}
+
+func (v *view) isLive(name string) bool {
+	_, ok := slices.BinarySearch(v.live, name)
+	return ok
+}
+
+// rank returns the live and the gone entries in the order of preference for a customer's home.
+func (v *view) rank(customer string) []string {
+	names := slices.Clone(v.live)
+	for name := range v.gone {
+		names = append(names, name)
+	}
+	return cicadamember.Rank(homeKey(customer), names)
+}
+
+func homeKey(customer string) string { return "limit/" + customer }
+
+// home returns the customer's home entry other than skip, or "" if there is none.
+func (v *view) home(customer, skip string) string {
+	live := v.live
+	if skip != "" {
+		live = slices.DeleteFunc(slices.Clone(live), func(name string) bool { return name == skip })
+	}
+	return cicadamember.Home(homeKey(customer), live)
+}
+
+// share returns the share of a customer's limit that this entry may grant: the entries in
+// contact whose home it is, out of all that are known. skip does not count as a home.
+func (v *view) share(customer, skip string) float64 {
+	if len(v.gone) == 0 && len(v.peers) == 0 {
+		if v.home(customer, skip) != v.self {
+			return 0
+		}
+		return float64(len(v.live)) / float64(v.known)
+	}
+	ranked := v.rank(customer)
+	votes := 0
+	for _, voter := range v.live {
+		for _, candidate := range ranked {
+			if candidate != skip && v.reaches(voter, candidate) {
+				if candidate == v.self {
+					votes++
+				}
+				break
+			}
+		}
+	}
+	return float64(votes) / float64(v.known)
+}
+
+// reaches reports whether a voter is in contact with a candidate.
+func (v *view) reaches(voter, candidate string) bool {
+	p, ok := v.peers[voter]
+	switch {
+	case voter == candidate:
+		return true
+	case !ok || voter == v.self || p.Live == v.digest:
+		return v.isLive(candidate)
+	case p.Truncated:
+		return candidate != v.self
+	default:
+		return !slices.Contains(p.Missing, candidate)
+	}
+}
+
+// homeSince returns since when no other entry can have been the customer's home in the view
+// of entries that are now in contact.
+func (v *view) homeSince(customer string, started time.Time) time.Time {
+	since := started
+	if v.returnedAt.After(since) {
+		since = v.returnedAt
+	}
+	for _, name := range v.rank(customer) {
+		if name == v.self {
+			break
+		}
+		if at, ok := v.gone[name]; ok && at.After(since) {
+			since = at
+		}
+	}
+	return since
+}
+
+// setPeer sets what another entry says of its contacts.
+func (v *view) setPeer(name string, p View, now time.Time) {
+	if !v.isLive(name) {
+		return
+	}
+	old, ok := v.peers[name]
+	v.peers[name] = peerView{View: p, at: now}
+	if !ok || old.Live != p.Live || !slices.Equal(old.Missing, p.Missing) {
+		v.version++
+	}
+}
+
+// message returns the view for others.
+func (v *view) message() View {
+	missing := slices.Sorted(maps.Keys(v.gone))
+	return View{Live: v.digest, Missing: missing[:min(len(missing), maxMissing)], Truncated: len(missing) > maxMissing}
+}
+
+// receivers returns the entries that are to be sent the view on this tick. There are none
+// while this entry has been in contact with all others for a while.
+func (v *view) receivers(now time.Time) []string {
+	if len(v.gone) == 0 && (v.returnedAt.IsZero() || now.Sub(v.returnedAt) > viewRepeatTime) {
+		return nil
+	}
+	names := make([]string, 0, viewsPerTick)
+	for range min(viewsPerTick, len(v.live)) {
+		v.sendNext = (v.sendNext + 1) % len(v.live)
+		if name := v.live[v.sendNext]; name != v.self {
+			names = append(names, name)
+		}
+	}
+	return names
+}
