Leave endpoints that cannot be connected to before the goal has passed

Change: with learn-endpoint-speed, the time to connect is limited to a quarter of the route's goal, and two processes that cannot connect make the others avoid the endpoint.

--- a/cicadagateway/cicadaexchange/client.go
+++ b/cicadagateway/cicadaexchange/client.go
@@ -79,6 +79,9 @@
 	// Deadline when the request is sent.
 	DeadlineHeader string
 	Deadline       time.Time
+	// ConnectTimeout limits the time to open a connection, if it is not 0 and shorter than that of the
+	// client.
+	ConnectTimeout time.Duration
 	// Identify makes Do find out which incarnation of the endpoint responds, see
 	// Response.StartedMs.
 	Identify bool
@@ -354,6 +357,12 @@
 // connection, so that no process listens at its address.
 func RefusedConnection(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
+// ConnectionTimedOut reports whether an error of Do means that no connection could be opened in time.
+func ConnectionTimedOut(err error) bool {
+	var netErr net.Error
+	return errors.Is(err, ErrNotSent) && errors.As(err, &netErr) && netErr.Timeout()
+}
+
 // Refused reports whether the endpoint at an address refuses connections, as one does that
 // has just crashed. An endpoint that is not reached in time is not known to refuse.
 func (c *Client) Refused(ctx context.Context, address string) bool {
--- a/cicadagateway/cicadaexchange/pool.go
+++ b/cicadagateway/cicadaexchange/pool.go
@@ -179,7 +179,7 @@
 	if lost {
 		c.onLost(address)
 	}
-	raw, err := c.dial(ctx, address)
+	raw, err := c.dialWithin(ctx, address, req.ConnectTimeout)
 	if err != nil {
 		return nil, merry.Errorf("connect to %s: %w: %w", address, ErrNotSent, err)
 	}
@@ -188,6 +188,16 @@
 	return &conn{Conn: raw, limit: limit, r: bufio.NewReaderSize(limit, readBufferSize), address: address, replacesLost: lost}, nil
 }
 
+// dialWithin opens a connection within a time limit, if it is not 0.
+func (c *Client) dialWithin(ctx context.Context, address string, limit time.Duration) (net.Conn, error) {
+	if limit <= 0 {
+		return c.dial(ctx, address)
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	return c.dial(ctx, address)
+}
+
 // popIdle takes from the pool the most recently used idle connection on which the request has not
 // failed and which does not lead to another incarnation than it is meant for. It returns nil if
 // there is none, and closes the expired connections it finds.
--- a/cicadagateway/cicadapeer/relay.go
+++ b/cicadagateway/cicadapeer/relay.go
@@ -21,7 +21,7 @@
 		if s := g.members[name]; s != nil && s.live && s.seenDirectly(now) && g.isRelayFor(name) {
 			state := s.state
 			state.NotReceived, state.Relayed = nil, nil
-			state.CrashReports, state.Quarantines, state.Refusals = nil, nil, nil
+			state.CrashReports, state.Quarantines, state.Refusals, state.Unreachable = nil, nil, nil, nil
 			state.PartQuarantines, state.SoundParts = nil, nil
 			relayed = append(relayed, state)
 		}
--- a/cicadagateway/cicadapeer/state.go
+++ b/cicadagateway/cicadapeer/state.go
@@ -76,6 +76,8 @@
 	// Roster lists the owners among which the member, if it is an owner, divides the jobs. It is
 	// nil if it has not changed since a recent message.
 	Roster []RosterEntry
+	// Unreachable lists endpoints to which the member could not connect in time.
+	Unreachable []string
 }
 
 // A CrashReport reports a run of a request during which the endpoint's connection broke.
--- a/cicadagateway/cicadaplace/grant.go
+++ b/cicadagateway/cicadaplace/grant.go
@@ -113,7 +113,7 @@
 func (g *Grant) RecordSuccess() {
 	g.table.mu.Lock()
 	defer g.table.mu.Unlock()
-	g.state.backoff, g.state.backoffUntil = 0, time.Time{}
+	g.state.backoff, g.state.backoffUntil, g.state.lastSuccess = 0, time.Time{}, time.Now()
 }
 
 // RecordFailure records that the endpoint could not be reached or sent no valid response.
--- a/cicadagateway/cicadaplace/table.go
+++ b/cicadagateway/cicadaplace/table.go
@@ -79,6 +79,8 @@
 	// former process.
 	versionDoubtUntil time.Time
 	statesStart       bool // whether the endpoint has stated its start to this process
+	lastSuccess       time.Time
+	unreachable       unreachableReport
 }
 
 func (e *endpointState) online() int { return e.local.Online + e.peers.Online }
@@ -115,6 +117,7 @@
 	nextExpiry    time.Time // no counts of a peer expire before this
 	onChange      func()
 	onRefusal     func(id string)
+	onUnreachable func(id string)
 	onLeaving     func(id string)
 	leaving       map[string]leavingMark // by endpoint
 	staleness     func() time.Duration
@@ -155,7 +158,7 @@
 func NewTable(name string, opts ...Option) *Table {
 	t := &Table{
 		name: name, endpointsByID: make(map[string]*endpointState), services: make(map[string]*service),
-		peers: make(map[string]*peer), onChange: func() {}, onRefusal: func(string) {}, onLeaving: func(string) {},
+		peers: make(map[string]*peer), onChange: func() {}, onRefusal: func(string) {}, onUnreachable: func(string) {}, onLeaving: func(string) {},
 		leaving: make(map[string]leavingMark), staleness: func() time.Duration { return 0 },
 	}
 	for _, opt := range opts {
@@ -185,6 +188,7 @@
 		if state.StartedMs != e.StartedMs {
 			state.backoff, state.backoffUntil = 0, time.Time{}
 			state.limit = rateLimit{}
+			state.unreachable = unreachableReport{}
 		}
 		if state.StartedMs != e.StartedMs || state.SoftwareVersion != e.SoftwareVersion {
 			state.versionDoubtUntil = time.Time{}
--- a/cicadagateway/cicadaprocess/callers.go
+++ b/cicadagateway/cicadaprocess/callers.go
@@ -36,11 +36,7 @@
 	if err := n.servePeers(workCtx, client.Register); err != nil {
 		return err
 	}
-	relay := cicadarelay.New(n.config.Load, n.table, n.client, n.log,
-		cicadarelay.WithScope(n.process.Scope()), cicadarelay.WithShuttingDown(n.leaving.Load), cicadarelay.WithShutdownEnd(n.connectionsEnd),
-		cicadarelay.WithJobHandlers(n.jobHandlers(client)),
-		cicadarelay.WithMonitor(n.crashes.monitor), cicadarelay.WithOrigins(n.origins),
-		cicadarelay.WithBodyMemory(n.requestMemory), cicadarelay.WithCustomers(n.customerPolicy()))
+	relay := cicadarelay.New(n.config.Load, n.table, n.client, n.log, n.relayOptions(client)...)
 	var tracker connTracker
 	srv := &http.Server{
 		ConnState: tracker.setState,
@@ -69,6 +65,19 @@
 	return err
 }
 
+// relayOptions returns the options of the relay of an entry.
+func (n *Node) relayOptions(client *cicadabatch.Client) []cicadarelay.Option {
+	opts := []cicadarelay.Option{
+		cicadarelay.WithScope(n.process.Scope()), cicadarelay.WithShuttingDown(n.leaving.Load), cicadarelay.WithShutdownEnd(n.connectionsEnd),
+		cicadarelay.WithJobHandlers(n.jobHandlers(client)), cicadarelay.WithMonitor(n.crashes.monitor), cicadarelay.WithOrigins(n.origins),
+		cicadarelay.WithBodyMemory(n.requestMemory), cicadarelay.WithCustomers(n.customerPolicy()),
+	}
+	if n.cfg.LearnEndpointSpeed {
+		opts = append(opts, cicadarelay.WithPromptFailover())
+	}
+	return opts
+}
+
 // shutDown keeps serving until the balancer has detected that the entry is not ready,
 // and then waits for the requests in progress.
 func (n *Node) shutDown(stopped context.Context, tracker *connTracker, ln net.Listener) error {
--- a/cicadagateway/cicadaprocess/process.go
+++ b/cicadagateway/cicadaprocess/process.go
@@ -80,7 +80,8 @@
 	owner            atomic.Pointer[cicadabatch.Owner]
 
 	crashes          *crashEvidence
-	refusals         *refusals
+	refusals         *refusals // of connections to endpoints
+	unreachable      *refusals
 	versions         *cicadaorigin.Versions
 	origins          *cicadaorigin.Tracker
 	history          *versionHistory
@@ -122,10 +123,10 @@
 		}
 	})
 	n.table = cicadaplace.NewTable(cfg.Name, cicadaplace.WithDataCentre(cfg.DataCentre), cicadaplace.WithOnChange(n.notifyPeers),
-		cicadaplace.WithStaleness(n.peerStaleness), cicadaplace.WithOnRefusal(n.reportRefusal),
+		cicadaplace.WithStaleness(n.peerStaleness), cicadaplace.WithOnRefusal(n.reportRefusal), cicadaplace.WithOnUnreachable(n.reportUnreachable),
 		cicadaplace.WithOnLeaving(func(id string) { n.log.Info("endpoint states that it is leaving", "endpoint", id) }))
 	n.refusalsReported = p.Scope().Counter("endpoint_refusals_reported")
-	n.refusals = newRefusals()
+	n.refusals, n.unreachable = newRefusals(), newRefusals()
 	n.crashes = newCrashEvidence(cfg.Name, n.log, p.Scope(), n.notifyPeers)
 	n.versions = cicadaorigin.NewVersions()
 	n.origins = cicadaorigin.NewTracker(cfg.Name, n.versions, cicadaorigin.WithSend(n.sendOriginMessage),
@@ -215,7 +216,7 @@
 		s.Roster = o.Roster()
 	}
 	n.crashes.addTo(&s, time.Now())
-	s.Refusals = n.refusals.next(time.Now())
+	s.Refusals, s.Unreachable = n.refusals.next(time.Now()), n.unreachable.next(time.Now())
 	for id, count := range n.table.LocalInFlight() {
 		s.InFlight = append(s.InFlight, encodeInFlight(id, count))
 	}
@@ -231,6 +232,9 @@
 	for _, endpoint := range s.Refusals {
 		n.table.RecordPeerRefusal(endpoint)
 	}
+	for _, endpoint := range s.Unreachable {
+		n.table.RecordPeerUnreachable(s.Member.Name, endpoint)
+	}
 	if o := n.owner.Load(); o != nil {
 		o.Wake()
 	}
--- a/cicadagateway/cicadaprocess/refusals.go
+++ b/cicadagateway/cicadaprocess/refusals.go
@@ -5,8 +5,9 @@
 	"time"
 )
 
-// refusals holds the endpoints that have refused connections of this process, until peers
-// have been told. An endpoint that has crashed looks idle to all of them.
+// refusals holds the endpoints that have refused connections of this process, or to which it could
+// not connect in time, until peers have been told. An endpoint that has crashed looks idle to all
+// of them.
 type refusals struct {
 	mu     sync.Mutex
 	outbox outbox[string]
@@ -38,3 +39,11 @@
 	n.log.Info("endpoint refuses connections", "endpoint", endpoint)
 	n.notifyPeers()
 }
+
+// reportUnreachable reports to peers that no connection to an endpoint could be opened in time.
+func (n *Node) reportUnreachable(endpoint string) {
+	n.unreachable.add(endpoint)
+	n.process.Scope().Counter("endpoints_unreachable_reported").Inc(1)
+	n.log.Info("endpoint unreachable", "endpoint", endpoint)
+	n.notifyPeers()
+}
--- a/cicadagateway/cicadarelay/exchange.go
+++ b/cicadagateway/cicadarelay/exchange.go
@@ -175,6 +175,7 @@
 	if x.events.lastID != "" {
 		h.Set(adapter.HeaderLastEventID, x.events.lastID)
 	}
+	req.ConnectTimeout = x.relay.connectTimeout(x.route)
 	req.Body, req.EchoHeader = x.body, adapter.HeaderRequestID
 	req.DeadlineHeader, req.Deadline = adapter.HeaderDeadline, deadline
 	req.Identify = (x.continues || x.route.Kind == cicadaview.Stream && x.route.Resumable) && endpoint.StartedMs != 0
@@ -209,6 +210,8 @@
 		grant.RecordOtherIncarnation()
 	case cicadaexchange.RefusedConnection(err):
 		grant.RecordRefusal()
+	case x.relay.connectFraction > 0 && cicadaexchange.ConnectionTimedOut(err):
+		grant.RecordUnreachable()
 	default:
 		grant.RecordFailure()
 	}
--- a/cicadagateway/cicadarelay/relay.go
+++ b/cicadagateway/cicadarelay/relay.go
@@ -82,7 +82,10 @@
 	metrics   *metrics
 	jobs      JobHandlers
 	customers CustomerPolicy
-	bodies    *cicadamemory.Budget // of requests
+	// connectFraction is the fraction of a route's goal that the connection to an endpoint may take, or
+	// 0 for no limit but the client's.
+	connectFraction float64
+	bodies          *cicadamemory.Budget // of requests
 	// shuttingDown reports whether the process is shutting down.
 	shuttingDown func() bool
 	// shutdownEnd returns when open connections are closed, or the zero time.
@@ -134,6 +137,24 @@
 	return func(r *Relay) { r.origins = origins }
 }
 
+// connectFraction leaves time for several further attempts within the goal.
+const connectFraction = 0.25
+
+// minConnectTimeout is far above the time to open a connection to an endpoint that is not overloaded.
+const minConnectTimeout = 40 * time.Millisecond
+
+// WithPromptFailover makes a request leave an endpoint that cannot be connected to while its route's
+// goal can still be reached elsewhere, and tells peers of such endpoints.
+func WithPromptFailover() Option { return func(r *Relay) { r.connectFraction = connectFraction } }
+
+// connectTimeout returns the time limit on connecting to an endpoint, or 0 for the client's.
+func (rl *Relay) connectTimeout(route *cicadaview.Route) time.Duration {
+	if rl.connectFraction <= 0 || route.Goal <= 0 {
+		return 0
+	}
+	return max(time.Duration(rl.connectFraction*float64(route.Goal)), minConnectTimeout)
+}
+
 // New returns a Relay. The config function returns the current configuration, or
 // nil if there is none yet.
 func New(config func() *cicadaview.Config, table *cicadaplace.Table, client *cicadaexchange.Client, log hclog.Logger, opts ...Option) *Relay {
