--- /dev/null
+++ b/cicadagateway/cicadabatch/customer_test.go
@@ -0,0 +1,62 @@
+package cicadabatch
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	adapter "cicadalink.example/platform"
+)
+
+// Guards against a customer that reads or ends the jobs of another one.
+func TestJobsBelongToTheirCustomer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newTestDeployment()
+		o := d.startOwner("o1", fixedOwners("o1"))
+		defer o.stop()
+		time.Sleep(time.Second)
+		submit := submitCall("j", manyEvents)
+		submit.Customer = "a"
+		assert.Equal(t, o.call(t, submit).Status, http.StatusAccepted)
+		for customer, want := range map[string]int{"a": http.StatusOK, "b": http.StatusNotFound, "": http.StatusNotFound} {
+			for _, c := range []*Call{{Kind: CallReadResults}, {Kind: CallReadItem, Item: "j-0"}} {
+				c.Job, c.Customer = "j", customer
+				assert.Equal(t, o.call(t, c).Status, want, "customer %q", customer)
+			}
+		}
+		assert.Equal(t, o.call(t, &Call{Kind: CallEndJob, Job: "j", Customer: "b"}).Status, http.StatusNotFound)
+		assert.Equal(t, o.call(t, submit).Status, http.StatusAccepted)
+		submit.Customer = "b"
+		assert.Equal(t, o.call(t, submit).Status, http.StatusConflict)
+		assert.Equal(t, o.call(t, &Call{Kind: CallEndJob, Job: "j", Customer: "a"}).Status, http.StatusOK)
+	})
+}
+
+// Guards against items that reach an endpoint with a key or under the name of another customer, and against
+// keys in stored jobs.
+func TestItemsRunInTheNameOfTheirCustomer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newTestDeployment()
+		o := d.startOwner("o1", fixedOwners("o1"))
+		defer o.stop()
+		time.Sleep(time.Second)
+		submit := submitCall("j", 2)
+		submit.Customer = "a"
+		submit.Body = []byte(strings.Replace(string(submit.Body), `"X-Model":"m"`, `"X-Model":"m","api-key":"secret","X-Tenant":"b"`, 1))
+		assert.Equal(t, o.call(t, submit).Status, http.StatusAccepted)
+		time.Sleep(time.Second)
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		header := d.headers["j-0"]
+		assert.Equal(t, header.Get(adapter.HeaderCustomer), "a")
+		assert.Equal(t, header.Get(adapter.HeaderKey), "")
+		assert.Equal(t, header.Get("X-Model"), "m")
+		obj, err := o.store.Get(t.Context(), JobsPrefix+"j")
+		assert.NilError(t, err)
+		assert.Assert(t, !strings.Contains(string(obj.Value()), "secret"))
+	})
+}
--- a/cicadagateway/cicadabatch/engine_test.go
+++ b/cicadagateway/cicadabatch/engine_test.go
@@ -37,20 +37,21 @@
 	runs         map[string]int   // started, by item
 	resumedAfter map[string][]int // by item: the event after which each run was to resume
 	active       int
-	dropAfter    int                 // the first run of each item is interrupted after this event, if above 0
-	stalled      bool                // new runs send nothing
-	crashRuns    int                 // the first runs of each item that end before the first event
-	addresses    map[string][]string // of the runs, by item
-	emptyRests   int                 // the first runs of each item that resume it and send nothing
-	leaving      string              // address of an engine that states that it is leaving
-	runsAt       map[string]int      // by address
-	beforeDial   func()              // called for each connection, if set
-	startedMs    map[string]int64    // start that an engine reports, by address
-	noReports    atomic.Bool         // connections on which the report is requested are closed
+	dropAfter    int                    // the first run of each item is interrupted after this event, if above 0
+	stalled      bool                   // new runs send nothing
+	crashRuns    int                    // the first runs of each item that end before the first event
+	addresses    map[string][]string    // of the runs, by item
+	emptyRests   int                    // the first runs of each item that resume it and send nothing
+	leaving      string                 // address of an engine that states that it is leaving
+	runsAt       map[string]int         // by address
+	headers      map[string]http.Header // of the last run, by item
+	beforeDial   func()                 // called for each connection, if set
+	startedMs    map[string]int64       // start that an engine reports, by address
+	noReports    atomic.Bool            // connections on which the report is requested are closed
 }
 
 func newFakeEngines() *fakeEngines {
-	return &fakeEngines{eventsSent: make(map[string]int), runs: make(map[string]int), resumedAfter: make(map[string][]int), runsAt: make(map[string]int), addresses: make(map[string][]string)}
+	return &fakeEngines{eventsSent: make(map[string]int), runs: make(map[string]int), resumedAfter: make(map[string][]int), runsAt: make(map[string]int), headers: make(map[string]http.Header), addresses: make(map[string][]string)}
 }
 
 // activeRuns returns the number of items that are running.
@@ -116,6 +117,7 @@
 	e.resumedAfter[id] = append(e.resumedAfter[id], lastEvent)
 	e.runs[id]++
 	e.runsAt[address]++
+	e.headers[id] = req.Header
 	e.addresses[id] = append(e.addresses[id], address)
 	if e.leaving == address {
 		head += "Server-Leaving: 1\r\n"
