Count the requests of a bounded number of customers

Cause: an operator could not see how much of its limit a customer uses. Result: test of the bound passes.

--- a/cicadagateway/cicadarelay/customer.go
+++ b/cicadagateway/cicadarelay/customer.go
@@ -142,18 +142,25 @@
 // request was refused.
 func (x *exchange) acquireQuota(ctx context.Context) bool {
 	customer := x.caller.customer
-	if customer == nil || !customer.Rate.Limited() || x.relay.customers.AcquireQuota == nil {
+	if customer == nil {
+		return true
+	}
+	counter := x.relay.customerCounters.of(customer.Name)
+	if !customer.Rate.Limited() || x.relay.customers.AcquireQuota == nil {
+		counter.admitted.Inc(1)
 		return true
 	}
 	quota := x.relay.customers.AcquireQuota(ctx, customer.Name, customer.Rate)
 	if quota.Allowed {
 		x.returnQuota = quota.Return
+		counter.admitted.Inc(1)
 		return true
 	}
-	status, reason := http.StatusTooManyRequests, reasonRateLimit
+	status, reason, refused := http.StatusTooManyRequests, reasonRateLimit, counter.refused
 	if !quota.Known {
-		status, reason = http.StatusServiceUnavailable, reasonUnknownLimit
+		status, reason, refused = http.StatusServiceUnavailable, reasonUnknownLimit, counter.unknown
 	}
+	refused.Inc(1)
 	x.relay.log.Info("request exceeds rate limit", "id", x.id, "customer", customer.Name, "limit", customer.Rate.PerSecond,
 		"burst", customer.Rate.Burst, "known", quota.Known, "decided-by", quota.Detail, "config", x.relay.config().Version())
 	x.relay.refuse(x.w, x.r, status, reason, quota.RetryAfter)
--- a/cicadagateway/cicadarelay/customer_test.go
+++ b/cicadagateway/cicadarelay/customer_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -14,6 +15,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 
 	"cicadalink.example/cicadagateway/cicadaexchange"
@@ -231,6 +233,15 @@
 	assert.DeepEqual(t, customers, []string{"a"})
 }
 
+// Guards against metrics that grow with the number of customers.
+func TestCustomersWithCountersOfTheirOwnAreLimited(t *testing.T) {
+	counters := newCustomerCounters(tally.NoopScope)
+	for i := range 10 * maxCustomerSeries {
+		counters.of(strconv.Itoa(i)).admitted.Inc(1)
+	}
+	assert.Equal(t, len(counters.byName), maxCustomerSeries+1)
+}
+
 // Guards against a deployment without customers that is served in another way than before.
 func TestHeadersPassUnchangedWithoutCustomers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/cicadagateway/cicadarelay/relay.go
+++ b/cicadagateway/cicadarelay/relay.go
@@ -74,14 +74,15 @@
 
 // A Relay is the http.Handler that serves callers.
 type Relay struct {
-	config    func() *cicadaview.Config
-	table     *cicadaplace.Table
-	client    *cicadaexchange.Client
-	log       hclog.Logger
-	scope     tally.Scope
-	metrics   *metrics
-	jobs      JobHandlers
-	customers CustomerPolicy
+	config           func() *cicadaview.Config
+	table            *cicadaplace.Table
+	client           *cicadaexchange.Client
+	log              hclog.Logger
+	scope            tally.Scope
+	metrics          *metrics
+	jobs             JobHandlers
+	customers        CustomerPolicy
+	customerCounters *customerCounters
 	// connectFraction is the fraction of a route's goal that the connection to an endpoint may take, or
 	// 0 for no limit but the client's.
 	connectFraction float64
@@ -167,7 +168,7 @@
 	for _, opt := range opts {
 		opt(r)
 	}
-	r.metrics = newMetrics(r.scope)
+	r.metrics, r.customerCounters = newMetrics(r.scope), newCustomerCounters(r.scope)
 	return r
 }
 
