Check a configuration before it is sent

Cause: a configuration with a mistake was found only once it was in force: gateways ignore one with a field of a wrong type, treat an unknown kind of route as unsafe, and refuse a key that two customers hold.

Change: cicadacheck finds such entries in a decoded configuration and compares two of them by what changes for callers. The adapter adds what only the text shows: wrong types with the path of the field, negative numbers, repeated and misspelt fields. cicadactl check writes both, as text or JSON, for the platform's configuration, and the errors of apply for resources. Configurations list their entries as configured, also those without an effect. Keys appear only as the beginning of their digest.

--- a/cicadactl/cicadacommand/command.go
+++ b/cicadactl/cicadacommand/command.go
@@ -48,7 +48,7 @@
 			&cli.StringFlag{Name: "tls-key", Usage: "PEM `FILE` of the private key of the client certificate"},
 		},
 		Commands: []*cli.Command{
-			applyCommand(), diffCommand(), getCommand(), deleteCommand(),
+			checkCommand(), applyCommand(), diffCommand(), getCommand(), deleteCommand(),
 			historyCommand(), auditCommand(), rollBackCommand(),
 			statusCommand(), vmCommand(), jobCommand(), keyCommand(), explainCommand(),
 		},
--- a/cicadakernel/cicadaview/customer.go
+++ b/cicadakernel/cicadaview/customer.go
@@ -43,6 +43,7 @@
 // configuration is shared. A key that two customers hold identifies neither of them, as a request
 // must not run in the name of the wrong one. Of two customers with the same name, the first counts.
 func (c *Config) SetCustomers(customers []Customer) {
+	c.configured.customers = customers
 	c.customers = make(map[string]*Customer, len(customers))
 	c.customersByKey = make(map[KeyDigest]*Customer, len(customers))
 	for i := range customers {
--- a/cicadakernel/cicadaview/view.go
+++ b/cicadakernel/cicadaview/view.go
@@ -130,11 +130,14 @@
 	// customers is nil if the deployment has no customers.
 	customers      map[string]*Customer
 	customersByKey map[KeyDigest]*Customer
+	// configured holds everything as configured, including what never takes effect.
+	configured configured
 }
 
 // NewConfig returns a configuration. Routes without a target are ignored.
 func NewConfig(version int64, routes []Route, services []Service, limits Limits) *Config {
 	c := &Config{version: version, hosts: make(map[string][]*Route), services: make(map[string]Service, len(services)), limits: limits}
+	c.configured.routes, c.configured.services = routes, services
 	for i := range routes {
 		if len(routes[i].Targets) > 0 {
 			c.hosts[routes[i].Host] = append(c.hosts[routes[i].Host], &routes[i])
