Play customers, withdrawn keys and a flood in the soak

Cause: no scenario had customers, so that nothing checked keys, revocation and quotas with real processes.

Change: the scenario customers has four customers: one with streams and jobs, one within its limit, one that sends eight times its rate at two entries, and one whose key is withdrawn again and again while an entry is stopped, killed, isolated or cut off from the store. Endpoints check that no key reaches them, that they are told the customer that holds the key, that no request runs that was sent with a key later than 5 s after its withdrawal was acknowledged, and that no customer exceeds its quota in any 5 s.

--- a/cicadasoak/caller.go
+++ b/cicadasoak/caller.go
@@ -28,6 +28,8 @@
 	entries []*process
 	checks  *checks
 	client  *http.Client
+	// sign adds the key of a customer to a request, if there are customers.
+	sign func(*http.Request)
 
 	mu     sync.Mutex
 	random *rand.Rand
@@ -85,6 +87,9 @@
 	for name, value := range header {
 		req.Header.Set(name, value)
 	}
+	if c.sign != nil {
+		c.sign(req)
+	}
 	return c.client.Do(req)
 }
 
--- a/cicadasoak/config.go
+++ b/cicadasoak/config.go
@@ -19,11 +19,16 @@
 	for n := max(1, version-5); n <= version; n++ {
 		routes = append(routes, route(fmt.Sprint("marker-", n), "safe", markerPath(n), nil))
 	}
-	d.store.put("config", "main", map[string]any{
+	config := map[string]any{
 		"Version": version, "Routes": routes,
 		"Services": []any{map[string]any{"Name": service, "HealthPath": "/health", "MaxConns": 230, "Engine": map[string]any{"Slots": endpointSlots}}},
 		"Limits":   map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 5000, "IdleTimeoutMs": 30000},
-	})
+	}
+	if d.cfg.customers != nil {
+		config["Routes"] = append(routes, route("plain", "safe", plainPrefix, nil), route("public", "safe", publicPrefix, map[string]any{"Public": true}))
+		config["Tenants"] = d.cfg.customers.entries()
+	}
+	d.store.put("config", "main", config)
 }
 
 func markerPath(version int) string { return fmt.Sprintf("%s%d/", markerPrefix, version) }
--- a/cicadasoak/endpoint.go
+++ b/cicadasoak/endpoint.go
@@ -27,6 +27,7 @@
 type endpoint struct {
 	id          string
 	statesStart bool // whether registrations and reports have the start
+	observe     observer
 	// taken is set while a fault keeps the endpoint from serving.
 	taken atomic.Bool
 
@@ -50,11 +51,19 @@
 	cancel               context.CancelFunc
 	// unframed makes streams end with their connection.
 	unframed atomic.Bool
+	observe  observer
 }
 
+// An observer sees each request that an endpoint is about to run, with its body.
+type observer func(r *http.Request, body []byte)
+
 // startEndpoint starts an endpoint of a version at a new address.
-func startEndpoint(id, version string, statesStart bool) (*endpoint, error) {
-	e := &endpoint{id: id, address: "127.0.0.1:0", statesStart: statesStart}
+func startEndpoint(id, version string, statesStart bool, observers ...observer) (*endpoint, error) {
+	e := &endpoint{id: id, address: "127.0.0.1:0", statesStart: statesStart, observe: func(r *http.Request, body []byte) {
+		for _, observe := range observers {
+			observe(r, body)
+		}
+	}}
 	return e, e.start(version)
 }
 
@@ -68,6 +77,7 @@
 	}
 	e.address = ln.Addr().String()
 	i := newIncarnation(e.id, e.address, version, e.statesStart)
+	i.observe = e.observe
 	i.listener, i.server = ln, &http.Server{Handler: i}
 	if e.proxy != nil {
 		i.reachedAt = e.proxy.address()
@@ -81,7 +91,7 @@
 func newIncarnation(id, address, version string, statesStart bool) *incarnation {
 	i := &incarnation{
 		id: id, address: address, reachedAt: address, version: version, statesStart: statesStart,
-		started: time.Now(), slots: make(chan struct{}, endpointSlots),
+		started: time.Now(), slots: make(chan struct{}, endpointSlots), observe: func(*http.Request, []byte) {},
 	}
 	i.running, i.cancel = context.WithCancel(context.Background())
 	return i
@@ -144,7 +154,7 @@
 
 // ServeHTTP runs a request, or answers with the report, which needs no slot. The data of each event names the stream, the version and the event.
 func (i *incarnation) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	_, _ = io.Copy(io.Discard, r.Body)
+	body, _ := io.ReadAll(r.Body)
 	h := w.Header()
 	h.Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 	if want := r.Header.Get("X-Expect-Instance"); want != "" && want != i.id {
@@ -166,12 +176,13 @@
 	case <-r.Context().Done():
 		return
 	}
+	i.observe(r, body)
 	stream := r.Header.Get("X-Request-Id")
 	if resumes := r.Header.Get("Resumes"); resumes != "" {
 		stream = resumes
 	}
 	h.Set("X-Server-Stamp", "stamp."+i.id+"."+r.Header.Get("X-Request-Id"))
-	if strings.HasPrefix(r.URL.Path, markerPrefix) {
+	if !strings.HasPrefix(r.URL.Path, streamPrefix) && !strings.HasPrefix(r.URL.Path, batchPrefix) {
 		_, _ = io.WriteString(w, "ok")
 		return
 	}
--- a/cicadasoak/main.go
+++ b/cicadasoak/main.go
@@ -1,6 +1,8 @@
 // Command cicadasoak runs the gateway's programs as separate processes on loopback addresses,
 // plays the platform's store, the endpoints and the callers itself, injects faults from outside
 // the processes, and checks from what callers see that nothing comes out of order and no result is lost.
+// With customers it checks from what endpoints get that keys are used and passed on only as they may be,
+// and that quotas are kept.
 //
 // # Usage
 //
@@ -10,6 +12,7 @@
 //	go run ./cicadasoak --scenario all-killed --seed 1
 //	go run ./cicadasoak --scenario stopped-owners --seed 1
 //	go run ./cicadasoak --scenario release-beside-stopped-entry --seed 1
+//	go run ./cicadasoak --scenario customers --seed 1 --duration 70s
 //	go run ./cicadasoak --scenario silent-links --seed 1
 //	go run ./cicadasoak --scenario silent-links --seed 1 --fault "all owners"
 //	go run ./cicadasoak --scenario upgrades-in-place --seed 1 --duration 15s --report-delay 1s
@@ -50,10 +53,11 @@
 			&cli.StringFlag{Name: "settings", Value: "deploy/settings.yaml", Usage: "template of its settings"},
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "determines which faults come when"},
 			&cli.DurationFlag{Name: "duration", Value: 40 * time.Second, Usage: "time with faults, or of the upgrades"},
-			&cli.StringFlag{Name: "scenario", Value: "random", Usage: "random, disorder, late-reads, repeated-events, all-killed, stopped-owners, release-beside-stopped-entry, upgrades-in-place or silent-links"},
+			&cli.StringFlag{Name: "scenario", Value: "random", Usage: "random, disorder, late-reads, repeated-events, all-killed, stopped-owners, release-beside-stopped-entry, upgrades-in-place, silent-links or customers"},
 			&cli.StringFlag{Name: "fault", Usage: "inject only the faults whose name contains this `TEXT`, in silent-links"},
 			&cli.DurationFlag{Name: "report-delay", Value: time.Second, Usage: "time from the start of an upgraded endpoint to its first report"},
 			&cli.BoolFlag{Name: "born", Value: true, Usage: "endpoints state their start in registrations and reports"},
+			&cli.BoolFlag{Name: "customer-settings", Usage: "add the limits of customers to a template of settings that has none"},
 			&cli.StringFlag{Name: "logs", Usage: "keep the logs of the processes in this `FOLDER`"},
 		},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
@@ -79,7 +83,12 @@
 	}
 	log := hclog.New(&hclog.LoggerOptions{Name: "cicadasoak", Output: os.Stderr})
 	checks := newChecks(log)
+	var customers *ledger
+	if withCustomers[cmd.String("scenario")] {
+		customers = newCustomers(checks)
+	}
 	d, err := startDeployment(ctx, deploymentConfig{
+		customers: customers, customerSettings: cmd.Bool("customer-settings"),
 		gateway: cmd.String("gateway"), template: cmd.String("settings"), logs: cmd.String("logs"),
 		entries: 5, owners: 3, endpoints: 4, statesStart: cmd.Bool("born"), proxied: proxied[cmd.String("scenario")],
 		linked: linked[cmd.String("scenario")],
--- a/cicadasoak/process.go
+++ b/cicadasoak/process.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -90,9 +91,11 @@
 type deploymentConfig struct {
 	gateway, template, logs    string
 	entries, owners, endpoints int
-	statesStart                bool // of the endpoints
-	proxied                    bool // endpoints are reached through proxies
-	linked                     bool // processes and the store are
+	statesStart                bool    // of the endpoints
+	proxied                    bool    // endpoints are reached through proxies
+	linked                     bool    // processes and the store are
+	customers                  *ledger // nil without customers
+	customerSettings           bool    // to be added to the template
 }
 
 // A deployment is the processes of the gateway and what surrounds them.
@@ -197,6 +200,19 @@
 	placeholder = regexp.MustCompile(`\{\{[.\w]+\}\}`)
 )
 
+// customerFields are the fields of the template that a deployment with customers has.
+var customerFields = map[string]string{
+	"Bounds.StrictRevoke": "true", "Bounds.RevokeMs": fmt.Sprint(revocationLimit.Milliseconds()),
+	"Bounds.QuotaWindowS": fmt.Sprint(quotaWindow.Seconds()), "Bounds.QuotaOverage": fmt.Sprint(quotaOverage), "Bounds.QuotaSlack": fmt.Sprint(quotaSlack),
+}
+
+// customerSettings are settings that a template may not have.
+const customerSettings = `
+revocation-limit: {{Bounds.RevokeMs}}ms
+quota-window: {{Bounds.QuotaWindowS}}s
+quota-slack: {{Bounds.QuotaSlack}}
+`
+
 // settings fills in the template of the settings, as the platform does.
 func (d *deployment) settings(p *process) string {
 	fields := map[string]string{
@@ -212,6 +228,12 @@
 	if p.link != nil {
 		template += "advertise-ip: " + p.link.ip() + "\n"
 	}
+	if d.cfg.customers != nil {
+		maps.Copy(fields, customerFields)
+		if d.cfg.customerSettings {
+			template += customerSettings
+		}
+	}
 	text := section.ReplaceAllStringFunc(template, func(s string) string {
 		m := section.FindStringSubmatch(s)
 		if _, present := fields[m[2]]; present == (m[1] == "#") {
@@ -296,10 +318,18 @@
 	return res.StatusCode == http.StatusOK
 }
 
+// observers returns what sees the requests that endpoints run.
+func (d *deployment) observers() []observer {
+	if d.cfg.customers == nil {
+		return nil
+	}
+	return []observer{d.cfg.customers.arrive}
+}
+
 // release starts n endpoints of a version and registers them.
 func (d *deployment) release(version string, n int) error {
 	for i := range n {
-		e, err := startEndpoint(fmt.Sprintf("%s-%d", version, i), version, d.cfg.statesStart)
+		e, err := startEndpoint(fmt.Sprintf("%s-%d", version, i), version, d.cfg.statesStart, d.observers()...)
 		if err != nil {
 			return merry.Errorf("start endpoint: %w", err)
 		}
--- a/cicadasoak/reread.go
+++ b/cicadasoak/reread.go
@@ -22,7 +22,7 @@
 	cicadaretry.Sleep(ctx, calmTime)
 	stop()
 	s.checks.end()
-	c := newCaller(s.entries, s.checks, newRandom(s.random.Uint64()))
+	c := s.newCaller()
 	forEach(rereaders, s.accepted.all(), func(r *jobReads) { c.readAgain(ctx, r) })
 }
 
--- a/cicadasoak/scenario.go
+++ b/cicadasoak/scenario.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -34,6 +35,17 @@
 	onlyFault   string // part of the names of the faults of silent links to inject, or empty
 	// noStreams keeps callers from sending new streams.
 	noStreams atomic.Bool
+	// sign adds a key to the requests of callers of all kinds, if there are customers.
+	sign func(*http.Request)
+	// oldKey is the key that was withdrawn last.
+	oldKey atomic.Pointer[string]
+}
+
+// newCaller returns a caller of all entries.
+func (s *soak) newCaller() *caller {
+	c := newCaller(s.entries, s.checks, newRandom(s.random.Uint64()))
+	c.sign = s.sign
+	return c
 }
 
 func newRandom(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, seed)) }
@@ -43,6 +55,7 @@
 	"disorder":                     func(ctx context.Context, s *soak) { s.playDisorder(ctx, disorders) },
 	"late-reads":                   func(ctx context.Context, s *soak) { s.playDisorder(ctx, lateReads) },
 	"repeated-events":              func(ctx context.Context, s *soak) { s.playDisorder(ctx, repeats) },
+	"customers":                    func(ctx context.Context, s *soak) { s.playCustomers(ctx) },
 	"all-killed":                   func(ctx context.Context, s *soak) { s.playAllKilled(ctx) },
 	"stopped-owners":               func(ctx context.Context, s *soak) { s.playStoppedOwners(ctx) },
 	"silent-links":                 func(ctx context.Context, s *soak) { s.playSilentLinks(ctx) },
@@ -156,8 +169,7 @@
 func (s *soak) startCallers(ctx context.Context, streams int) (stop func()) {
 	s.releases = 1
 	s.config.Store(1)
-	c := newCaller(s.entries, s.checks, newRandom(s.random.Uint64()))
-	kept := newCaller(s.entries, s.checks, newRandom(s.random.Uint64())).keepConnections()
+	c, kept := s.newCaller(), s.newCaller().keepConnections()
 	ctx, cancel := context.WithCancel(ctx)
 	var callers sync.WaitGroup
 	for i := range streams {
--- a/cicadasoak/silentlinks.go
+++ b/cicadasoak/silentlinks.go
@@ -11,7 +11,7 @@
 )
 
 // linked are the scenarios in which processes reach each other and the store through proxies.
-var linked = map[string]bool{"silent-links": true, "disorder": true}
+var linked = map[string]bool{"silent-links": true, "disorder": true, "customers": true}
 
 const (
 	// silentLinksStreams leaves slots for the items of jobs.
