Bound the messages of confirmations while the store is down

Change: of the rounds of all processes, only as many query the root as it can answer, and after four rounds in vain only one in four queries others than the parent. The fan-out is a field, so that a test has four levels below the root.

--- a/cicadagateway/cicadafreshness/failure_test.go
+++ b/cicadagateway/cicadafreshness/failure_test.go
@@ -57,12 +57,12 @@
 // confirmation were recent.
 func TestParentResumes(t *testing.T) {
 	f := settled(t, 40)
-	for _, n := range f.nodes[1 : 1+fanOut] {
+	for _, n := range f.nodes[1 : 1+defaultFanOut] {
 		n.suspend()
 	}
 	f.write()
 	f.run(testLimit + time.Second)
-	for _, n := range f.nodes[1 : 1+fanOut] {
+	for _, n := range f.nodes[1 : 1+defaultFanOut] {
 		n.resume()
 	}
 	f.run(time.Second)
@@ -116,12 +116,30 @@
 	assert.Assert(t, f.reads()-reads <= polls, "%d reads", f.reads()-reads)
 }
 
+// Guards against a tree in which ages add up to more than the limit, or to so much that the store
+// is read: four levels below the root, of which one parent dies.
+func TestDeepTree(t *testing.T) {
+	const fanOut, size = 2, 31 // the levels hold 1, 2, 4, 8 and 16 processes
+	f := newFleet(1, size)
+	for _, n := range f.nodes {
+		n.tracker.fanOut = fanOut
+	}
+	f.run(2 * settleTime)
+	assert.Equal(t, f.nodes[size-1].tracker.level, 4)
+	reads := f.reads()
+	f.assertFresh(t, 10*time.Second)
+	f.nodes[1].kill()
+	f.assertFresh(t, 10*time.Second)
+	polls := int(20*time.Second/pollInterval) + 1
+	assert.Assert(t, f.reads()-reads <= polls, "%d reads", f.reads()-reads)
+}
+
 // Guards against processes that rely on a parent which replies, but whose confirmation is old.
 func TestParentIsStale(t *testing.T) {
 	f := settled(t, 60)
 	parent := f.nodes[1]
 	parent.rejected = true
-	for _, other := range f.nodes[:1+fanOut] {
+	for _, other := range f.nodes[:1+defaultFanOut] {
 		parent.noLink[other.index] = other != parent
 	}
 	reads := f.reads() - parent.reads
@@ -140,7 +158,7 @@
 	f.nodes[1].rejected = true
 	f.assertFresh(t, 10*time.Second)
 	polls := int(20*time.Second/pollInterval) + 1
-	assert.Assert(t, f.reads()-reads <= polls+2*fanOut, "%d reads", f.reads()-reads)
+	assert.Assert(t, f.reads()-reads <= polls+2*defaultFanOut, "%d reads", f.reads()-reads)
 }
 
 // Guards against processes that confirm each other without the store after all have restarted, and
--- a/cicadagateway/cicadafreshness/fleet_test.go
+++ b/cicadagateway/cicadafreshness/fleet_test.go
@@ -103,8 +103,8 @@
 	watchedAt time.Duration
 	version   int64
 	reads     int
+	requested int // reads that the Tracker asked for
 	sent      int
-	received  int
 	bytes     int // sent and received
 }
 
@@ -227,7 +227,7 @@
 		n.heard[i] = never
 	}
 	n.tracker = New(n.name, testLimit, n.send, WithClock(n.now), WithMembers(n.members), WithCoordinator(n.coordinator),
-		WithRead(n.requestRead), WithOnNewer(func(int64) { n.do(catchUpDelay, n.requestRead) }))
+		WithRead(n.readForTracker), WithOnNewer(func(int64) { n.do(catchUpDelay, n.requestRead) }))
 	n.do(f.upTo(tickInterval), func() { n.repeat(tickInterval, n.tracker.Tick) })
 	if !f.steady {
 		n.do(f.upTo(heartbeat), func() { n.repeat(heartbeat, n.sendState) })
@@ -290,7 +290,6 @@
 	}
 	to := f.nodes[i]
 	to.do(delay, func() {
-		to.received++
 		to.bytes += len(b) + udpHeader
 		var m Message
 		if err := cbor.Unmarshal(b, &m); err != nil {
@@ -357,6 +356,12 @@
 	}
 }
 
+// readForTracker reads the store as the Tracker asks for it.
+func (n *node) readForTracker() {
+	n.requested++
+	n.requestRead()
+}
+
 // requestRead lets the follower list the configuration now, or again after a call in progress.
 func (n *node) requestRead() {
 	if n.reading {
@@ -424,6 +429,15 @@
 	return sum
 }
 
+// requested returns the number of reads that Trackers have asked for by now.
+func (f *fleet) requested() int {
+	sum := 0
+	for _, n := range f.nodes {
+		sum += n.requested
+	}
+	return sum
+}
+
 // assertFresh lets time pass, in which all live processes but the given ones must be fresh.
 func (f *fleet) assertFresh(t *testing.T, d time.Duration, except ...*node) {
 	t.Helper()
--- a/cicadagateway/cicadafreshness/history_test.go
+++ b/cicadagateway/cicadafreshness/history_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"flag"
-	"fmt"
 	"testing"
 	"time"
 
@@ -17,6 +16,8 @@
 const (
 	historyTime = 40 * time.Second
 	maxFault    = 12 * time.Second
+	// maxBytesPerSecond is the control traffic that a process may have in all.
+	maxBytesPerSecond = 19_000
 )
 
 // playHistory plays random faults, restarts and configuration changes, and returns the share of
@@ -157,40 +158,55 @@
 	}
 }
 
-// Guards against messages and reads whose number grows with the number of processes, and shows
-// how many there are without faults.
+// A load is what the processes of a fleet have sent and read over a period.
+type load struct {
+	mean, most          float64 // messages a second sent by a process, and by the busiest
+	meanBytes, maxBytes float64 // bytes a second sent and received
+	oldest              time.Duration
+	reads, requested    float64 // reads of the store a second, and those that Trackers asked for
+}
+
+func (f *fleet) measure(period time.Duration) (l load) {
+	for _, n := range f.nodes {
+		n.sent, n.bytes = 0, 0
+	}
+	reads, requested, seconds := f.reads(), f.requested(), period.Seconds()
+	for end := f.now + period; f.now < end; {
+		f.run(sampleInterval)
+		for _, n := range f.nodes {
+			age, _ := n.tracker.Age()
+			l.oldest = max(l.oldest, age)
+		}
+	}
+	for _, n := range f.nodes {
+		messages, bytes := float64(n.sent)/seconds, float64(n.bytes)/seconds
+		l.mean, l.most = l.mean+messages/float64(len(f.nodes)), max(l.most, messages)
+		l.meanBytes, l.maxBytes = l.meanBytes+bytes/float64(len(f.nodes)), max(l.maxBytes, bytes)
+	}
+	l.reads, l.requested = float64(f.reads()-reads)/seconds, float64(f.requested()-requested)/seconds
+	return l
+}
+
+// Guards against messages and reads whose number grows with the number of processes, and shows how
+// many there are without faults and while the store is down.
 func TestMessageCounts(t *testing.T) {
 	const period = 10 * time.Second
+	const format = "%3d processes, %s: %.1f messages/s sent on average, %.0f by the busiest; " +
+		"%.0f bytes/s sent and received on average, %.0f by the busiest; oldest confirmation %s; %.1f reads/s, %.1f of them requested"
 	for _, size := range []int{23, 300, 730} {
 		f := newSteadyFleet(size)
 		f.run(settleTime)
-		reads := f.reads()
-		for _, n := range f.nodes {
-			n.sent, n.received, n.bytes = 0, 0, 0
-		}
-		var oldest time.Duration
-		for end := f.now + period; f.now < end; {
-			f.run(sampleInterval)
-			for _, n := range f.nodes {
-				age, ok := n.tracker.Age()
-				assert.Assert(t, ok)
-				oldest = max(oldest, age)
-			}
-		}
-		messages, bytes, mostMessages, mostBytes := 0, 0, 0, 0
-		for _, n := range f.nodes {
-			messages, bytes = messages+n.sent, bytes+n.bytes
-			mostMessages, mostBytes = max(mostMessages, n.sent), max(mostBytes, n.bytes)
-		}
-		seconds := period.Seconds()
-		mean := float64(messages) / float64(size) / seconds
-		t.Log(fmt.Sprintf("%3d processes: %.1f messages/s sent by a process on average, %.0f by the busiest; "+
-			"%.0f bytes/s sent and received on average, %.0f at the busiest; oldest confirmation %s; %.1f reads/s of the store",
-			size, mean, float64(mostMessages)/seconds, float64(bytes)/float64(size)/seconds, float64(mostBytes)/seconds,
-			oldest.Round(time.Millisecond), float64(f.reads()-reads)/seconds))
-		assert.Assert(t, mean < 6)
-		assert.Assert(t, float64(mostBytes)/seconds < 19_000)
-		assert.Assert(t, oldest < testLimit/2, "the store would be read")
-		assert.Assert(t, f.reads()-reads <= int(period/pollInterval)+1)
+		l := f.measure(period)
+		t.Logf(format, size, "calm", l.mean, l.most, l.meanBytes, l.maxBytes, l.oldest.Round(time.Millisecond), l.reads, l.requested)
+		assert.Assert(t, l.mean < 5)
+		assert.Assert(t, l.maxBytes < maxBytesPerSecond)
+		assert.Assert(t, l.oldest < testLimit/2, "the store would be read")
+		assert.Assert(t, l.reads <= 1/pollInterval.Seconds())
+		assert.Equal(t, l.requested, 0.0)
+
+		f.storeDown = true
+		l = f.measure(period)
+		t.Logf(format, size, "store down", l.mean, l.most, l.meanBytes, l.maxBytes, l.oldest.Round(time.Millisecond), l.reads, l.requested)
+		assert.Assert(t, l.maxBytes < maxBytesPerSecond)
 	}
 }
--- a/cicadagateway/cicadafreshness/query.go
+++ b/cicadagateway/cicadafreshness/query.go
@@ -1,6 +1,11 @@
 package cicadafreshness
 
-import "time"
+import (
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 const (
 	// renewInterval is the time from a reply with a newer confirmation to the next query. It is
@@ -22,9 +27,13 @@
 	tickTolerance = 20 * time.Millisecond
 	// silentPeriod is how long a parent that did not reply is not queried first.
 	silentPeriod = 2 * time.Second
-	// coordinatorLoad is the interval at which all processes together query the coordinator as
+	// rootLoad is the shortest average interval at which all processes together query the root as
 	// the last candidate, if its children are not counted.
-	coordinatorLoad = 15 * time.Millisecond
+	rootLoad = 15 * time.Millisecond
+	// fullRounds is the number of rounds in vain after which only one in sparseRounds queries other
+	// members than the parent, as the store is probably down.
+	fullRounds   = 4
+	sparseRounds = 4
 	// minAdvance is the difference between the times of two confirmations that come from different
 	// reads of the store. Smaller ones are due to the times that messages take.
 	minAdvance = 100 * time.Millisecond
@@ -42,7 +51,7 @@
 type queries struct {
 	next      time.Duration // time of the next query
 	attempt   int           // candidates of this round that were queried in vain
-	round     int           // rounds in which all candidates were queried in vain
+	round     int           // rounds in succession in which all candidates were queried in vain
 	unchanged int           // replies in succession without a newer confirmation
 	awaiting  bool          // the last query was not answered yet
 	last      sentQuery
@@ -51,8 +60,6 @@
 	// silent is the last parent that did not reply. It is not queried first until silentUntil.
 	silent      string
 	silentUntil time.Duration
-	// rootNext is the earliest time of the next query to the root as the last candidate.
-	rootNext time.Duration
 }
 
 // due reports whether it is time for a query. One that has not been answered makes the next
@@ -80,15 +87,15 @@
 		q.attempt, q.next = 0, now+treeInterval
 		return "", false
 	}
-	if q.attempt == 0 && candidates[0] == q.silent && now < q.silentUntil {
-		q.attempt = 1
+	sparse := q.round >= fullRounds && q.round%sparseRounds != 0
+	switch {
+	case sparse:
+		candidates = candidates[:1]
+	case t.level() > 1 && !t.mayQueryRoot(q.round):
+		candidates = candidates[:len(candidates)-1]
 	}
-	if q.attempt == len(candidates)-1 && t.level() > 1 {
-		if now < q.rootNext {
-			q.attempt++
-		} else {
-			q.rootNext = now + max(time.Second, time.Duration(len(t.members))*coordinatorLoad)
-		}
+	if q.attempt == 0 && !sparse && candidates[0] == q.silent && now < q.silentUntil {
+		q.attempt = 1
 	}
 	if q.attempt >= len(candidates) {
 		q.attempt, q.next = 0, now+roundInterval
@@ -98,6 +105,14 @@
 	return candidates[q.attempt], true
 }
 
+// mayQueryRoot reports whether the root is queried in a round, if it is not the parent. The more
+// processes there are, the fewer rounds of each do so.
+func (t tree) mayQueryRoot(round int) bool {
+	rounds := uint64(time.Duration(len(t.members)) * rootLoad / roundInterval)
+	hash := xxhash.Sum64String(t.members[t.self] + strconv.Itoa(round))
+	return rounds <= 1 || hash%rounds == 0
+}
+
 // record records that a member is queried.
 func (q *queries) record(member string, now time.Duration) {
 	q.awaiting, q.last = true, sentQuery{stamp: now, to: member}
@@ -126,12 +141,12 @@
 	}
 	switch {
 	case advanced && sufficient:
-		q.attempt, q.unchanged = 0, 0
+		q.attempt, q.round, q.unchanged = 0, 0, 0
 		q.next = stamp + renewInterval
 	case !isLast: // a later query is to be answered
 	case sufficient:
 		q.next = stamp + min(retryInterval<<(min(q.unchanged, maxShift)/2), maxRetryInterval)
-		q.attempt = 0
+		q.attempt, q.round = 0, 0
 		q.unchanged++
 	default:
 		q.attempt++
--- a/cicadagateway/cicadafreshness/tracker.go
+++ b/cicadagateway/cicadafreshness/tracker.go
@@ -59,6 +59,7 @@
 	log         hclog.Logger
 	metrics     metrics
 	incarnation uint64
+	fanOut      int
 	// confirmedAt is the time of the confirmation of the version in force, or never.
 	confirmedAt atomic.Int64
 
@@ -112,7 +113,7 @@
 		self: self, limit: limit, send: send, clock: cicadaclock.SinceBoot,
 		members: func() []string { return nil }, coordinator: func() string { return "" },
 		read: func() {}, onNewer: func(int64) {}, log: hclog.NewNullLogger(), metrics: newMetrics(tally.NoopScope),
-		incarnation:   rand.Uint64(),
+		incarnation: rand.Uint64(), fanOut: defaultFanOut,
 		confirmations: newConfirmations(), reads: reads{overdueSince: never, interval: readInterval}, newer: newerReport{last: never},
 	}
 	t.confirmedAt.Store(int64(never))
@@ -172,7 +173,7 @@
 	queryDue := t.queries.due(now)
 	t.mu.Unlock()
 	if queryDue {
-		t.query(newTree(t.self, t.coordinator(), t.members()))
+		t.query(newTree(t.self, t.coordinator(), t.members(), t.fanOut))
 	}
 	t.mu.Lock()
 	readDue := t.reads.due(t.confirmed(readFraction, now), readDelay(t.self, t.level, t.limit), now)
--- a/cicadagateway/cicadafreshness/tracker_test.go
+++ b/cicadagateway/cicadafreshness/tracker_test.go
@@ -4,7 +4,10 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
+
+	"cicadalink.example/cicadagateway/cicadaorigin"
 )
 
 // A single is a Tracker whose messages and calls are recorded.
@@ -152,12 +155,29 @@
 	assert.Assert(t, len(s.to) <= 12, "%d queries in 3.3 s", len(s.to))
 }
 
+// Guards against datagrams of other kinds that are taken for messages of this package, and the other
+// way round.
+func TestMessagesDifferFromThoseOfOtherKinds(t *testing.T) {
+	b, err := cbor.Marshal(cicadaorigin.Message{From: "a", Query: "stream"})
+	assert.NilError(t, err)
+	var m Message
+	assert.NilError(t, cbor.Unmarshal(b, &m))
+	assert.Assert(t, m.Empty() && m.From == "")
+	b, err = cbor.Marshal(Message{From: "a", Query: &Query{Stamp: time.Second}})
+	assert.NilError(t, err)
+	var other cicadaorigin.Message
+	assert.NilError(t, cbor.Unmarshal(b, &other))
+	assert.Assert(t, other.From == "" && other.Query == "" && other.Reply == nil)
+	assert.NilError(t, cbor.Unmarshal(b, &m))
+	assert.Assert(t, !m.Empty() && m.Query.Stamp == time.Second)
+}
+
 // Guards against members without a parent, and against parents with too many children.
 func TestTree(t *testing.T) {
 	names := []string{"a", "c", "d"}
-	assert.DeepEqual(t, newTree("b", "c", names).members, []string{"c", "a", "b", "d"})
-	assert.DeepEqual(t, newTree("b", "b", names).members, []string{"b", "a", "c", "d"})
-	assert.DeepEqual(t, newTree("b", "", names).members, []string{"a", "b", "c", "d"})
+	assert.DeepEqual(t, newTree("b", "c", names, 2).members, []string{"c", "a", "b", "d"})
+	assert.DeepEqual(t, newTree("b", "b", names, 2).members, []string{"b", "a", "c", "d"})
+	assert.DeepEqual(t, newTree("b", "", names, 2).members, []string{"a", "b", "c", "d"})
 	members := make([]string, 5000)
 	for i := range members {
 		members[i] = string(rune('a'+i/1000)) + string(rune('0'+i/100%10)) + string(rune('0'+i/10%10)) + string(rune('0'+i%10))
@@ -165,7 +185,7 @@
 	children := make(map[string]int)
 	depth := 0
 	for i := 1; i < len(members); i++ {
-		tree := tree{members: members, self: i}
+		tree := tree{members: members, self: i, fanOut: defaultFanOut}
 		depth = max(depth, tree.level())
 		candidates := tree.candidates(i)
 		children[candidates[0]]++
@@ -174,6 +194,6 @@
 	}
 	assert.Equal(t, depth, 4)
 	for _, n := range children {
-		assert.Assert(t, n <= fanOut)
+		assert.Assert(t, n <= defaultFanOut)
 	}
 }
--- a/cicadagateway/cicadafreshness/tree.go
+++ b/cicadagateway/cicadafreshness/tree.go
@@ -7,9 +7,9 @@
 )
 
 const (
-	// fanOut is the number of processes that query one parent. With 16, 730 processes need three
-	// levels below the root.
-	fanOut = 16
+	// defaultFanOut is the number of processes that query one parent. With 16, 730 processes need
+	// three levels below the root.
+	defaultFanOut = 16
 	// alternatives is the number of other members that are queried in place of a parent in each
 	// round.
 	alternatives = 2
@@ -20,11 +20,12 @@
 type tree struct {
 	members []string
 	self    int // index of this process
+	fanOut  int
 }
 
 // newTree returns the tree over the live members, whose names are sorted, and self, which names
 // may leave out. The first by name is the root if the coordinator is unknown.
-func newTree(self, coordinator string, names []string) tree {
+func newTree(self, coordinator string, names []string, fanOut int) tree {
 	members := slices.Clone(names)
 	if i, ok := slices.BinarySearch(members, self); !ok {
 		members = slices.Insert(members, i, self)
@@ -35,15 +36,15 @@
 		}
 		members = slices.Insert(members, 0, coordinator)
 	}
-	return tree{members: members, self: slices.Index(members, self)}
+	return tree{members: members, self: slices.Index(members, self), fanOut: fanOut}
 }
 
-// level returns the level of an index, and the range of indexes at this level. The root is at
+// levelOf returns the level of an index, and the range of indexes at this level. The root is at
 // level 0.
-func level(index int) (n, first, end int) {
+func (t tree) levelOf(index int) (n, first, end int) {
 	width := 1
 	for end = 1; index >= end; n++ {
-		width *= fanOut
+		width *= t.fanOut
 		first, end = end, end+width
 	}
 	return n, first, end
@@ -52,7 +53,7 @@
 // level returns the number of members through which confirmations of the root pass until they
 // reach this process.
 func (t tree) level() int {
-	n, _, _ := level(t.self)
+	n, _, _ := t.levelOf(t.self)
 	return n
 }
 
@@ -62,9 +63,9 @@
 	if t.self == 0 {
 		return nil
 	}
-	parent := (t.self - 1) / fanOut
+	parent := (t.self - 1) / t.fanOut
 	candidates := []string{t.members[parent]}
-	_, first, end := level(max(parent, 1)) // siblings if the parent is the root
+	_, first, end := t.levelOf(max(parent, 1)) // siblings if the parent is the root
 	end = min(end, len(t.members))
 	start := int(xxhash.Sum64String(t.members[t.self])%uint64(end-first)) + round*alternatives
 	for i := range end - first {
