--- a/cicadagateway/cicadafreshness/failure_test.go
+++ b/cicadagateway/cicadafreshness/failure_test.go
@@ -121,9 +121,7 @@
 func TestDeepTree(t *testing.T) {
 	const fanOut, size = 2, 31 // the levels hold 1, 2, 4, 8 and 16 processes
 	f := newFleet(1, size)
-	for _, n := range f.nodes {
-		n.tracker.fanOut = fanOut
-	}
+	f.setFanOut(fanOut)
 	f.run(2 * settleTime)
 	assert.Equal(t, f.nodes[size-1].tracker.level, 4)
 	reads := f.reads()
--- a/cicadagateway/cicadafreshness/fleet_test.go
+++ b/cicadagateway/cicadafreshness/fleet_test.go
@@ -65,6 +65,7 @@
 	loss         float64 // of messages
 	late         float64 // share of messages that take up to lateBy
 	lateBy       time.Duration
+	fanOut       int // of the tree
 	// steady leaves out the messages by which members detect failures: all are known at once.
 	steady bool
 	// clock is that of a process, alter may change a message that a process receives, and dated
@@ -115,7 +116,7 @@
 
 func startFleet(seed uint64, n int, steady bool) *fleet {
 	f := &fleet{
-		random: rand.New(rand.NewPCG(seed, 0)), steady: steady, storeLatency: 20 * time.Millisecond,
+		random: rand.New(rand.NewPCG(seed, 0)), steady: steady, fanOut: defaultFanOut, storeLatency: 20 * time.Millisecond,
 		clock: func(n *node) time.Duration { return n.fleet.now + n.bootedAt },
 		alter: func(_ *node, m Message) Message { return m },
 		dated: func(_ *node, askedAt time.Duration) time.Duration { return askedAt },
@@ -132,6 +133,13 @@
 	return f
 }
 
+func (f *fleet) setFanOut(fanOut int) {
+	f.fanOut = fanOut
+	for _, n := range f.nodes {
+		n.tracker.fanOut = fanOut
+	}
+}
+
 func (f *fleet) upTo(d time.Duration) time.Duration {
 	return time.Duration(f.random.Int64N(int64(d) + 1))
 }
@@ -228,6 +236,7 @@
 	}
 	n.tracker = New(n.name, testLimit, n.send, WithClock(n.now), WithMembers(n.members), WithCoordinator(n.coordinator),
 		WithRead(n.readForTracker), WithOnNewer(func(int64) { n.do(catchUpDelay, n.requestRead) }))
+	n.tracker.fanOut = f.fanOut
 	n.do(f.upTo(tickInterval), func() { n.repeat(tickInterval, n.tracker.Tick) })
 	if !f.steady {
 		n.do(f.upTo(heartbeat), func() { n.repeat(heartbeat, n.sendState) })
--- a/cicadagateway/cicadafreshness/history_test.go
+++ b/cicadagateway/cicadafreshness/history_test.go
@@ -25,6 +25,7 @@
 func playHistory(seed int, change func(*fleet)) (f *fleet, fresh float64) {
 	f = newFleet(uint64(seed), 3+seed%21)
 	change(f)
+	f.setFanOut([]int{2, defaultFanOut}[f.random.IntN(2)])
 	f.loss, f.late, f.lateBy = f.random.Float64()*0.2, f.random.Float64()*0.1, maxFault
 	f.storeLatency = f.upTo(time.Second)
 	f.playWrites()
