Test that a version between two others is not confirmed

Cause: a trial that let the confirmation of a pending version count for an older one in force passed the tests.

Change: TestVersionsOfReplies covers it.

Result: the test fails with that fault and passes without it; go test -race passes.

--- a/cicadagateway/cicadafreshness/tracker_test.go
+++ b/cicadagateway/cicadafreshness/tracker_test.go
@@ -102,6 +102,11 @@
 	assert.Assert(t, s.Fresh())
 	s.SetVersion(2)
 	assert.Assert(t, !s.Fresh())
+	s.RecordRead(5, s.now)
+	s.SetVersion(4)
+	assert.Assert(t, !s.Fresh(), "version 5 is confirmed, not version 4")
+	s.SetVersion(5)
+	assert.Assert(t, s.Fresh())
 }
 
 // Guards against a read that began before another one and ends after it, and against a store that
