Enforce the limits of customers over all entries

The share that a home grants is that of the entries whose home it is, so that the shares of several homes add up to the limit also where only some links fail.

--- a/cicadagateway/cicadaratelimit/entry.go
+++ b/cicadagateway/cicadaratelimit/entry.go
@@ -1,7 +1,9 @@
 package cicadaratelimit
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"cicadalink.example/cicadakernel/cicadalimit"
@@ -58,9 +60,9 @@
 	retryStep    time.Duration // between callers
 	toldToWait   int64         // callers since the last request
 
-	// initial is the bucket that has granted tokens while it was new, at initialAt.
-	initial   uint64
-	initialAt time.Time
+	// spent is the number of tokens that new buckets have granted, the last ones at spentAt.
+	spent   int64
+	spentAt time.Time
 }
 
 // A query asks for tokens on behalf of all requests that wait.
@@ -215,8 +217,8 @@
 	r.Waiting = min(r.Waiting, r.Want)
 	r.Refused, c.toldToWait = c.toldToWait, 0
 	r.Bucket, r.Unused = c.bucket, c.takeUnused(now)
-	if c.initial != 0 && now.Sub(c.initialAt) < Window {
-		r.Initial = c.initial
+	if now.Sub(c.spentAt) < Window {
+		r.Spent = c.spent
 	}
 	r.InsteadOf = q.insteadOf
 	q.attempts = append(q.attempts, attempt{id: r.ID, to: home, at: now, want: r.Want, waiting: r.Waiting})
@@ -330,8 +332,11 @@
 	q.stop()
 	c.query = nil
 	c.home, c.bucket = a.to, r.Bucket
-	if r.Initial {
-		c.initial, c.initialAt = r.Bucket, now
+	if r.New {
+		if now.Sub(c.spentAt) >= Window {
+			c.spent = 0
+		}
+		c.spent, c.spentAt = c.spent+r.Tokens, now
 	}
 	c.retryAt, c.retryStep = now.Add(micros(r.RetryMicros)), micros(r.StepMicros)
 	l.allowWaiters(c, q, now)
@@ -363,14 +368,20 @@
 
 // tickCustomers returns the unused tokens of expired leases and drops idle customers.
 func (l *Limiter) tickCustomers(now time.Time) {
+	var unused []*customer
 	for name, c := range l.customers {
-		if c.query == nil && c.lease.Left() > 0 && !now.Before(c.lease.Grant().Expires) {
-			if n := c.takeUnused(now); n > 0 {
-				l.returnTokens(c, c.home, c.bucket, n, now)
-			}
-		}
-		if c.query == nil && now.Sub(c.usedAt) > customerIdleTime {
+		switch {
+		case c.query != nil:
+		case c.lease.Left() > 0 && !now.Before(c.lease.Grant().Expires):
+			unused = append(unused, c)
+		case now.Sub(c.usedAt) > customerIdleTime:
 			delete(l.customers, name)
 		}
 	}
+	slices.SortFunc(unused, func(a, b *customer) int { return cmp.Compare(a.name, b.name) })
+	for _, c := range unused {
+		if n := c.takeUnused(now); n > 0 {
+			l.returnTokens(c, c.home, c.bucket, n, now)
+		}
+	}
 }
--- a/cicadagateway/cicadaratelimit/home.go
+++ b/cicadagateway/cicadaratelimit/home.go
@@ -1,7 +1,7 @@
 package cicadaratelimit
 
 import (
-	"math"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -20,8 +20,8 @@
 	// of the slack.
 	initialBurst = 0.05
 	// denialTime is how long a token is reserved for an entry that got none. It exceeds
-	// maxBackoff, after which the entry asks again if it still has requests.
-	denialTime = 300 * time.Millisecond
+	// maxBackoff, after which the entry asks again with the next request.
+	denialTime = 600 * time.Millisecond
 	// maxDenials limits the entries for which tokens are reserved.
 	maxDenials = 16
 	// bucketIdleTime is how long an unused bucket is kept.
@@ -44,9 +44,12 @@
 	version      uint64
 	computedFor  string
 
-	// fresh is set until the first request after this entry has become the home, at freshAt.
-	fresh       bool
+	// freshAt is when this entry has become the home, and granted the tokens that it has
+	// granted since. charged are those taken from the bucket since then because an earlier
+	// home has granted them as its initial ones.
 	freshAt     time.Time
+	granted     int64
+	charged     float64
 	refillFrom  time.Time
 	lostShareAt time.Time // when the share has become 0
 
@@ -66,10 +69,13 @@
 	if r.Want <= 0 {
 		if h != nil && h.id == r.Bucket {
 			h.bucket.Grant(now, 0, r.Unused)
+		} else if h != nil {
+			l.charge(h, r, now)
 		}
 		return reply
 	}
 	if l.starting(now) {
+		l.postponed[r.Customer] = true
 		reply.Status = statusNotReady
 		return reply
 	}
@@ -123,12 +129,17 @@
 	if r.InsteadOf == "" && l.view.home(r.Customer, "") == l.self {
 		since = l.view.homeSince(r.Customer, l.startedAt)
 	}
+	initial := l.initialLevel(limit, share)
+	if r.InsteadOf != "" || l.postponed[r.Customer] {
+		initial /= 2 // the home and its stand-in both begin
+	}
 	h := &homeBucket{
 		id: rand.Uint64() | 1, limit: limit, share: share, pendingShare: share,
-		fresh: true, freshAt: since, refillFrom: since.Add(settleTime),
+		freshAt: since, refillFrom: since.Add(settleTime),
 	}
 	filled := max(now.Sub(h.refillFrom).Seconds(), 0) * limit.PerSecond * share
-	h.bucket = cicadalimit.NewBucket(now, 0, l.capacity(limit, share), l.initialLevel(limit, share)+filled)
+	h.bucket = cicadalimit.NewBucket(now, 0, l.capacity(limit, share), initial+filled)
+	l.log.Debug("bucket created", "customer", r.Customer, "share", share, "tokens", h.bucket.Level(now))
 	return h
 }
 
@@ -142,7 +153,11 @@
 		h.version, h.computedFor = l.view.version, h.insteadOf
 	}
 	h.limit = limit
+	before := h.share
 	h.setShare(h.computed, now)
+	if before > 0 && h.share == 0 {
+		l.handOver(name, h, now)
+	}
 	rate := limit.PerSecond * h.share
 	if now.Before(h.refillFrom) && h.insteadOf == "" {
 		rate = 0
@@ -178,19 +193,26 @@
 	case share == 0:
 		h.lostShareAt = now
 	case h.share == 0:
-		h.fresh, h.freshAt = true, now
+		h.freshAt, h.granted, h.charged = now, 0, 0
 	}
 	h.share, h.pendingShare = share, share
 }
 
-// grant grants tokens. Requests that wait come before the tokens that an entry asks for in
-// advance, of which it gets at most half of the rest. An entry that got none has a token
+// handOver tells the new home of a customer what this entry has granted while it was new
+// itself.
+func (l *Limiter) handOver(name string, h *homeBucket, now time.Time) {
+	home := l.view.home(name, "")
+	if now.Sub(h.freshAt) >= Window || h.granted == 0 || home == l.self {
+		return
+	}
+	l.log.Debug("customer handed over", "customer", name, "to", home, "granted", h.granted)
+	l.queue(home, Message{Request: &Request{Customer: name, Bucket: h.id, Spent: h.granted}})
+}
+
+// grant grants tokens, to requests that wait first, and then in advance. An entry that got none has a token
 // reserved, so that entries with many requests don't take them all.
 func (l *Limiter) grant(from string, h *homeBucket, r Request, reply *Reply, now time.Time) {
-	if h.fresh && r.Initial != 0 && r.Initial != h.id {
-		h.bucket.Grant(now, int64(math.Ceil(l.initialLevel(h.limit, h.share))), 0)
-	}
-	h.fresh = false
+	l.charge(h, r, now)
 	unused := int64(0)
 	if r.Bucket == h.id {
 		unused = r.Unused
@@ -203,17 +225,43 @@
 		n = min(n, available/int64(others+1)+1)
 	}
 	if n == r.Waiting {
-		n += min(r.Want-r.Waiting, (available-n)/2)
+		n += min(r.Want-r.Waiting, l.spare(h, r, available-n))
 	}
 	tokens := h.bucket.Grant(now, n, 0).Tokens
 	l.metrics.granted.Inc(tokens)
+	h.granted += tokens
 	h.updateDenials(from, tokens, now)
 	reply.Tokens, reply.Bucket = tokens, h.id
-	reply.Initial = now.Sub(h.freshAt) < Window
+	reply.New = now.Sub(h.freshAt) < Window
 	reply.NextMicros = h.bucket.Wait(now, float64(ahead+1)).Microseconds()
 	h.tellToWait(max(r.Waiting-tokens, 0), r.Refused, reply, now)
 }
 
+// charge takes the tokens from a new bucket that an earlier home has granted while it was new
+// itself, up to the initial level. If the home changes more than once within a window, the
+// initial tokens are granted only once.
+func (l *Limiter) charge(h *homeBucket, r Request, now time.Time) {
+	if r.Bucket == h.id || r.Spent <= 0 || now.Sub(h.freshAt) >= Window {
+		return
+	}
+	n := min(float64(r.Spent), l.initialLevel(h.limit, h.share)-h.charged)
+	if n > 0 {
+		h.charged += n
+		h.bucket.Take(now, n)
+		l.log.Debug("tokens of an earlier home taken", "customer", r.Customer, "tokens", n, "level", h.bucket.Level(now))
+	}
+}
+
+// spare returns how many of the tokens that are left may be granted in advance. An entry that
+// has not refused any requests may not need them, so it gets them only while a reserve is left
+// for requests at other entries.
+func (l *Limiter) spare(h *homeBucket, r Request, left int64) int64 {
+	if r.Refused == 0 {
+		left -= int64(l.slack / 2 * h.share)
+	}
+	return max(left/2, 0)
+}
+
 // denialsAhead returns the number of entries for which a token is reserved before one for the
 // given entry.
 func (h *homeBucket) denialsAhead(entry string, now time.Time) int {
@@ -263,11 +311,15 @@
 
 // tickHomes keeps the buckets up to date, and drops idle ones.
 func (l *Limiter) tickHomes(now time.Time) {
-	for name, h := range l.homes {
+	for _, name := range slices.Sorted(maps.Keys(l.homes)) {
+		h := l.homes[name]
 		if now.Sub(h.usedAt) > bucketIdleTime {
 			delete(l.homes, name)
 			continue
 		}
 		l.updateHome(name, h, h.limit, now)
 	}
+	if now.Sub(l.startedAt) > Window {
+		clear(l.postponed)
+	}
 }
--- a/cicadagateway/cicadaratelimit/limiter.go
+++ b/cicadagateway/cicadaratelimit/limiter.go
@@ -19,8 +19,9 @@
 //   - The share of the rate that an entry grants is that of the entries whose home it is, out
 //     of all known, so that the shares of all homes add up to at most the whole. A share that
 //     rises takes effect after settleTime, one that falls at once.
-//   - A new bucket has its initial level only if none of the entries that ask has lately got
-//     initial tokens from another one, because several changes of the home may fall in one window.
+//   - The tokens that a new bucket has granted are taken from that of a home which replaces it
+//     within a window, up to the initial level. The entries that got them report them, as does
+//     the earlier home itself. So several changes of the home in a window add one initial level.
 //
 // # Usage
 //
@@ -85,6 +86,7 @@
 	activeAt  time.Time // last call
 	customers map[string]*customer
 	homes     map[string]*homeBucket
+	postponed map[string]bool // customers whose home this entry was while it was starting
 	lastID    int64
 	outbox    []outgoing
 }
@@ -139,6 +141,7 @@
 		log:     hclog.NewNullLogger(),
 		metrics: newMetrics(tally.NoopScope),
 		view:    newView(self), customers: make(map[string]*customer), homes: make(map[string]*homeBucket),
+		postponed: make(map[string]bool),
 	}
 	for _, opt := range opts {
 		opt(l)
@@ -160,6 +163,7 @@
 		l.log.Info("suspension noticed, buckets dropped", "gap", gap)
 		l.metrics.resets.Inc(1)
 		clear(l.homes)
+		clear(l.postponed)
 		l.startedAt = now
 	}
 	l.activeAt = now
--- a/cicadagateway/cicadaratelimit/message.go
+++ b/cicadagateway/cicadaratelimit/message.go
@@ -31,10 +31,12 @@
 	// request.
 	Refused int64 `cbor:"7,keyasint,omitempty"`
 	// Unused is the number of tokens that the sender returns to Bucket.
-	Unused int64  `cbor:"8,keyasint,omitempty"`
+	Unused int64 `cbor:"8,keyasint,omitempty"`
+	// Bucket is the one that granted tokens to the sender last.
 	Bucket uint64 `cbor:"9,keyasint,omitempty"`
-	// Initial is the bucket whose initial tokens the sender got within the last window, or 0.
-	Initial uint64 `cbor:"10,keyasint,omitempty"`
+	// Spent is the number of tokens that the sender got from new buckets within the last
+	// window, or has granted as a new home.
+	Spent int64 `cbor:"10,keyasint,omitempty"`
 	// InsteadOf is the home entry that has replied that it is not ready.
 	InsteadOf string `cbor:"11,keyasint,omitempty"`
 }
@@ -55,10 +57,10 @@
 	// Home is the home entry in the view of the sender, if that isn't the sender.
 	Home   string `cbor:"4,keyasint,omitempty"`
 	Tokens int64  `cbor:"5,keyasint,omitempty"`
-	// Bucket identifies the bucket that the tokens are from. Initial is set while it may
-	// contain initial tokens.
-	Bucket  uint64 `cbor:"6,keyasint,omitempty"`
-	Initial bool   `cbor:"7,keyasint,omitempty"`
+	// Bucket identifies the bucket that the tokens are from. It is New while the window may
+	// also contain tokens of an earlier home.
+	Bucket uint64 `cbor:"6,keyasint,omitempty"`
+	New    bool   `cbor:"7,keyasint,omitempty"`
 	// NextMicros is the time until another request may be granted tokens. RetryMicros is
 	// the time after which the first caller that was refused may come back, and StepMicros
 	// that between one such caller and the next.
@@ -72,8 +74,8 @@
 type View struct {
 	// Live is a hash of the names of the entries in contact.
 	Live uint64 `cbor:"1,keyasint"`
-	// Missing names entries that the sender was in contact with, and no longer is. If they
-	// are too many for a message, Truncated is set.
-	Missing   []string `cbor:"2,keyasint,omitempty"`
-	Truncated bool     `cbor:"3,keyasint,omitempty"`
+	// Missing names entries that the sender was in contact with, and no longer is.
+	Missing []string `cbor:"2,keyasint,omitempty"`
+	// Known is the number of entries that the sender knows.
+	Known int `cbor:"3,keyasint,omitempty"`
 }
--- a/cicadagateway/cicadaratelimit/view.go
+++ b/cicadagateway/cicadaratelimit/view.go
@@ -16,11 +16,14 @@
 	// knownTime is how long an entry is known after contact with it has ended.
 	knownTime = time.Minute
 	// peerViewTime is how long another entry's view is used.
-	peerViewTime = 5 * time.Second
+	peerViewTime = 10 * time.Second
 	// viewsPerTick limits the views sent on one tick, so that their volume doesn't grow with
 	// the number of entries.
 	viewsPerTick = 8
-	// viewRepeatTime is how long views are sent after the last entry has come back.
+	// viewDelay is the time after a change in which the views of others may not show it yet.
+	viewDelay = time.Second
+	// viewRepeatTime is how long views are sent after the last entry has come back, or
+	// another's view has differed.
 	viewRepeatTime = 2 * time.Second
 	// maxMissing limits the names in a View.
 	maxMissing = 32
@@ -32,7 +35,9 @@
 	// entry itself.
 	Live []string
 	// Known is the number of entries known within the last minute, including the entry
-	// itself.
+	// itself. It should count those that are registered and have not been heard yet: an
+	// entry that starts while it is cut off from all others, and knows none, grants the whole
+	// limit.
 	Known int
 }
 
@@ -44,20 +49,29 @@
 	self    string
 	live    []string // sorted
 	known   int
-	digest  uint64
+	digest  uint64               // of live
+	all     uint64               // digest of live and gone
 	version uint64               // incremented when the view changes
 	gone    map[string]time.Time // entries that were live, and when contact with them ended
 	peers   map[string]peerView
 	// returnedAt is when an entry that had been gone was last in contact again. While it was
 	// gone, others may have been homes of the same customers.
 	returnedAt time.Time
-	refreshed  time.Time
-	sendNext   int // index of the live entry that is sent the next view
+	changedAt  time.Time // of live
+	// differsAt is when a view was last received that differs from this one. Its sender has
+	// to know this one.
+	differsAt time.Time
+	refreshed time.Time
+	settled   bool // viewDelay has passed since the change
+	sendNext  int  // index of the live entry that is sent the next view
 }
 
 type peerView struct {
 	View
 	at time.Time
+	// explained is set if the view follows from the names of the entries missing in it. If
+	// not, the other entry is in contact with entries that this one has never known.
+	explained bool
 }
 
 func newView(self string) *view {
@@ -89,17 +103,42 @@
 		}
 	}
 	v.live, v.known, v.digest = live, known, digestOf(live)
+	v.changedAt, v.settled = now, false
+	v.update()
+}
+
+// update brings the version and what depends on the names up to date.
+func (v *view) update() {
 	v.version++
+	v.all = v.digest
+	for name := range v.gone {
+		v.all ^= xxhash.Sum64String(name)
+	}
+	for name, p := range v.peers {
+		p.explained = v.explains(p.View)
+		v.peers[name] = p
+	}
 }
 
+// explains reports whether a view is that of an entry in contact with all entries known here
+// but those that it names.
+func (v *view) explains(p View) bool {
+	expected := v.all
+	for _, name := range p.Missing {
+		if _, gone := v.gone[name]; gone || v.isLive(name) {
+			expected ^= xxhash.Sum64String(name)
+		}
+	}
+	return p.Live == v.digest || p.Live == expected
+}
+
+// digestOf returns a hash of a set of names.
 func digestOf(names []string) uint64 {
-	var d xxhash.Digest
-	d.Reset()
+	digest := uint64(0)
 	for _, name := range names {
-		_, _ = d.WriteString(name)
-		_, _ = d.Write([]byte{0})
+		digest ^= xxhash.Sum64String(name)
 	}
-	return d.Sum64()
+	return digest
 }
 
 // expire removes entries that are no longer known.
@@ -107,8 +146,9 @@
 	before := len(v.gone) + len(v.peers)
 	maps.DeleteFunc(v.gone, func(_ string, at time.Time) bool { return now.Sub(at) > knownTime })
 	maps.DeleteFunc(v.peers, func(_ string, p peerView) bool { return now.Sub(p.at) > peerViewTime })
-	if len(v.gone)+len(v.peers) != before {
-		v.version++
+	if settled := now.Sub(v.changedAt) >= viewDelay; settled != v.settled || len(v.gone)+len(v.peers) != before {
+		v.settled = settled
+		v.update()
 	}
 }
 
@@ -137,6 +177,16 @@
 	return cicadamember.Home(homeKey(customer), live)
 }
 
+// allKnown returns the number of entries known to this one, or to those in contact. One that
+// has just started knows fewer than these.
+func (v *view) allKnown() int {
+	known := v.known
+	for _, p := range v.peers {
+		known = max(known, p.Known)
+	}
+	return known
+}
+
 // share returns the share of a customer's limit that this entry may grant: the entries in
 // contact whose home it is, out of all that are known. skip does not count as a home.
 func (v *view) share(customer, skip string) float64 {
@@ -158,7 +208,7 @@
 			}
 		}
 	}
-	return float64(votes) / float64(v.known)
+	return float64(votes) / float64(v.allKnown())
 }
 
 // reaches reports whether a voter is in contact with a candidate.
@@ -169,7 +219,9 @@
 		return true
 	case !ok || voter == v.self || p.Live == v.digest:
 		return v.isLive(candidate)
-	case p.Truncated:
+	case !p.explained && !v.settled:
+		return v.isLive(candidate)
+	case !p.explained:
 		return candidate != v.self
 	default:
 		return !slices.Contains(p.Missing, candidate)
@@ -199,23 +251,27 @@
 	if !v.isLive(name) {
 		return
 	}
+	if p.Live != v.digest {
+		v.differsAt = now
+	}
 	old, ok := v.peers[name]
-	v.peers[name] = peerView{View: p, at: now}
-	if !ok || old.Live != p.Live || !slices.Equal(old.Missing, p.Missing) {
+	v.peers[name] = peerView{View: p, at: now, explained: v.explains(p)}
+	if !ok || old.Live != p.Live || old.Known != p.Known || !slices.Equal(old.Missing, p.Missing) {
 		v.version++
 	}
 }
 
-// message returns the view for others.
+// message returns the view for others. If too many entries are missing for one message, the
+// view is not explained by the names.
 func (v *view) message() View {
 	missing := slices.Sorted(maps.Keys(v.gone))
-	return View{Live: v.digest, Missing: missing[:min(len(missing), maxMissing)], Truncated: len(missing) > maxMissing}
+	return View{Live: v.digest, Missing: missing[:min(len(missing), maxMissing)], Known: v.known}
 }
 
 // receivers returns the entries that are to be sent the view on this tick. There are none
-// while this entry has been in contact with all others for a while.
+// while all entries have been in contact with each other for a while.
 func (v *view) receivers(now time.Time) []string {
-	if len(v.gone) == 0 && (v.returnedAt.IsZero() || now.Sub(v.returnedAt) > viewRepeatTime) {
+	if len(v.gone) == 0 && now.Sub(v.returnedAt) > viewRepeatTime && now.Sub(v.differsAt) > viewRepeatTime {
 		return nil
 	}
 	names := make([]string, 0, viewsPerTick)
--- a/cicadakernel/cicadalimit/bucket.go
+++ b/cicadakernel/cicadalimit/bucket.go
@@ -45,7 +45,7 @@
 func (b *Bucket) Grant(now time.Time, want, unused int64) Grant {
 	b.advance(now)
 	b.level = min(b.level+float64(max(unused, 0)), b.burst)
-	tokens := min(max(want, 0), int64(b.level))
+	tokens := max(min(want, int64(b.level)), 0)
 	b.level -= float64(tokens)
 	return Grant{
 		Tokens:    tokens,
@@ -56,6 +56,13 @@
 	}
 }
 
+// Take removes n tokens that were granted elsewhere. The bucket may lack tokens then, which
+// its refill first makes up for.
+func (b *Bucket) Take(now time.Time, n float64) {
+	b.advance(now)
+	b.level -= n
+}
+
 // Wait returns the time until the bucket holds n tokens.
 func (b *Bucket) Wait(now time.Time, n float64) time.Duration {
 	missing := n - b.Level(now)
