Grant initial tokens only once over several changes of the home

A rolling restart refused requests of small customers as over the limit: a bucket that began with a small share, before the views of others had changed, kept the initial level of that share. The initial level now rises with the share, and a capacity falls only after settleTime.

--- a/cicadagateway/cicadaratelimit/acquire_test.go
+++ b/cicadagateway/cicadaratelimit/acquire_test.go
@@ -204,7 +204,7 @@
 		Refused: 100, Unused: 3, Bucket: 1 << 63, Spent: 10, InsteadOf: "entry-22",
 	}
 	reply := Reply{
-		ID: 1 << 60, Customer: "customer-of-usual-length", Tokens: 60, Bucket: 1 << 63, New: true,
+		ID: 1 << 60, Customer: "customer-of-usual-length", Tokens: 60, Bucket: 1 << 63, Initial: 10,
 		NextMicros: 1 << 20, RetryMicros: 1 << 20, StepMicros: 1 << 16,
 	}
 	missing := make([]string, maxMissing)
--- a/cicadagateway/cicadaratelimit/calm_test.go
+++ b/cicadagateway/cicadaratelimit/calm_test.go
@@ -96,6 +96,36 @@
 	t.Logf("%d requests", c.sent)
 }
 
+// Guards against requests within the limit that are refused as over it while the entries are
+// restarted one after the other. For those whose home is down, the limit is not known until the
+// others notice.
+func TestRollingRestartDoesNotRefuseSmallCustomers(t *testing.T) {
+	limits := make(map[string]Limit)
+	for i := range 40 {
+		limits[fmt.Sprint("small-", i)] = Limit{0.5 + float64(i%4)*0.5, 1}
+	}
+	f := calmFleet(1, limits)
+	var customers []*testCustomer
+	for _, name := range slices.Sorted(maps.Keys(limits)) {
+		c := newTestCustomer(f, name, limits[name])
+		c.rate, c.shaper = 2*c.limit.PerSecond, &shaper{}
+		customers = append(customers, c)
+	}
+	for _, e := range f.entries {
+		f.run(f.now + time.Second)
+		e.kill()
+		f.run(f.now + time.Second)
+		e.start()
+	}
+	sent, refused, unknown := 0, 0, 0
+	for _, c := range customers {
+		sent, refused, unknown = sent+c.sent, refused+c.refused, unknown+c.unknown
+	}
+	t.Logf("of %d requests, %d were refused, and for %d the limit was not known", sent, refused, unknown)
+	assert.Equal(t, refused, 0)
+	assert.Assert(t, 20*unknown <= sent)
+}
+
 // Guards against entries with many requests that take all tokens, so that the customer's
 // requests at other entries get none.
 func TestHomeServesEntriesFairly(t *testing.T) {
--- a/cicadagateway/cicadaratelimit/entry.go
+++ b/cicadagateway/cicadaratelimit/entry.go
@@ -60,7 +60,8 @@
 	retryStep    time.Duration // between callers
 	toldToWait   int64         // callers since the last request
 
-	// spent is the number of tokens that new buckets have granted, the last ones at spentAt.
+	// spent is the number of initial tokens that new buckets have granted, the last ones at
+	// spentAt.
 	spent   int64
 	spentAt time.Time
 }
@@ -245,6 +246,7 @@
 		if q.insteadOf != "" {
 			return ""
 		}
+		l.postponed[c.name] = true
 		q.insteadOf = l.self
 		home = l.view.home(c.name, l.self)
 	}
@@ -332,11 +334,11 @@
 	q.stop()
 	c.query = nil
 	c.home, c.bucket = a.to, r.Bucket
-	if r.New {
+	if r.Initial > 0 {
 		if now.Sub(c.spentAt) >= Window {
 			c.spent = 0
 		}
-		c.spent, c.spentAt = c.spent+r.Tokens, now
+		c.spent, c.spentAt = c.spent+r.Initial, now
 	}
 	c.retryAt, c.retryStep = now.Add(micros(r.RetryMicros)), micros(r.StepMicros)
 	l.allowWaiters(c, q, now)
--- a/cicadagateway/cicadaratelimit/home.go
+++ b/cicadagateway/cicadaratelimit/home.go
@@ -19,6 +19,9 @@
 	// initialBurst is the part of the burst that a new bucket contains, in addition to half
 	// of the slack.
 	initialBurst = 0.05
+	// standInPart is the part of the initial level that a home and its stand-in each begin
+	// with.
+	standInPart = 0.5
 	// denialTime is how long a token is reserved for an entry that got none. It exceeds
 	// maxBackoff, after which the entry asks again with the next request.
 	denialTime = 600 * time.Millisecond
@@ -44,14 +47,21 @@
 	version      uint64
 	computedFor  string
 
-	// freshAt is when this entry has become the home, and granted the tokens that it has
-	// granted since. charged are those taken from the bucket since then because an earlier
-	// home has granted them as its initial ones.
+	// freshAt is when this entry has become the home. granted are the tokens that it has
+	// granted since, and initialUsed those of them that the refill did not cover. charged are
+	// those taken from the bucket because an earlier home has used as many initial ones.
 	freshAt     time.Time
 	granted     int64
+	initialUsed int64
 	charged     float64
 	refillFrom  time.Time
 	lostShareAt time.Time // when the share has become 0
+	// initialShare is the share to which the initial level corresponds.
+	initialShare float64
+	// burstShare is the share before it fell, to which the capacity corresponds until
+	// burstUntil. Shares fall for a moment while entries learn of a change one after the other.
+	burstShare float64
+	burstUntil time.Time
 
 	retryAt time.Time // when the next caller that is refused may come back
 	denials []denial  // entries that got no token, the first one first
@@ -97,8 +107,10 @@
 	}
 	l.updateHome(r.Customer, h, limit, now)
 	h.usedAt = now
-	if h.share == 0 && h.bucket.Level(now) < 1 {
-		reply.Status, reply.Home = statusNotHome, l.view.home(r.Customer, "")
+	home := l.view.home(r.Customer, h.insteadOf)
+	if home != l.self && h.bucket.Level(now) < 1 && (h.share == 0 || now.Sub(h.freshAt) < viewDelay) {
+		// The sender may not have heard the home yet.
+		reply.Status, reply.Home = statusNotHome, home
 		return reply
 	}
 	l.grant(from, h, r, &reply, now)
@@ -131,10 +143,10 @@
 	}
 	initial := l.initialLevel(limit, share)
 	if r.InsteadOf != "" || l.postponed[r.Customer] {
-		initial /= 2 // the home and its stand-in both begin
+		initial *= standInPart
 	}
 	h := &homeBucket{
-		id: rand.Uint64() | 1, limit: limit, share: share, pendingShare: share,
+		id: rand.Uint64() | 1, limit: limit, share: share, pendingShare: share, initialShare: share,
 		freshAt: since, refillFrom: since.Add(settleTime),
 	}
 	filled := max(now.Sub(h.refillFrom).Seconds(), 0) * limit.PerSecond * share
@@ -155,14 +167,22 @@
 	h.limit = limit
 	before := h.share
 	h.setShare(h.computed, now)
-	if before > 0 && h.share == 0 {
+	switch {
+	case before > 0 && h.share == 0:
 		l.handOver(name, h, now)
+	case h.share < before:
+		h.burstShare, h.burstUntil = before, now.Add(settleTime)
+	case h.share > h.initialShare:
+		l.raiseInitial(h, now)
 	}
 	rate := limit.PerSecond * h.share
 	if now.Before(h.refillFrom) && h.insteadOf == "" {
 		rate = 0
 	}
 	burst := l.capacity(limit, h.share)
+	if now.Before(h.burstUntil) {
+		burst = max(burst, l.capacity(limit, h.burstShare))
+	}
 	if h.share == 0 {
 		// Requests of entries that have not yet learned of the new home use what is left.
 		burst = l.capacity(limit, 1)
@@ -173,6 +193,18 @@
 	h.bucket.SetLimit(now, rate, burst)
 }
 
+// raiseInitial adds to the initial level of a new bucket whose share has risen since.
+func (l *Limiter) raiseInitial(h *homeBucket, now time.Time) {
+	added := l.initialLevel(h.limit, h.share-h.initialShare)
+	if h.insteadOf != "" {
+		added *= standInPart
+	}
+	h.initialShare = h.share
+	if now.Sub(h.freshAt) < Window {
+		h.bucket.Take(now, -added)
+	}
+}
+
 // setShare sets the share, at once if it falls, or if the bucket stands in for a home that is
 // not ready, and otherwise after settleTime.
 func (h *homeBucket) setShare(share float64, now time.Time) {
@@ -193,20 +225,20 @@
 	case share == 0:
 		h.lostShareAt = now
 	case h.share == 0:
-		h.freshAt, h.granted, h.charged = now, 0, 0
+		h.freshAt, h.granted, h.initialUsed, h.charged = now, 0, 0, 0
 	}
 	h.share, h.pendingShare = share, share
 }
 
-// handOver tells the new home of a customer what this entry has granted while it was new
-// itself.
+// handOver tells the new home of a customer how many initial tokens this entry has used while
+// it was new itself.
 func (l *Limiter) handOver(name string, h *homeBucket, now time.Time) {
 	home := l.view.home(name, "")
-	if now.Sub(h.freshAt) >= Window || h.granted == 0 || home == l.self {
+	if now.Sub(h.freshAt) >= Window || h.initialUsed == 0 || home == l.self {
 		return
 	}
-	l.log.Debug("customer handed over", "customer", name, "to", home, "granted", h.granted)
-	l.queue(home, Message{Request: &Request{Customer: name, Bucket: h.id, Spent: h.granted}})
+	l.log.Debug("customer handed over", "customer", name, "to", home, "initial-used", h.initialUsed)
+	l.queue(home, Message{Request: &Request{Customer: name, Bucket: h.id, Spent: h.initialUsed}})
 }
 
 // grant grants tokens, to requests that wait first, and then in advance. An entry that got none has a token
@@ -229,16 +261,32 @@
 	}
 	tokens := h.bucket.Grant(now, n, 0).Tokens
 	l.metrics.granted.Inc(tokens)
-	h.granted += tokens
 	h.updateDenials(from, tokens, now)
 	reply.Tokens, reply.Bucket = tokens, h.id
-	reply.New = now.Sub(h.freshAt) < Window
+	reply.Initial = h.countInitial(tokens, now)
 	reply.NextMicros = h.bucket.Wait(now, float64(ahead+1)).Microseconds()
 	h.tellToWait(max(r.Waiting-tokens, 0), r.Refused, reply, now)
 }
 
-// charge takes the tokens from a new bucket that an earlier home has granted while it was new
-// itself, up to the initial level. If the home changes more than once within a window, the
+// countInitial returns how many of the tokens that are granted now are initial ones of a new
+// bucket.
+func (h *homeBucket) countInitial(tokens int64, now time.Time) int64 {
+	if now.Sub(h.freshAt) >= Window {
+		return 0
+	}
+	h.granted += tokens
+	from := h.freshAt
+	if h.refillFrom.After(from) {
+		from = h.refillFrom
+	}
+	refilled := max(now.Sub(from).Seconds(), 0) * h.limit.PerSecond * h.share
+	n := max(h.granted-int64(refilled)-h.initialUsed, 0)
+	h.initialUsed += n
+	return n
+}
+
+// charge takes the initial tokens from a new bucket that an earlier home has used while it was
+// new itself. If the home changes more than once within a window, the
 // initial tokens are granted only once.
 func (l *Limiter) charge(h *homeBucket, r Request, now time.Time) {
 	if r.Bucket == h.id || r.Spent <= 0 || now.Sub(h.freshAt) >= Window {
@@ -313,7 +361,8 @@
 func (l *Limiter) tickHomes(now time.Time) {
 	for _, name := range slices.Sorted(maps.Keys(l.homes)) {
 		h := l.homes[name]
-		if now.Sub(h.usedAt) > bucketIdleTime {
+		idle, lost := now.Sub(h.usedAt), h.share == 0 && now.Sub(h.lostShareAt) > Window
+		if idle > bucketIdleTime || lost && idle > Window {
 			delete(l.homes, name)
 			continue
 		}
--- a/cicadagateway/cicadaratelimit/limiter.go
+++ b/cicadagateway/cicadaratelimit/limiter.go
@@ -19,9 +19,9 @@
 //   - The share of the rate that an entry grants is that of the entries whose home it is, out
 //     of all known, so that the shares of all homes add up to at most the whole. A share that
 //     rises takes effect after settleTime, one that falls at once.
-//   - The tokens that a new bucket has granted are taken from that of a home which replaces it
-//     within a window, up to the initial level. The entries that got them report them, as does
-//     the earlier home itself. So several changes of the home in a window add one initial level.
+//   - The initial tokens that a new bucket has granted are taken from the bucket that replaces it
+//     within a window. The entries that got them report them, as does the earlier home itself.
+//     So several changes of the home in a window add one initial level.
 //
 // # Usage
 //
--- a/cicadagateway/cicadaratelimit/message.go
+++ b/cicadagateway/cicadaratelimit/message.go
@@ -34,8 +34,8 @@
 	Unused int64 `cbor:"8,keyasint,omitempty"`
 	// Bucket is the one that granted tokens to the sender last.
 	Bucket uint64 `cbor:"9,keyasint,omitempty"`
-	// Spent is the number of tokens that the sender got from new buckets within the last
-	// window, or has granted as a new home.
+	// Spent is the number of initial tokens that the sender got from new buckets within the
+	// last window, or has granted as a new home.
 	Spent int64 `cbor:"10,keyasint,omitempty"`
 	// InsteadOf is the home entry that has replied that it is not ready.
 	InsteadOf string `cbor:"11,keyasint,omitempty"`
@@ -57,10 +57,10 @@
 	// Home is the home entry in the view of the sender, if that isn't the sender.
 	Home   string `cbor:"4,keyasint,omitempty"`
 	Tokens int64  `cbor:"5,keyasint,omitempty"`
-	// Bucket identifies the bucket that the tokens are from. It is New while the window may
-	// also contain tokens of an earlier home.
-	Bucket uint64 `cbor:"6,keyasint,omitempty"`
-	New    bool   `cbor:"7,keyasint,omitempty"`
+	// Bucket identifies the bucket that the tokens are from. Initial of them are from its
+	// initial level, and not from its refill.
+	Bucket  uint64 `cbor:"6,keyasint,omitempty"`
+	Initial int64  `cbor:"7,keyasint,omitempty"`
 	// NextMicros is the time until another request may be granted tokens. RetryMicros is
 	// the time after which the first caller that was refused may come back, and StepMicros
 	// that between one such caller and the next.
--- a/cicadagateway/cicadaratelimit/view.go
+++ b/cicadagateway/cicadaratelimit/view.go
@@ -22,6 +22,9 @@
 	viewsPerTick = 8
 	// viewDelay is the time after a change in which the views of others may not show it yet.
 	viewDelay = time.Second
+	// goneDelay is the time by which others learn later that an entry is gone. Their views of
+	// it are not used before.
+	goneDelay = 600 * time.Millisecond
 	// viewRepeatTime is how long views are sent after the last entry has come back, or
 	// another's view has differed.
 	viewRepeatTime = 2 * time.Second
@@ -63,6 +66,7 @@
 	differsAt time.Time
 	refreshed time.Time
 	settled   bool // viewDelay has passed since the change
+	learned   bool // goneDelay has passed since the change
 	sendNext  int  // index of the live entry that is sent the next view
 }
 
@@ -103,7 +107,7 @@
 		}
 	}
 	v.live, v.known, v.digest = live, known, digestOf(live)
-	v.changedAt, v.settled = now, false
+	v.changedAt, v.settled, v.learned = now, false, false
 	v.update()
 }
 
@@ -146,8 +150,9 @@
 	before := len(v.gone) + len(v.peers)
 	maps.DeleteFunc(v.gone, func(_ string, at time.Time) bool { return now.Sub(at) > knownTime })
 	maps.DeleteFunc(v.peers, func(_ string, p peerView) bool { return now.Sub(p.at) > peerViewTime })
-	if settled := now.Sub(v.changedAt) >= viewDelay; settled != v.settled || len(v.gone)+len(v.peers) != before {
-		v.settled = settled
+	settled, learned := now.Sub(v.changedAt) >= viewDelay, now.Sub(v.changedAt) >= goneDelay
+	if settled != v.settled || learned != v.learned || len(v.gone)+len(v.peers) != before {
+		v.settled, v.learned = settled, learned
 		v.update()
 	}
 }
@@ -217,6 +222,8 @@
 	switch {
 	case voter == candidate:
 		return true
+	case v.justGone(candidate):
+		return false
 	case !ok || voter == v.self || p.Live == v.digest:
 		return v.isLive(candidate)
 	case !p.explained && !v.settled:
@@ -228,6 +235,12 @@
 	}
 }
 
+// justGone reports whether contact with an entry has ended a moment ago.
+func (v *view) justGone(name string) bool {
+	at, ok := v.gone[name]
+	return ok && v.refreshed.Sub(at) < goneDelay
+}
+
 // homeSince returns since when no other entry can have been the customer's home in the view
 // of entries that are now in contact.
 func (v *view) homeSince(customer string, started time.Time) time.Time {
