--- a/cicadagateway/cicadaratelimit/calm_test.go
+++ b/cicadagateway/cicadaratelimit/calm_test.go
@@ -34,7 +34,7 @@
 				t.Logf("%6d  %7.0f  %15.1f  %8d", s+1, c.rate, perSecond, c.admittedIn(from, from+time.Second))
 			}
 			allowed := perSecond*seconds + perSecond
-			t.Logf("%d of %.0f admitted, %d messages", len(c.admitted), allowed, f.messages)
+			t.Logf("%d of %.0f admitted (%.3f), %d messages", len(c.admitted), allowed, float64(len(c.admitted))/allowed, f.messages)
 			assert.Assert(t, float64(len(c.admitted)) >= 0.9*allowed)
 			settled := c.admittedIn(start+5*time.Second, start+seconds*time.Second)
 			assert.Assert(t, float64(settled) >= 0.9*perSecond*(seconds-5), "%d after the first 5 s", settled)
