--- a/cicadagateway/cicadaratelimit/home.go
+++ b/cicadagateway/cicadaratelimit/home.go
@@ -1,7 +1,7 @@
 package cicadaratelimit
 
 import (
-	"math"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -19,9 +19,12 @@
 	// initialBurst is the part of the burst that a new bucket contains, in addition to half
 	// of the slack.
 	initialBurst = 0.05
+	// standInPart is the part of the initial level that a home and its stand-in each begin
+	// with.
+	standInPart = 0.5
 	// denialTime is how long a token is reserved for an entry that got none. It exceeds
-	// maxBackoff, after which the entry asks again if it still has requests.
-	denialTime = 300 * time.Millisecond
+	// maxBackoff, after which the entry asks again with the next request.
+	denialTime = 600 * time.Millisecond
 	// maxDenials limits the entries for which tokens are reserved.
 	maxDenials = 16
 	// bucketIdleTime is how long an unused bucket is kept.
@@ -44,11 +47,21 @@
 	version      uint64
 	computedFor  string
 
-	// fresh is set until the first request after this entry has become the home, at freshAt.
-	fresh       bool
+	// freshAt is when this entry has become the home. granted are the tokens that it has
+	// granted since, and initialUsed those of them that the refill did not cover. charged are
+	// those taken from the bucket because an earlier home has used as many initial ones.
 	freshAt     time.Time
+	granted     int64
+	initialUsed int64
+	charged     float64
 	refillFrom  time.Time
 	lostShareAt time.Time // when the share has become 0
+	// initialShare is the share to which the initial level corresponds.
+	initialShare float64
+	// burstShare is the share before it fell, to which the capacity corresponds until
+	// burstUntil. Shares fall for a moment while entries learn of a change one after the other.
+	burstShare float64
+	burstUntil time.Time
 
 	retryAt time.Time // when the next caller that is refused may come back
 	denials []denial  // entries that got no token, the first one first
@@ -66,10 +79,13 @@
 	if r.Want <= 0 {
 		if h != nil && h.id == r.Bucket {
 			h.bucket.Grant(now, 0, r.Unused)
+		} else if h != nil {
+			l.charge(h, r, now)
 		}
 		return reply
 	}
 	if l.starting(now) {
+		l.postponed[r.Customer] = true
 		reply.Status = statusNotReady
 		return reply
 	}
@@ -91,8 +107,10 @@
 	}
 	l.updateHome(r.Customer, h, limit, now)
 	h.usedAt = now
-	if h.share == 0 && h.bucket.Level(now) < 1 {
-		reply.Status, reply.Home = statusNotHome, l.view.home(r.Customer, "")
+	home := l.view.home(r.Customer, h.insteadOf)
+	if home != l.self && h.bucket.Level(now) < 1 && (h.share == 0 || now.Sub(h.freshAt) < viewDelay) {
+		// The sender may not have heard the home yet.
+		reply.Status, reply.Home = statusNotHome, home
 		return reply
 	}
 	l.grant(from, h, r, &reply, now)
@@ -123,12 +141,17 @@
 	if r.InsteadOf == "" && l.view.home(r.Customer, "") == l.self {
 		since = l.view.homeSince(r.Customer, l.startedAt)
 	}
+	initial := l.initialLevel(limit, share)
+	if r.InsteadOf != "" || l.postponed[r.Customer] {
+		initial *= standInPart
+	}
 	h := &homeBucket{
-		id: rand.Uint64() | 1, limit: limit, share: share, pendingShare: share,
-		fresh: true, freshAt: since, refillFrom: since.Add(settleTime),
+		id: rand.Uint64() | 1, limit: limit, share: share, pendingShare: share, initialShare: share,
+		freshAt: since, refillFrom: since.Add(settleTime),
 	}
 	filled := max(now.Sub(h.refillFrom).Seconds(), 0) * limit.PerSecond * share
-	h.bucket = cicadalimit.NewBucket(now, 0, l.capacity(limit, share), l.initialLevel(limit, share)+filled)
+	h.bucket = cicadalimit.NewBucket(now, 0, l.capacity(limit, share), initial+filled)
+	l.log.Debug("bucket created", "customer", r.Customer, "share", share, "tokens", h.bucket.Level(now))
 	return h
 }
 
@@ -142,12 +165,24 @@
 		h.version, h.computedFor = l.view.version, h.insteadOf
 	}
 	h.limit = limit
+	before := h.share
 	h.setShare(h.computed, now)
+	switch {
+	case before > 0 && h.share == 0:
+		l.handOver(name, h, now)
+	case h.share < before:
+		h.burstShare, h.burstUntil = before, now.Add(settleTime)
+	case h.share > h.initialShare:
+		l.raiseInitial(h, now)
+	}
 	rate := limit.PerSecond * h.share
 	if now.Before(h.refillFrom) && h.insteadOf == "" {
 		rate = 0
 	}
 	burst := l.capacity(limit, h.share)
+	if now.Before(h.burstUntil) {
+		burst = max(burst, l.capacity(limit, h.burstShare))
+	}
 	if h.share == 0 {
 		// Requests of entries that have not yet learned of the new home use what is left.
 		burst = l.capacity(limit, 1)
@@ -158,6 +193,18 @@
 	h.bucket.SetLimit(now, rate, burst)
 }
 
+// raiseInitial adds to the initial level of a new bucket whose share has risen since.
+func (l *Limiter) raiseInitial(h *homeBucket, now time.Time) {
+	added := l.initialLevel(h.limit, h.share-h.initialShare)
+	if h.insteadOf != "" {
+		added *= standInPart
+	}
+	h.initialShare = h.share
+	if now.Sub(h.freshAt) < Window {
+		h.bucket.Take(now, -added)
+	}
+}
+
 // setShare sets the share, at once if it falls, or if the bucket stands in for a home that is
 // not ready, and otherwise after settleTime.
 func (h *homeBucket) setShare(share float64, now time.Time) {
@@ -178,19 +225,26 @@
 	case share == 0:
 		h.lostShareAt = now
 	case h.share == 0:
-		h.fresh, h.freshAt = true, now
+		h.freshAt, h.granted, h.initialUsed, h.charged = now, 0, 0, 0
 	}
 	h.share, h.pendingShare = share, share
 }
 
-// grant grants tokens. Requests that wait come before the tokens that an entry asks for in
-// advance, of which it gets at most half of the rest. An entry that got none has a token
+// handOver tells the new home of a customer how many initial tokens this entry has used while
+// it was new itself.
+func (l *Limiter) handOver(name string, h *homeBucket, now time.Time) {
+	home := l.view.home(name, "")
+	if now.Sub(h.freshAt) >= Window || h.initialUsed == 0 || home == l.self {
+		return
+	}
+	l.log.Debug("customer handed over", "customer", name, "to", home, "initial-used", h.initialUsed)
+	l.queue(home, Message{Request: &Request{Customer: name, Bucket: h.id, Spent: h.initialUsed}})
+}
+
+// grant grants tokens, to requests that wait first, and then in advance. An entry that got none has a token
 // reserved, so that entries with many requests don't take them all.
 func (l *Limiter) grant(from string, h *homeBucket, r Request, reply *Reply, now time.Time) {
-	if h.fresh && r.Initial != 0 && r.Initial != h.id {
-		h.bucket.Grant(now, int64(math.Ceil(l.initialLevel(h.limit, h.share))), 0)
-	}
-	h.fresh = false
+	l.charge(h, r, now)
 	unused := int64(0)
 	if r.Bucket == h.id {
 		unused = r.Unused
@@ -203,17 +257,59 @@
 		n = min(n, available/int64(others+1)+1)
 	}
 	if n == r.Waiting {
-		n += min(r.Want-r.Waiting, (available-n)/2)
+		n += min(r.Want-r.Waiting, l.spare(h, r, available-n))
 	}
 	tokens := h.bucket.Grant(now, n, 0).Tokens
 	l.metrics.granted.Inc(tokens)
 	h.updateDenials(from, tokens, now)
 	reply.Tokens, reply.Bucket = tokens, h.id
-	reply.Initial = now.Sub(h.freshAt) < Window
+	reply.Initial = h.countInitial(tokens, now)
 	reply.NextMicros = h.bucket.Wait(now, float64(ahead+1)).Microseconds()
 	h.tellToWait(max(r.Waiting-tokens, 0), r.Refused, reply, now)
 }
 
+// countInitial returns how many of the tokens that are granted now are initial ones of a new
+// bucket.
+func (h *homeBucket) countInitial(tokens int64, now time.Time) int64 {
+	if now.Sub(h.freshAt) >= Window {
+		return 0
+	}
+	h.granted += tokens
+	from := h.freshAt
+	if h.refillFrom.After(from) {
+		from = h.refillFrom
+	}
+	refilled := max(now.Sub(from).Seconds(), 0) * h.limit.PerSecond * h.share
+	n := max(h.granted-int64(refilled)-h.initialUsed, 0)
+	h.initialUsed += n
+	return n
+}
+
+// charge takes the initial tokens from a new bucket that an earlier home has used while it was
+// new itself. If the home changes more than once within a window, the
+// initial tokens are granted only once.
+func (l *Limiter) charge(h *homeBucket, r Request, now time.Time) {
+	if r.Bucket == h.id || r.Spent <= 0 || now.Sub(h.freshAt) >= Window {
+		return
+	}
+	n := min(float64(r.Spent), l.initialLevel(h.limit, h.share)-h.charged)
+	if n > 0 {
+		h.charged += n
+		h.bucket.Take(now, n)
+		l.log.Debug("tokens of an earlier home taken", "customer", r.Customer, "tokens", n, "level", h.bucket.Level(now))
+	}
+}
+
+// spare returns how many of the tokens that are left may be granted in advance. An entry that
+// has not refused any requests may not need them, so it gets them only while a reserve is left
+// for requests at other entries.
+func (l *Limiter) spare(h *homeBucket, r Request, left int64) int64 {
+	if r.Refused == 0 {
+		left -= int64(l.slack / 2 * h.share)
+	}
+	return max(left/2, 0)
+}
+
 // denialsAhead returns the number of entries for which a token is reserved before one for the
 // given entry.
 func (h *homeBucket) denialsAhead(entry string, now time.Time) int {
@@ -263,11 +359,16 @@
 
 // tickHomes keeps the buckets up to date, and drops idle ones.
 func (l *Limiter) tickHomes(now time.Time) {
-	for name, h := range l.homes {
-		if now.Sub(h.usedAt) > bucketIdleTime {
+	for _, name := range slices.Sorted(maps.Keys(l.homes)) {
+		h := l.homes[name]
+		idle, lost := now.Sub(h.usedAt), h.share == 0 && now.Sub(h.lostShareAt) > Window
+		if idle > bucketIdleTime || lost && idle > Window {
 			delete(l.homes, name)
 			continue
 		}
 		l.updateHome(name, h, h.limit, now)
 	}
+	if now.Sub(l.startedAt) > Window {
+		clear(l.postponed)
+	}
 }
