Tell callers when a limit can be checked again, and begin buckets with a fifth of the burst

Change: the Retry-After covers the start of an entry, or the time in which a home that has failed is replaced; a token is not returned once its lease may have expired; initial level 0.2 of the burst instead of 0.05.

--- a/cicadagateway/cicadaprocess/customers.go
+++ b/cicadagateway/cicadaprocess/customers.go
@@ -127,10 +127,15 @@
 	return cicadarelay.CustomerPolicy{
 		Fresh: n.configIsFresh,
 		AcquireQuota: func(ctx context.Context, customer string, limit cicadaview.RateLimit) cicadarelay.Quota {
+			at := cicadaclock.SinceBoot()
 			d := n.quotas.Acquire(ctx, customer, cicadaratelimit.Limit(limit))
 			return cicadarelay.Quota{
 				Allowed: d.Allowed(), Known: d.Known(), RetryAfter: d.RetryAfter(), Detail: d.String(),
-				Return: func() { n.quotas.Return(customer) },
+				Return: func() {
+					if cicadaclock.SinceBoot()-at < cicadaratelimit.GrantLifetime { // later, it may have been granted again
+						n.quotas.Return(customer)
+					}
+				},
 			}
 		},
 	}
--- a/cicadagateway/cicadaratelimit/entry.go
+++ b/cicadagateway/cicadaratelimit/entry.go
@@ -35,8 +35,10 @@
 	// maxRetryAfter bounds the time that a refused caller is told to wait. Callers of plain
 	// requests wait no longer.
 	maxRetryAfter = 1500 * time.Millisecond
-	// unknownRetryAfter is the time to wait if the limit is not known.
-	unknownRetryAfter = 50 * time.Millisecond
+	// unknownRetryAfter is the time to wait if the limit is not known, since a home entry does not
+	// reply. It covers the time until a home that has failed is replaced, as a caller that comes back
+	// sooner is refused again.
+	unknownRetryAfter = 1200 * time.Millisecond
 	// customerIdleTime is how long the state of an unused customer is kept.
 	customerIdleTime = 2 * Window
 )
@@ -91,8 +93,16 @@
 	abandoned bool
 }
 
-func unknownDecision(home string) Decision {
-	return Decision{retryAfter: unknownRetryAfter, home: home}
+// unknownDecision returns the decision on a request whose limit could not be checked. The caller is told
+// to come back once it can be.
+func (q *query) unknownDecision(home string, starting time.Duration) Decision {
+	switch {
+	case starting > 0:
+		return Decision{retryAfter: starting, home: home}
+	case q.timeouts >= maxTimeouts:
+		return Decision{retryAfter: unknownRetryAfter, home: home}
+	}
+	return Decision{retryAfter: startTime, home: home} // the home has just started
 }
 
 func (l *Limiter) decide(w *waiter, d Decision) {
@@ -269,6 +279,7 @@
 }
 
 func (l *Limiter) finishUnknown(c *customer) {
+	starting := startTime - l.now().Sub(l.startedAt)
 	q := c.query
 	c.query = nil
 	q.stop()
@@ -277,7 +288,7 @@
 		home = q.attempts[n-1].to
 	}
 	for _, w := range q.waiters {
-		l.decide(w, unknownDecision(home))
+		l.decide(w, q.unknownDecision(home, starting))
 	}
 }
 
--- a/cicadagateway/cicadaratelimit/home.go
+++ b/cicadagateway/cicadaratelimit/home.go
@@ -18,7 +18,7 @@
 	standInTime = 200 * time.Millisecond
 	// initialBurst is the part of the burst that a new bucket contains, in addition to half
 	// of the slack.
-	initialBurst = 0.05
+	initialBurst = 0.2
 	// standInPart is the part of the initial level that a home and its stand-in each begin
 	// with.
 	standInPart = 0.5
--- a/cicadagateway/cicadaratelimit/limiter.go
+++ b/cicadagateway/cicadaratelimit/limiter.go
@@ -11,7 +11,7 @@
 // tenth of the rate, tokens that are leased before the window and used in it take up to
 // 0.04, and two homes that refill at the same time, as the entries learn of a change at
 // different times, the rest. Half of the slack is part of the capacity of a bucket, and half of
-// it, with a twentieth of the burst, is the initial level of a new one. The following rules
+// it, with a fifth of the burst, is the initial level of a new one. The following rules
 // apply:
 //
 //   - An entry that has started, or was suspended, grants nothing for startTime. The next in the
@@ -205,7 +205,7 @@
 		case d := <-done:
 			return d
 		default:
-			return unknownDecision("")
+			return Decision{}
 		}
 	}
 }
