Learn the speed of endpoints from responses

Cause: requests went to the endpoint with the fewest requests, however slow it was.

Change: with cicadaplace.WithSpeedLearning a table estimates how slow each endpoint is relative to the median of its service, from the times to first events, between events and to responses, from waits that are late and from errors. The cost of an endpoint is scaled by that. Without the option nothing is kept and nothing changes.

--- a/cicadagateway/cicadabatch/run.go
+++ b/cicadagateway/cicadabatch/run.go
@@ -75,6 +75,7 @@
 	defer cancel(nil)
 	stallTimer := time.AfterFunc(stallTimeout, func() { cancel(errStalled) })
 	defer stallTimer.Stop()
+	sampler := r.startSampling(req.Header)
 	resp, err := client.Do(ctx, endpoint.Address, req)
 	if err != nil {
 		return r.classifyError(ctx, err)
@@ -94,20 +95,36 @@
 		r.onLeaving()
 	}
 	if result, done := r.statusOutcome(resp); done {
+		if r.grant != nil && result == runFailed && resp.StatusCode >= http.StatusInternalServerError {
+			r.grant.RecordErrorResponse()
+		}
 		resp.Discard()
 		return result, merry.Errorf("status %d", resp.StatusCode)
 	}
 	r.headerTime = time.Since(start)
-	err = r.readEvents(resp, func() { stallTimer.Reset(stallTimeout) })
+	err = r.readEvents(resp, func() {
+		stallTimer.Reset(stallTimeout)
+		sampler.Events(1)
+	})
 	if err == nil && r.lastEvent == 0 && !resp.Framed() {
 		err = merry.Errorf("connection closed before the first event: %w", cicadaexchange.ErrInvalidResponse)
 	}
 	if err == nil {
+		sampler.Done()
 		return runComplete, nil
 	}
 	return r.classifyError(ctx, err)
 }
 
+// startSampling begins to measure how fast the endpoint runs the item. It returns nil if the run
+// resumes it.
+func (r *run) startSampling(header http.Header) *cicadaplace.Sampler {
+	if r.grant == nil || r.firstEvent > 0 {
+		return nil
+	}
+	return r.grant.StartSampling(true, adapter.PromptTokens(header))
+}
+
 var errStalled = merry.Sentinel("cicadabatch: no event from the endpoint")
 
 // classifyError returns the outcome of a run that ended with an error.
--- a/cicadagateway/cicadaplace/batch.go
+++ b/cicadagateway/cicadaplace/batch.go
@@ -28,6 +28,7 @@
 	if !svc.hasCandidate(req) {
 		req.Avoid = nil
 	}
+	t.refreshSpeeds(req.Service, svc, now)
 	t.candidates = t.candidates[:0]
 	for _, e := range svc.endpoints {
 		if !req.allows(e) || now.Before(e.backoffUntil) || e.total() >= e.Slots {
@@ -36,7 +37,7 @@
 		if !e.limit.allows(now) || (!useUnlimited && !e.limit.active(now)) {
 			continue
 		}
-		t.candidates = append(t.candidates, candidate{e, -float64(e.Slots - e.total())})
+		t.candidates = append(t.candidates, batchCandidate(e, urgent))
 	}
 	best := spread(t.candidates, 1+float64(unseen))
 	if best == nil {
--- a/cicadagateway/cicadaplace/grant.go
+++ b/cicadagateway/cicadaplace/grant.go
@@ -19,6 +19,7 @@
 	waited      time.Duration
 	load        int
 	released    bool
+	sampler     *Sampler // nil unless the request's speed is measured
 }
 
 // Endpoint returns the endpoint as it was when the slot was granted.
@@ -96,6 +97,7 @@
 		return
 	}
 	g.released = true
+	g.stopSampling()
 	if g.batch {
 		g.state.local.Batch--
 	} else {
--- /dev/null
+++ b/cicadagateway/cicadaplace/speed.go
@@ -0,0 +1,389 @@
+package cicadaplace
+
+import (
+	"math"
+	"math/bits"
+	"slices"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// A speedKind is what a sample of an endpoint's speed measures.
+type speedKind uint8
+
+const (
+	speedFirstEvent speedKind = iota // from sending a request to the first event
+	speedPace                        // from one event to the next
+	speedResponse                    // from sending a request to its complete response
+	speedKinds
+)
+
+var speedKindNames = [speedKinds]string{"first-event", "pace", "response"}
+
+const (
+	speedRefreshInterval = 100 * time.Millisecond
+	// maxSlowness and minSlowness bound what an endpoint is taken for.
+	maxSlowness = 8.0
+	minSlowness = 1.0 / 3
+	// speedDeadZone is how much slower or faster than the median an endpoint must be for this to
+	// count. Without it, noise would order endpoints of the same speed.
+	speedDeadZone = 1.15
+	// avoidedSlowness is how slow an endpoint must be to be avoided, and maxAvoidedPart how much of
+	// a service may be.
+	avoidedSlowness = 2.0
+	maxAvoidedPart  = 1.0 / 3
+	// ownDeviation is by how much what a process has measured must differ from what all have, for
+	// an endpoint to count as slow for this process alone.
+	ownDeviation = 1.5
+	// lateFactor is how many times the usual time a request must have waited to count before
+	// it gets its event, and again whenever that time has doubled.
+	lateFactor = 3.0
+
+	speedLoadBuckets = 4
+	speedSizeBuckets = 16
+	minCellSamples   = 3  // before a cell tells whether a sample is fast or slow
+	cellMemory       = 50 // samples
+)
+
+// A speedCell is the running mean of the logarithms of the times, in seconds, that a service takes
+// for requests of one kind and size under one load. The slowness of the endpoints is taken out of
+// it: slow endpoints get less load, and would else pass for the usual at low load.
+type speedCell struct {
+	mean    float64
+	samples int
+}
+
+func (c *speedCell) trained() bool { return c.samples >= minCellSamples }
+
+func (c *speedCell) add(x float64) {
+	if c.trained() {
+		x = min(max(x, c.mean-maxSpeedStep), c.mean+maxSpeedStep)
+	}
+	c.samples = min(c.samples+1, cellMemory)
+	c.mean += (x - c.mean) / float64(c.samples)
+}
+
+// A serviceSpeed is what is known about the speed of a service as a whole.
+type serviceSpeed struct {
+	cells       [speedKinds][speedLoadBuckets][speedSizeBuckets]speedCell
+	median      float64 // of the endpoints' estimates; what all of them show is load
+	refreshedAt time.Time
+	slow        int // endpoints slower than the dead zone
+	avoided     int
+	values      []float64 // reused by refresh
+}
+
+// cell returns the cell of requests of a kind, with prompts of a size in tokens, at an endpoint
+// that has load requests in its slots.
+func (s *serviceSpeed) cell(kind speedKind, load, slots, size int) *speedCell {
+	bucket := min(max(load, 0)*speedLoadBuckets/max(slots, 1), speedLoadBuckets-1)
+	return &s.cells[kind][bucket][min(bits.Len(uint(max(size, 0))), speedSizeBuckets-1)]
+}
+
+// An endpointSpeed is what is known about the speed of an endpoint. It is nil if speeds are not
+// learned.
+type endpointSpeed struct {
+	own    speedEstimate // from this process's samples
+	shared speedEstimate // from the samples of all processes, the own included
+	news   speedEstimate // from the own samples that peers have not been told
+
+	relative float64 // logarithm of the slowness relative to the median
+	slowness float64 // relative, beyond the dead zone; 1 within it
+	avoided  bool
+	why      string
+	// peersFrom is when samples of peers count again after a restart: until then they may be
+	// about the former process.
+	peersFrom time.Time
+}
+
+// restartQuietTime is how long after the restart of an endpoint samples of peers may be about the
+// process that has ended.
+const restartQuietTime = time.Second
+
+// newEndpointSpeed returns the state of an endpoint that begins at slowness 1.
+func newEndpointSpeed() *endpointSpeed { return &endpointSpeed{slowness: 1, why: whyNoSamples} }
+
+// Reasons for the slowness of an endpoint, see Speed.
+const (
+	whyNoSamples = "no-samples"
+	whyShared    = "shared"
+	whyOwn       = "own"
+	whyUsual     = "usual" // within the dead zone
+	whyFading    = "fading"
+)
+
+// A speedLearner holds the state of a Table that learns the speed of endpoints.
+type speedLearner struct {
+	services  map[string]*serviceSpeed
+	samplers  map[*Sampler]struct{} // of requests in flight
+	checkedAt time.Time             // when samplers were last checked
+	budget    speedBudget
+	metrics   speedMetrics
+}
+
+// WithSpeedLearning makes the table learn how fast endpoints are and prefer those where a request
+// will be done soonest. Without it no state about speeds is kept.
+func WithSpeedLearning() Option {
+	return func(t *Table) {
+		if t.speed == nil {
+			t.speed = &speedLearner{services: make(map[string]*serviceSpeed), samplers: make(map[*Sampler]struct{}), metrics: newSpeedMetrics(tally.NoopScope)}
+		}
+	}
+}
+
+// service returns the state of a service, which is created if it is not known yet.
+func (l *speedLearner) service(name string) *serviceSpeed {
+	s := l.services[name]
+	if s == nil {
+		s = &serviceSpeed{}
+		l.services[name] = s
+	}
+	return s
+}
+
+// resetSpeed begins anew for an endpoint that is new or has restarted.
+func (t *Table) resetSpeed(e *endpointState, restarted bool) {
+	if t.speed == nil {
+		return
+	}
+	e.speed = newEndpointSpeed()
+	if restarted {
+		e.speed.peersFrom = time.Now().Add(restartQuietTime)
+	}
+}
+
+// learns reports whether the grant's request may tell about the speed of its endpoint: the table
+// learns speeds, and the endpoint has not restarted since.
+func (g *Grant) learns() bool {
+	if g.table.speed == nil || g.state.speed == nil || g.released {
+		return false
+	}
+	return g.endpoint.StartedMs == g.state.StartedMs || g.startedMs() == g.state.StartedMs
+}
+
+// speedCell returns the cell of the grant's request. What the endpoint ran during the request is
+// about the mean of what it ran at the start and runs now.
+func (g *Grant) speedCell(kind speedKind, size int) *speedCell {
+	load := (g.load + max(g.state.total()-1, 0)) / 2
+	return g.table.speed.service(g.endpoint.Service).cell(kind, load, g.state.Slots, size)
+}
+
+// recordSpeed records that something took the time d.
+func (g *Grant) recordSpeed(kind speedKind, d time.Duration, size int, now time.Time) {
+	if !g.learns() || d <= 0 {
+		return
+	}
+	x, cell, speed := math.Log(d.Seconds()), g.speedCell(kind, size), g.state.speed
+	if cell.trained() {
+		speed.add(x-cell.mean, now)
+	}
+	cell.add(x - speed.relative)
+	g.table.speed.metrics.samples[kind].Inc(1)
+}
+
+// add records a sample of this process.
+func (s *endpointSpeed) add(x float64, now time.Time) {
+	x = min(max(x, math.Log(minSlowness)), math.Log(maxSlowness))
+	s.own.add(x, 1, now)
+	s.shared.add(x, 1, now)
+	s.news.add(x, 1, now)
+}
+
+// RecordFirstEvent records the time from sending the request, with a prompt of some tokens, to the
+// first event.
+func (g *Grant) RecordFirstEvent(d time.Duration, promptTokens int) {
+	g.recordLocked(speedFirstEvent, d, promptTokens)
+}
+
+// RecordPace records the mean time from one event to the next.
+func (g *Grant) RecordPace(perEvent time.Duration) { g.recordLocked(speedPace, perEvent, 0) }
+
+// RecordResponse records the time from sending the request to its complete response, which is not
+// a stream.
+func (g *Grant) RecordResponse(d time.Duration, promptTokens int) {
+	g.recordLocked(speedResponse, d, promptTokens)
+}
+
+func (g *Grant) recordLocked(kind speedKind, d time.Duration, size int) {
+	g.table.mu.Lock()
+	defer g.table.mu.Unlock()
+	g.recordSpeed(kind, d, size, time.Now())
+}
+
+// RecordErrorResponse records that the endpoint answered with an error of its own. However fast it
+// was, it counts as slow, as requests would else go where they fail.
+func (g *Grant) RecordErrorResponse() {
+	g.table.mu.Lock()
+	defer g.table.mu.Unlock()
+	if g.learns() {
+		g.state.speed.add(math.Log(maxSlowness), time.Now())
+		g.table.speed.metrics.errors.Inc(1)
+	}
+}
+
+// blend returns the part of the own estimate in what this process takes the endpoint for: 0 as
+// long as the endpoint is much the same for all processes.
+func (s *endpointSpeed) blend(now time.Time) float64 {
+	if s.own.weight == 0 || math.Abs(s.own.mean-s.shared.mean) < math.Log(ownDeviation) {
+		return 0
+	}
+	return s.own.strength(now)
+}
+
+// refresh computes the slowness of all endpoints of a service from their estimates.
+func (s *serviceSpeed) refresh(endpoints []*endpointState, now time.Time) {
+	s.refreshedAt = now
+	s.values = s.values[:0]
+	usable := 0
+	for _, e := range endpoints {
+		if e.Draining {
+			continue
+		}
+		usable++
+		if sp := e.speed; sp.shared.weight > 0 {
+			s.values = append(s.values, sp.shared.mean+sp.blend(now)*(sp.own.mean-sp.shared.mean))
+		}
+	}
+	s.median = median(s.values)
+	s.slow, s.avoided = 0, 0
+	for _, e := range endpoints {
+		e.speed.refresh(s.median, now)
+		if e.Draining || e.speed.slowness <= 1 {
+			continue
+		}
+		s.slow++
+		if e.speed.slowness > avoidedSlowness {
+			s.avoided++
+		}
+	}
+	if float64(s.avoided) > maxAvoidedPart*float64(usable) {
+		s.avoided = 0
+	}
+	for _, e := range endpoints {
+		e.speed.avoided = s.avoided > 0 && e.speed.slowness > avoidedSlowness
+	}
+}
+
+// refresh computes the slowness relative to the median of the service.
+func (s *endpointSpeed) refresh(median float64, now time.Time) {
+	strength := s.shared.strength(now)
+	shared := (s.shared.mean - median) * strength
+	blend := s.blend(now)
+	s.relative = min(max(shared+blend*(s.own.mean-median-shared), math.Log(minSlowness)), math.Log(maxSlowness))
+	s.slowness = math.Exp(s.relative)
+	switch {
+	case s.shared.weight == 0:
+		s.why = whyNoSamples
+	case math.Abs(s.relative) < math.Log(speedDeadZone):
+		s.slowness, s.why = 1, whyUsual
+	case blend > 0.5:
+		s.why = whyOwn
+	case s.shared.fade(now) < 1:
+		s.why = whyFading
+	default:
+		s.why = whyShared
+	}
+}
+
+// median returns the median of values, which it sorts, or 0.
+func median(values []float64) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+	slices.Sort(values)
+	n := len(values)
+	return (values[(n-1)/2] + values[n/2]) / 2
+}
+
+// refreshSpeeds brings the slowness of a service's endpoints up to date.
+func (t *Table) refreshSpeeds(name string, svc *service, now time.Time) {
+	if t.speed == nil {
+		return
+	}
+	t.checkLate(now)
+	if s := t.speed.service(name); now.Sub(s.refreshedAt) >= speedRefreshInterval {
+		s.refresh(svc.endpoints, now)
+		t.speed.report()
+	}
+}
+
+// slowness returns how many times as long as at a typical endpoint of the service a request takes.
+func (e *endpointState) slowness() float64 {
+	if e.speed == nil {
+		return 1
+	}
+	return e.speed.slowness
+}
+
+// expectedTime returns the time until a request that is sent to the endpoint is done, in units of
+// a typical request and less one, if it has a load, in requests.
+func (e *endpointState) expectedTime(load float64) float64 {
+	if slowness := e.slowness(); slowness != 1 {
+		return (load+1)*slowness - 1
+	}
+	return load
+}
+
+// avoidSlow removes the endpoints that are avoided from the candidates if another one has an idle
+// slot.
+func avoidSlow(candidates []candidate) []candidate {
+	avoided := func(c candidate) bool { return c.endpoint.speed != nil && c.endpoint.speed.avoided }
+	free := func(c candidate) bool { return !avoided(c) && c.endpoint.total() < c.endpoint.Slots }
+	if !slices.ContainsFunc(candidates, free) {
+		return candidates
+	}
+	return slices.DeleteFunc(candidates, avoided)
+}
+
+// batchCandidate returns an endpoint as a candidate for a batch item. Endpoints with the most idle
+// slots are preferred, and among these slower ones, which leaves fast ones to online requests. An
+// item that is urgent goes where it will be done soonest, and any item to one that is avoided last.
+func batchCandidate(e *endpointState, urgent bool) candidate {
+	weight := e.slowness()
+	if urgent || weight > avoidedSlowness {
+		weight = 1 / weight
+	}
+	return candidate{e, -weight * float64(e.Slots-e.total()), weight}
+}
+
+// A Speed is how fast an endpoint is, as this process sees it.
+type Speed struct {
+	Endpoint string
+	Service  string
+	// Slowness is how many times as long as at a typical endpoint of the service a request takes.
+	Slowness float64
+	// Avoided reports whether online requests are sent to the endpoint only if no other has an
+	// idle slot.
+	Avoided bool
+	Weight  float64       // of the samples, in samples
+	Age     time.Duration // of the latest sample
+	// Why is what Slowness follows from: "shared" samples of all processes, "own" samples that
+	// differ from those, "fading" ones that grow old, "no-samples", or "usual" for an endpoint
+	// that is near the median.
+	Why string
+}
+
+// Speeds returns the speed of each endpoint, sorted by service and endpoint, or nil if speeds are
+// not learned.
+func (t *Table) Speeds() []Speed {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.speed == nil {
+		return nil
+	}
+	now := time.Now()
+	var out []Speed
+	for name, svc := range t.services {
+		t.refreshSpeeds(name, svc, now)
+		for _, e := range svc.endpoints {
+			s := Speed{Endpoint: e.ID, Service: name, Slowness: e.speed.slowness, Avoided: e.speed.avoided, Weight: e.speed.shared.weight, Why: e.speed.why}
+			if s.Weight > 0 {
+				s.Age = now.Sub(e.speed.shared.at)
+			}
+			out = append(out, s)
+		}
+	}
+	slices.SortFunc(out, compareSpeeds)
+	return out
+}
--- a/cicadagateway/cicadaplace/table.go
+++ b/cicadagateway/cicadaplace/table.go
@@ -79,6 +79,7 @@
 	// former process.
 	versionDoubtUntil time.Time
 	statesStart       bool // whether the endpoint has stated its start to this process
+	speed             *endpointSpeed
 }
 
 func (e *endpointState) online() int { return e.local.Online + e.peers.Online }
@@ -118,7 +119,8 @@
 	onLeaving     func(id string)
 	leaving       map[string]leavingMark // by endpoint
 	staleness     func() time.Duration
-	candidates    []candidate // reused by choose
+	candidates    []candidate   // reused by choose
+	speed         *speedLearner // nil if speeds are not learned
 }
 
 // An Option configures a Table.
@@ -186,9 +188,13 @@
 			state.backoff, state.backoffUntil = 0, time.Time{}
 			state.limit = rateLimit{}
 		}
-		if state.StartedMs != e.StartedMs || state.SoftwareVersion != e.SoftwareVersion {
+		restarted := state.StartedMs != e.StartedMs || state.SoftwareVersion != e.SoftwareVersion
+		if restarted {
 			state.versionDoubtUntil = time.Time{}
 		}
+		if restarted || state.speed == nil {
+			t.resetSpeed(state, state.ID != "")
+		}
 		e.Draining = e.Draining || t.saidLeaving(e)
 		state.Endpoint = e
 		byID[e.ID] = state
@@ -280,20 +286,22 @@
 // requests do not hold all slots, or nil.
 func (t *Table) choose(svc *service, req SlotRequest, healthy func(*endpointState) bool) *endpointState {
 	now := time.Now()
+	t.refreshSpeeds(req.Service, svc, now)
 	t.candidates = t.candidates[:0]
 	for _, e := range svc.endpoints {
 		if !req.allows(e) || e.online() >= e.Slots || !healthy(e) || !e.limit.allows(now) {
 			continue
 		}
-		cost := float64(e.online()) + batchCost*float64(e.batch())
+		cost := e.expectedTime(float64(e.online()) + batchCost*float64(e.batch()))
 		if e.total() >= e.Slots {
 			cost += preemptionCost
 		}
 		if e.DataCentre == t.dataCentre {
 			cost -= sameDataCentreBonus
 		}
-		t.candidates = append(t.candidates, candidate{e, cost})
+		t.candidates = append(t.candidates, candidate{e, cost, e.slowness()})
 	}
+	t.candidates = avoidSlow(t.candidates)
 	return spread(t.candidates, 1+t.unseenArrivals(svc))
 }
 
--- a/cicadagateway/cicadarelay/exchange.go
+++ b/cicadagateway/cicadarelay/exchange.go
@@ -45,6 +45,7 @@
 	searchStart time.Time
 	answered    bool // whether the current run has got an event, or a complete answer
 	events      eventParser
+	sampler     *cicadaplace.Sampler // of the current attempt, or nil
 
 	stream       string              // id of the request that got the stream's first event
 	origin       cicadaorigin.Origin // of the stream, if continues is set
@@ -116,6 +117,7 @@
 	x.answered = false
 	sent := time.Now()
 	x.sentAt = sent
+	x.sampler = x.startSampling(grant)
 	res, err := x.relay.client.Do(ctx, endpoint.Address, x.endpointRequest(endpoint))
 	if err != nil {
 		return x.handleError(ctx, grant, sent, err)
@@ -137,6 +139,9 @@
 		return x.handleInvalidResponse(ctx, grant, sent, merry.Errorf("response with status %d has no signature: %w", res.StatusCode, cicadaexchange.ErrInvalidResponse))
 	}
 	grant.RecordSuccess()
+	if res.StatusCode >= http.StatusInternalServerError {
+		grant.RecordErrorResponse()
+	}
 	if x.headerSent && !x.continuesStream(res) {
 		res.Discard()
 		return x.handleNotTheRest(ctx, grant, sent, merry.Errorf("status %d, type %q: %w", res.StatusCode, res.Header.Get("Content-Type"), errNotTheRest))
--- a/cicadagateway/cicadarelay/forward.go
+++ b/cicadagateway/cicadarelay/forward.go
@@ -53,6 +53,9 @@
 	if body.Len() == 0 && !res.Framed() && res.StatusCode == http.StatusOK && x.r.Method != http.MethodHead {
 		return merry.Errorf("connection closed before the body: %w", cicadaexchange.ErrInvalidResponse)
 	}
+	if res.StatusCode == http.StatusOK {
+		x.sampler.Done()
+	}
 	x.stopTimer()
 	x.sendHeader(res, body.Len())
 	if _, err := body.WriteTo(x.w); err != nil {
@@ -90,6 +93,7 @@
 			if x.events.oversized {
 				return merry.Errorf("event: %w: %w", cicadaexchange.ErrInvalidResponse, cicadaexchange.ErrTooLarge)
 			}
+			x.sampler.Events(countEvents(events))
 			if err := x.forwardEvents(ctx, events, res, grant); err != nil {
 				return err
 			}
@@ -111,6 +115,8 @@
 	if len(events) == 0 {
 		return nil
 	}
+	x.sampler.BeginWrite()
+	defer x.sampler.EndWrite()
 	if !x.answered {
 		if err := x.recordOrigin(ctx, grant); err != nil {
 			return err
@@ -155,6 +161,7 @@
 	if !x.headerSent {
 		x.sendHeader(res, 0)
 	}
+	x.sampler.Done()
 	return nil
 }
 
