--- a/cicadagateway/cicadaplace/limit.go
+++ b/cicadagateway/cicadaplace/limit.go
@@ -137,7 +137,12 @@
 
 // forgetDelay spreads the times at which processes forget the limit of an endpoint.
 func forgetDelay(name, endpoint string) time.Duration {
-	return time.Duration(float64(xxhash.Sum64String(name+"\x00"+endpoint)) / math.MaxUint64 * float64(limitTimeout))
+	return time.Duration(hashPart(name, endpoint) * float64(limitTimeout))
+}
+
+// hashPart returns a number from 0 to 1 that depends on a process and an endpoint.
+func hashPart(name, endpoint string) float64 {
+	return float64(xxhash.Sum64String(name+"\x00"+endpoint)) / math.MaxUint64
 }
 
 // shareOf returns the part of a limit that a process gets if it is divided among names.
--- a/cicadagateway/cicadaplace/sampler.go
+++ b/cicadagateway/cicadaplace/sampler.go
@@ -153,9 +153,9 @@
 	if !s.writing.IsZero() || !s.grant.learns() {
 		return
 	}
-	cell := s.grant.speedCell(s.kind, s.size)
-	x := math.Log(now.Sub(s.since).Seconds()) - cell.mean
-	if !cell.trained() || x < math.Log(lateFactor)+float64(s.late)*math.Ln2 {
+	_, usual := s.grant.speedCell(s.kind, s.size)
+	x := math.Log(now.Sub(s.since).Seconds()) - usual.mean
+	if !usual.trained() || x < math.Log(lateFactor)+float64(s.late)*math.Ln2 {
 		return
 	}
 	s.late++
--- a/cicadagateway/cicadaplace/speed.go
+++ b/cicadagateway/cicadaplace/speed.go
@@ -70,15 +70,25 @@
 	median      float64 // of the endpoints' estimates; what all of them show is load
 	refreshedAt time.Time
 	slow        int // endpoints slower than the dead zone
-	avoided     int
+	avoided     int // endpoints that are avoided or on trial
 	values      []float64 // reused by refresh
 }
 
 // cell returns the cell of requests of a kind, with prompts of a size in tokens, at an endpoint
-// that has load requests in its slots.
-func (s *serviceSpeed) cell(kind speedKind, load, slots, size int) *speedCell {
+// that has load requests in its slots, and the cell that tells what is usual for these: the same, or
+// that of the nearest load which is trained. Only slow endpoints may have had that load so far.
+func (s *serviceSpeed) cell(kind speedKind, load, slots, size int) (own, usual *speedCell) {
 	bucket := min(max(load, 0)*speedLoadBuckets/max(slots, 1), speedLoadBuckets-1)
-	return &s.cells[kind][bucket][min(bits.Len(uint(max(size, 0))), speedSizeBuckets-1)]
+	column := min(bits.Len(uint(max(size, 0))), speedSizeBuckets-1)
+	own = &s.cells[kind][bucket][column]
+	for distance := range speedLoadBuckets {
+		for _, near := range [2]int{bucket + distance, bucket - distance} {
+			if near >= 0 && near < speedLoadBuckets && s.cells[kind][near][column].trained() {
+				return own, &s.cells[kind][near][column]
+			}
+		}
+	}
+	return own, own
 }
 
 // An endpointSpeed is what is known about the speed of an endpoint. It is nil if speeds are not
@@ -91,18 +101,23 @@
 	relative float64 // logarithm of the slowness relative to the median
 	slowness float64 // relative, beyond the dead zone; 1 within it
 	avoided  bool
-	why      string
+	// trial is set while the endpoint was slow and has had no samples for some time. It then gets
+	// one request at a time.
+	trial bool
+	why   string
 	// peersFrom is when samples of peers count again after a restart: until then they may be
 	// about the former process.
 	peersFrom time.Time
+	delay     time.Duration // by which this process tries a slow endpoint later than others
 }
 
 // restartQuietTime is how long after the restart of an endpoint samples of peers may be about the
 // process that has ended.
 const restartQuietTime = time.Second
 
-// newEndpointSpeed returns the state of an endpoint that begins at slowness 1.
-func newEndpointSpeed() *endpointSpeed { return &endpointSpeed{slowness: 1, why: whyNoSamples} }
+// maxRetryDelay spreads the times at which processes try a slow endpoint again, so that the first
+// ones find out for all.
+const maxRetryDelay = 3 * time.Second
 
 // Reasons for the slowness of an endpoint, see Speed.
 const (
@@ -142,12 +157,13 @@
 	return s
 }
 
-// resetSpeed begins anew for an endpoint that is new or has restarted.
-func (t *Table) resetSpeed(e *endpointState, restarted bool) {
+// resetSpeed begins anew, at slowness 1, for an endpoint that is new or has restarted.
+func (t *Table) resetSpeed(e *endpointState, id string, restarted bool) {
 	if t.speed == nil {
 		return
 	}
-	e.speed = newEndpointSpeed()
+	delay := time.Duration(hashPart(t.name, id) * float64(maxRetryDelay))
+	e.speed = &endpointSpeed{slowness: 1, why: whyNoSamples, delay: delay}
 	if restarted {
 		e.speed.peersFrom = time.Now().Add(restartQuietTime)
 	}
@@ -162,9 +178,9 @@
 	return g.endpoint.StartedMs == g.state.StartedMs || g.startedMs() == g.state.StartedMs
 }
 
-// speedCell returns the cell of the grant's request. What the endpoint ran during the request is
-// about the mean of what it ran at the start and runs now.
-func (g *Grant) speedCell(kind speedKind, size int) *speedCell {
+// speedCell returns the cells of the grant's request, see serviceSpeed.cell. What the endpoint ran
+// during the request is about the mean of what it ran at the start and runs now.
+func (g *Grant) speedCell(kind speedKind, size int) (own, usual *speedCell) {
 	load := (g.load + max(g.state.total()-1, 0)) / 2
 	return g.table.speed.service(g.endpoint.Service).cell(kind, load, g.state.Slots, size)
 }
@@ -174,11 +190,14 @@
 	if !g.learns() || d <= 0 {
 		return
 	}
-	x, cell, speed := math.Log(d.Seconds()), g.speedCell(kind, size), g.state.speed
-	if cell.trained() {
-		speed.add(x-cell.mean, now)
+	x, speed := math.Log(d.Seconds()), g.state.speed
+	cell, usual := g.speedCell(kind, size)
+	if usual.trained() {
+		speed.add(x-usual.mean, now)
+	}
+	if speed.why != whyFading { // else relative is no longer what the endpoint is known for
+		cell.add(x - speed.relative)
 	}
-	cell.add(x - speed.relative)
 	g.table.speed.metrics.samples[kind].Inc(1)
 }
 
@@ -249,24 +268,29 @@
 	s.slow, s.avoided = 0, 0
 	for _, e := range endpoints {
 		e.speed.refresh(s.median, now)
+		e.speed.avoided, e.speed.trial = false, false
 		if e.Draining || e.speed.slowness <= 1 {
 			continue
 		}
 		s.slow++
-		if e.speed.slowness > avoidedSlowness {
+		e.speed.avoided = e.speed.slowness > avoidedSlowness
+		e.speed.trial = e.speed.why == whyFading
+		if e.speed.avoided || e.speed.trial {
 			s.avoided++
 		}
 	}
-	if float64(s.avoided) > maxAvoidedPart*float64(usable) {
-		s.avoided = 0
+	if float64(s.avoided) <= maxAvoidedPart*float64(usable) {
+		return
 	}
+	s.avoided = 0
 	for _, e := range endpoints {
-		e.speed.avoided = s.avoided > 0 && e.speed.slowness > avoidedSlowness
+		e.speed.avoided, e.speed.trial = false, false
 	}
 }
 
 // refresh computes the slowness relative to the median of the service.
 func (s *endpointSpeed) refresh(median float64, now time.Time) {
+	now = now.Add(-s.delay)
 	strength := s.shared.strength(now)
 	shared := (s.shared.mean - median) * strength
 	blend := s.blend(now)
@@ -328,7 +352,10 @@
 // avoidSlow removes the endpoints that are avoided from the candidates if another one has an idle
 // slot.
 func avoidSlow(candidates []candidate) []candidate {
-	avoided := func(c candidate) bool { return c.endpoint.speed != nil && c.endpoint.speed.avoided }
+	avoided := func(c candidate) bool {
+		s := c.endpoint.speed
+		return s != nil && (s.avoided || s.trial && c.endpoint.total() > 0)
+	}
 	free := func(c candidate) bool { return !avoided(c) && c.endpoint.total() < c.endpoint.Slots }
 	if !slices.ContainsFunc(candidates, free) {
 		return candidates
@@ -353,8 +380,8 @@
 	Service  string
 	// Slowness is how many times as long as at a typical endpoint of the service a request takes.
 	Slowness float64
-	// Avoided reports whether online requests are sent to the endpoint only if no other has an
-	// idle slot.
+	// Avoided reports whether online requests, or more than one at a time, are sent to the endpoint
+	// only if no other has an idle slot.
 	Avoided bool
 	Weight  float64       // of the samples, in samples
 	Age     time.Duration // of the latest sample
@@ -377,7 +404,7 @@
 	for name, svc := range t.services {
 		t.refreshSpeeds(name, svc, now)
 		for _, e := range svc.endpoints {
-			s := Speed{Endpoint: e.ID, Service: name, Slowness: e.speed.slowness, Avoided: e.speed.avoided, Weight: e.speed.shared.weight, Why: e.speed.why}
+			s := Speed{Endpoint: e.ID, Service: name, Slowness: e.speed.slowness, Avoided: e.speed.avoided || e.speed.trial, Weight: e.speed.shared.weight, Why: e.speed.why}
 			if s.Weight > 0 {
 				s.Age = now.Sub(e.speed.shared.at)
 			}
--- a/cicadagateway/cicadaplace/table.go
+++ b/cicadagateway/cicadaplace/table.go
@@ -193,7 +193,7 @@
 			state.versionDoubtUntil = time.Time{}
 		}
 		if restarted || state.speed == nil {
-			t.resetSpeed(state, state.ID != "")
+			t.resetSpeed(state, e.ID, state.ID != "")
 		}
 		e.Draining = e.Draining || t.saidLeaving(e)
 		state.Endpoint = e
