--- a/cicadagateway/cicadaplace/sampler.go
+++ b/cicadagateway/cicadaplace/sampler.go
@@ -154,7 +154,7 @@
 		return
 	}
 	_, usual := s.grant.speedCell(s.kind, s.size)
-	x := math.Log(now.Sub(s.since).Seconds()) - usual.mean
+	x := math.Log(now.Sub(s.since).Seconds()) - usual.mean - s.grant.table.speed.service(s.grant.endpoint.Service).level
 	if !usual.trained() || x < math.Log(lateFactor)+float64(s.late)*math.Ln2 {
 		return
 	}
--- a/cicadagateway/cicadaplace/speed.go
+++ b/cicadagateway/cicadaplace/speed.go
@@ -33,6 +33,9 @@
 	// a service may be.
 	avoidedSlowness = 2.0
 	maxAvoidedPart  = 1.0 / 3
+	// minLevelEndpoints is how many endpoints a process must have samples of to tell load from the
+	// slowness of an endpoint.
+	minLevelEndpoints = 3
 	// ownDeviation is by how much what a process has measured must differ from what all have, for
 	// an endpoint to count as slow for this process alone.
 	ownDeviation = 1.5
@@ -54,11 +57,15 @@
 	samples int
 }
 
+// maxCellStep is how far from the mean of a cell with many samples a sample counts, as a logarithm. An endpoint that
+// has become slow is to raise its own estimate, and not the cells.
+var maxCellStep = math.Log(1.5)
+
 func (c *speedCell) trained() bool { return c.samples >= minCellSamples }
 
 func (c *speedCell) add(x float64) {
-	if c.trained() {
-		x = min(max(x, c.mean-maxSpeedStep), c.mean+maxSpeedStep)
+	if c.samples >= cellMemory/2 {
+		x = min(max(x, c.mean-maxCellStep), c.mean+maxCellStep)
 	}
 	c.samples = min(c.samples+1, cellMemory)
 	c.mean += (x - c.mean) / float64(c.samples)
@@ -66,11 +73,14 @@
 
 // A serviceSpeed is what is known about the speed of a service as a whole.
 type serviceSpeed struct {
-	cells       [speedKinds][speedLoadBuckets][speedSizeBuckets]speedCell
-	median      float64 // of the endpoints' estimates; what all of them show is load
+	cells [speedKinds][speedLoadBuckets][speedSizeBuckets]speedCell
+	// level is added to all cells. It takes up what most endpoints show, which is load: at each
+	// refresh, the median of their estimates becomes 0. Cells would do so too slowly, and estimates
+	// without recent samples would then be compared with another usual.
+	level       float64
 	refreshedAt time.Time
-	slow        int // endpoints slower than the dead zone
-	avoided     int // endpoints that are avoided or on trial
+	slow        int       // endpoints slower than the dead zone
+	avoided     int       // endpoints that are avoided or on trial
 	values      []float64 // reused by refresh
 }
 
@@ -94,9 +104,14 @@
 // An endpointSpeed is what is known about the speed of an endpoint. It is nil if speeds are not
 // learned.
 type endpointSpeed struct {
-	own    speedEstimate // from this process's samples
-	shared speedEstimate // from the samples of all processes, the own included
-	news   speedEstimate // from the own samples that peers have not been told
+	own   speedEstimate // from this process's samples
+	peers speedEstimate // from those of peers
+	news  speedEstimate // from the own samples that peers have not been told
+	told  float64       // the mean that peers were told last
+
+	value    float64 // see estimate
+	strength float64 // by how much the samples of all processes count in it
+	blend    float64 // and by how much the own ones count instead
 
 	relative float64 // logarithm of the slowness relative to the median
 	slowness float64 // relative, beyond the dead zone; 1 within it
@@ -192,6 +207,7 @@
 	}
 	x, speed := math.Log(d.Seconds()), g.state.speed
 	cell, usual := g.speedCell(kind, size)
+	x -= g.table.speed.service(g.endpoint.Service).level
 	if usual.trained() {
 		speed.add(x-usual.mean, now)
 	}
@@ -204,8 +220,8 @@
 // add records a sample of this process.
 func (s *endpointSpeed) add(x float64, now time.Time) {
 	x = min(max(x, math.Log(minSlowness)), math.Log(maxSlowness))
+	s.peers.settle(x, now)
 	s.own.add(x, 1, now)
-	s.shared.add(x, 1, now)
 	s.news.add(x, 1, now)
 }
 
@@ -241,33 +257,22 @@
 	}
 }
 
-// blend returns the part of the own estimate in what this process takes the endpoint for: 0 as
-// long as the endpoint is much the same for all processes.
-func (s *endpointSpeed) blend(now time.Time) float64 {
-	if s.own.weight == 0 || math.Abs(s.own.mean-s.shared.mean) < math.Log(ownDeviation) {
-		return 0
-	}
-	return s.own.strength(now)
-}
-
 // refresh computes the slowness of all endpoints of a service from their estimates.
 func (s *serviceSpeed) refresh(endpoints []*endpointState, now time.Time) {
 	s.refreshedAt = now
+	usable := s.adjustLevel(endpoints)
 	s.values = s.values[:0]
-	usable := 0
 	for _, e := range endpoints {
-		if e.Draining {
-			continue
-		}
-		usable++
-		if sp := e.speed; sp.shared.weight > 0 {
-			s.values = append(s.values, sp.shared.mean+sp.blend(now)*(sp.own.mean-sp.shared.mean))
+		if !e.Draining {
+			s.values = append(s.values, e.speed.estimate(now))
 		}
 	}
-	s.median = median(s.values)
+	usual := median(s.values)
+	s.level += usual
 	s.slow, s.avoided = 0, 0
 	for _, e := range endpoints {
-		e.speed.refresh(s.median, now)
+		e.speed.shift(usual)
+		e.speed.refresh(usual, now)
 		e.speed.avoided, e.speed.trial = false, false
 		if e.Draining || e.speed.slowness <= 1 {
 			continue
@@ -288,28 +293,83 @@
 	}
 }
 
-// refresh computes the slowness relative to the median of the service.
-func (s *endpointSpeed) refresh(median float64, now time.Time) {
-	now = now.Add(-s.delay)
-	strength := s.shared.strength(now)
-	shared := (s.shared.mean - median) * strength
-	blend := s.blend(now)
-	s.relative = min(max(shared+blend*(s.own.mean-median-shared), math.Log(minSlowness)), math.Log(maxSlowness))
+// adjustLevel moves what most endpoints show from the estimates of this process to the level of
+// the service. Where peers have told about an endpoint, only what is beyond that counts. It returns
+// how many endpoints may be used.
+func (s *serviceSpeed) adjustLevel(endpoints []*endpointState) (usable int) {
+	s.values = s.values[:0]
+	for _, e := range endpoints {
+		if e.Draining {
+			continue
+		}
+		usable++
+		if e.speed.own.weight > 0 {
+			s.values = append(s.values, e.speed.own.mean-e.speed.peers.mean)
+		}
+	}
+	if len(s.values) < min(minLevelEndpoints, usable) {
+		return usable
+	}
+	shift := median(s.values)
+	s.level += shift
+	for _, e := range endpoints {
+		e.speed.own.shift(shift)
+		e.speed.news.shift(shift)
+	}
+	return usable
+}
+
+// estimate returns the logarithm of the slowness as far as it counts. It is that which all
+// processes have measured, or what this one has if that is clearly different.
+func (s *endpointSpeed) estimate(now time.Time) float64 {
+	mean, strength := combine(&s.own, &s.peers, now, s.delay)
+	s.strength, s.blend = strength, 0
+	if s.own.weight > 0 && math.Abs(s.own.mean-mean) >= math.Log(ownDeviation) {
+		s.blend = min(s.own.recent(now)/minSpeedSamples, 1)
+	}
+	s.value = mean*strength + s.blend*(s.own.mean-mean*strength)
+	return s.value
+}
+
+// shift makes a slowness the usual one.
+func (s *endpointSpeed) shift(usual float64) {
+	s.own.shift(usual)
+	s.peers.shift(usual)
+	s.news.shift(usual)
+}
+
+// refresh computes the slowness relative to the usual estimate of the service.
+func (s *endpointSpeed) refresh(usual float64, now time.Time) {
+	s.relative = min(max(s.value-usual, math.Log(minSlowness)), math.Log(maxSlowness))
 	s.slowness = math.Exp(s.relative)
 	switch {
-	case s.shared.weight == 0:
-		s.why = whyNoSamples
+	case s.weight() == 0:
+		s.slowness, s.why = 1, whyNoSamples
 	case math.Abs(s.relative) < math.Log(speedDeadZone):
 		s.slowness, s.why = 1, whyUsual
-	case blend > 0.5:
+	case s.blend > 0.5:
 		s.why = whyOwn
-	case s.shared.fade(now) < 1:
+	case s.fading(now):
 		s.why = whyFading
 	default:
 		s.why = whyShared
 	}
 }
 
+// weight returns the number of samples of all processes.
+func (s *endpointSpeed) weight() float64 { return s.own.weight + s.peers.weight }
+
+// latest returns the time of the latest sample.
+func (s *endpointSpeed) latest() time.Time {
+	if s.own.at.After(s.peers.at) {
+		return s.own.at
+	}
+	return s.peers.at
+}
+
+// fading reports whether the samples have grown old.
+func (s *endpointSpeed) fading(now time.Time) bool { return now.Sub(s.latest()) > speedHold+s.delay }
+
 // median returns the median of values, which it sorts, or 0.
 func median(values []float64) float64 {
 	if len(values) == 0 {
@@ -380,8 +440,8 @@
 	Service  string
 	// Slowness is how many times as long as at a typical endpoint of the service a request takes.
 	Slowness float64
-	// Avoided reports whether online requests, or more than one at a time, are sent to the endpoint
-	// only if no other has an idle slot.
+	// Avoided reports whether online requests are sent to the endpoint only if no other has an
+	// idle slot.
 	Avoided bool
 	Weight  float64       // of the samples, in samples
 	Age     time.Duration // of the latest sample
@@ -404,9 +464,9 @@
 	for name, svc := range t.services {
 		t.refreshSpeeds(name, svc, now)
 		for _, e := range svc.endpoints {
-			s := Speed{Endpoint: e.ID, Service: name, Slowness: e.speed.slowness, Avoided: e.speed.avoided || e.speed.trial, Weight: e.speed.shared.weight, Why: e.speed.why}
+			s := Speed{Endpoint: e.ID, Service: name, Slowness: e.speed.slowness, Avoided: e.speed.avoided, Weight: e.speed.weight(), Why: e.speed.why}
 			if s.Weight > 0 {
-				s.Age = now.Sub(e.speed.shared.at)
+				s.Age = now.Sub(e.speed.latest())
 			}
 			out = append(out, s)
 		}
--- a/cicadagateway/cicadaplace/speedestimate.go
+++ b/cicadagateway/cicadaplace/speedestimate.go
@@ -11,9 +11,11 @@
 	// minSpeedSamples is how many samples an estimate spans, however old they are, and how many
 	// it takes until it counts fully.
 	minSpeedSamples = 4.0
+	// halfStrengthSamples is how many samples make an estimate count by half.
+	halfStrengthSamples = minSpeedSamples / 2
 	// maxEstimateSamples is how many samples an estimate spans at most. More make it slower to
 	// change, and hardly more exact.
-	maxEstimateSamples = 30.0
+	maxEstimateSamples = 20.0
 	// speedHold is how long an estimate holds without samples. Then it fades, so that an endpoint
 	// that gets no requests is tried again.
 	speedHold = 3 * time.Second
@@ -32,16 +34,10 @@
 	at     time.Time
 }
 
-// add records a sample that stands for weight samples. If the estimate has begun to fade, a sample
-// that agrees with it restores it, as a trial has shown no change, and another one finishes it.
+// add records a sample that stands for weight samples.
 func (e *speedEstimate) add(x, weight float64, now time.Time) {
-	fade := e.fade(now)
-	if e.agrees(x) {
-		fade = 1
-	}
-	e.mean *= fade
-	aged := e.weight * math.Exp(-max(now.Sub(e.at).Seconds(), 0)/speedMemory.Seconds())
-	e.weight = fade * max(aged, min(e.weight, minSpeedSamples))
+	e.settle(x, now)
+	e.weight = max(e.recent(now), min(e.weight, minSpeedSamples))
 	x = min(max(x, e.mean-maxSpeedStep), e.mean+maxSpeedStep)
 	e.weight += weight
 	e.mean += (x - e.mean) * weight / e.weight
@@ -49,6 +45,26 @@
 	e.at = now
 }
 
+// settle takes account of a sample if the estimate has begun to fade. One that agrees with it
+// restores it, as a trial has shown no change, and another one leaves of it what has not faded.
+func (e *speedEstimate) settle(x float64, now time.Time) {
+	fade := e.fade(now)
+	if fade == 1 {
+		return
+	}
+	e.weight = max(e.recent(now), min(e.weight, minSpeedSamples))
+	if !e.agrees(x) {
+		e.mean *= fade
+		e.weight *= fade
+	}
+	e.at = now.Add(-speedHold)
+}
+
+// recent returns the weight that is left of the samples.
+func (e *speedEstimate) recent(now time.Time) float64 {
+	return e.weight * math.Exp(-max(now.Sub(e.at).Seconds(), 0)/speedMemory.Seconds())
+}
+
 // agrees reports whether a sample is at least half as far from the usual as the mean.
 func (e *speedEstimate) agrees(x float64) bool { return x*e.mean >= e.mean*e.mean/2 }
 
@@ -61,7 +77,27 @@
 	return math.Exp(-idle.Seconds() / speedFade.Seconds())
 }
 
-// strength returns by how much the estimate counts, given its number of samples and their age.
-func (e *speedEstimate) strength(now time.Time) float64 {
-	return e.fade(now) * min(e.weight/minSpeedSamples, 1)
+// combine returns the mean of two estimates, weighted by their recent samples, and by how much it
+// counts. Few samples count less, since their mean is less exact. Fading begins later by delay.
+func combine(a, b *speedEstimate, now time.Time, delay time.Duration) (mean, strength float64) {
+	weight := a.weight + b.weight
+	if weight == 0 {
+		return 0, 0
+	}
+	fade := 0.0
+	for _, e := range [2]*speedEstimate{a, b} {
+		if e.weight > 0 {
+			fade = max(fade, e.fade(now.Add(-delay)))
+		}
+	}
+	recentA, recentB := a.recent(now), b.recent(now)
+	mean = (a.mean*recentA + b.mean*recentB) / max(recentA+recentB, math.SmallestNonzeroFloat64)
+	return mean, fade * weight / (weight + halfStrengthSamples)
+}
+
+// shift changes the mean after the level of the service has changed.
+func (e *speedEstimate) shift(by float64) {
+	if e.weight > 0 {
+		e.mean -= by
+	}
 }
--- a/cicadagateway/cicadaplace/speedshare.go
+++ b/cicadagateway/cicadaplace/speedshare.go
@@ -13,9 +13,10 @@
 	// maxSpeedSampleRate limits the samples a second that a process gets from all its peers, so
 	// that their volume doesn't grow with the number of processes.
 	maxSpeedSampleRate = 800.0
-	// minSpeedNews is how many standard errors, of about 0.3 for one sample, from the median an
-	// endpoint must be to be worth telling.
-	minSpeedNews = 0.3
+	// minSpeedNews is how far from the usual the mean of one sample must be to be worth telling, as
+	// a logarithm; that of n samples may be nearer by the square root of n. This is about two
+	// standard errors.
+	minSpeedNews = 0.6
 	// maxSpeedWeight limits the weight of one sample of a peer.
 	maxSpeedWeight = 32
 	// speedRatioUnit is the unit of a SpeedSample's ratio, as a logarithm.
@@ -57,18 +58,20 @@
 	if t.speed == nil {
 		return nil
 	}
+	budget := &t.speed.budget
+	if budget.refill(len(t.peers)+1, now); budget.tokens < 1 {
+		return nil
+	}
 	for name, svc := range t.services {
 		t.refreshSpeeds(name, svc, now)
 	}
-	budget := &t.speed.budget
-	budget.refill(len(t.peers)+1, now)
 	news := t.speedNews(now)
 	news = news[:min(len(news), int(budget.tokens))]
 	budget.tokens -= float64(len(news))
 	out := make([]SpeedSample, len(news))
 	for i, n := range news {
 		out[i] = n.sample
-		n.speed.news = speedEstimate{}
+		n.speed.told, n.speed.news = n.speed.news.mean, speedEstimate{}
 	}
 	t.speed.metrics.sent.Inc(int64(len(out)))
 	return out
@@ -82,7 +85,7 @@
 }
 
 // speedNews returns what is worth telling, that which says most first. An endpoint that is near
-// the median is not worth telling, unless it is taken for a slower or faster one.
+// the median is not worth telling, unless it is taken for a slower or faster one, or was told to be.
 func (t *Table) speedNews(now time.Time) []speedNews {
 	var all []speedNews
 	for id, e := range t.endpointsByID {
@@ -90,12 +93,11 @@
 		if s.news.weight < 0.5 || s.news.fade(now) < 1 {
 			continue
 		}
-		ratio := s.news.mean - t.speed.service(e.Service).median
-		score := math.Sqrt(s.news.weight) * max(math.Abs(ratio), math.Abs(s.relative))
+		score := math.Sqrt(s.news.weight) * max(math.Abs(s.news.mean), math.Abs(s.relative), math.Abs(s.told))
 		if score < minSpeedNews {
 			continue
 		}
-		sample := SpeedSample{Endpoint: id, Ratio: quantizeRatio(ratio), Weight: uint8(min(math.Round(s.news.weight), maxSpeedWeight))}
+		sample := SpeedSample{Endpoint: id, Ratio: quantizeRatio(s.news.mean), Weight: uint8(min(math.Round(s.news.weight), maxSpeedWeight))}
 		all = append(all, speedNews{s, sample, score})
 	}
 	slices.SortFunc(all, func(a, b speedNews) int { return cmp.Compare(b.score, a.score) })
@@ -121,7 +123,8 @@
 			continue
 		}
 		ratio := min(max(float64(sample.Ratio)*speedRatioUnit, math.Log(minSlowness)), math.Log(maxSlowness))
-		e.speed.shared.add(ratio+t.speed.service(e.Service).median, float64(min(sample.Weight, maxSpeedWeight)), now)
+		e.speed.own.settle(ratio, now)
+		e.speed.peers.add(ratio, float64(min(sample.Weight, maxSpeedWeight)), now)
 	}
 	t.speed.metrics.received.Inc(int64(len(samples)))
 }
