--- a/cicadagateway/cicadarelay/relay_test.go
+++ b/cicadagateway/cicadarelay/relay_test.go
@@ -84,8 +84,8 @@
 }
 
 // newRelay returns a Relay with one route and the given number of endpoints.
-func newRelay(s *endpointScript, route cicadaview.Route, endpoints int) (*Relay, *cicadaplace.Table) {
-	table := cicadaplace.NewTable("me")
+func newRelay(s *endpointScript, route cicadaview.Route, endpoints int, opts ...cicadaplace.Option) (*Relay, *cicadaplace.Table) {
+	table := cicadaplace.NewTable("me", opts...)
 	var all []cicadaview.Endpoint
 	for i := range endpoints {
 		all = append(all, cicadaview.Endpoint{ID: fmt.Sprint("e", i), Service: "s", Address: fmt.Sprint("e", i, ":1"), Slots: 2})
