Bound the cost of computing speeds

Cause: at 2,400 endpoints each computation took 0.6 ms, ten times a second: 0.6% of a core.

Change: logarithms of constants are computed once, and the interval grows with a service's endpoints up to 0.5 s.

--- a/cicadagateway/cicadaplace/speed.go
+++ b/cicadagateway/cicadaplace/speed.go
@@ -22,7 +22,11 @@
 var speedKindNames = [speedKinds]string{"first-event", "pace", "response"}
 
 const (
-	speedRefreshInterval = 100 * time.Millisecond
+	// speedRefreshInterval is how often the slowness of a service's endpoints is computed. It grows
+	// with the number of endpoints up to a maximum, as the cost does.
+	speedRefreshInterval    = 100 * time.Millisecond
+	speedRefreshPerEndpoint = time.Millisecond
+	maxSpeedRefreshInterval = 500 * time.Millisecond
 	// maxSlowness and minSlowness bound what an endpoint is taken for.
 	maxSlowness = 8.0
 	minSlowness = 1.0 / 3
@@ -49,6 +53,13 @@
 	cellMemory       = 50 // samples
 )
 
+var (
+	logMinSlowness  = math.Log(minSlowness)
+	logMaxSlowness  = math.Log(maxSlowness)
+	logDeadZone     = math.Log(speedDeadZone)
+	logOwnDeviation = math.Log(ownDeviation)
+)
+
 // A speedCell is the running mean of the logarithms of the times, in seconds, that a service takes
 // for requests of one kind and size under one load. The slowness of the endpoints is taken out of
 // it: slow endpoints get less load, and would else pass for the usual at low load.
@@ -219,7 +230,7 @@
 
 // add records a sample of this process.
 func (s *endpointSpeed) add(x float64, now time.Time) {
-	x = min(max(x, math.Log(minSlowness)), math.Log(maxSlowness))
+	x = min(max(x, logMinSlowness), logMaxSlowness)
 	s.peers.settle(x, now)
 	s.own.add(x, 1, now)
 	s.news.add(x, 1, now)
@@ -252,7 +263,7 @@
 	g.table.mu.Lock()
 	defer g.table.mu.Unlock()
 	if g.learns() {
-		g.state.speed.add(math.Log(maxSlowness), time.Now())
+		g.state.speed.add(logMaxSlowness, time.Now())
 		g.table.speed.metrics.errors.Inc(1)
 	}
 }
@@ -324,7 +335,7 @@
 func (s *endpointSpeed) estimate(now time.Time) float64 {
 	mean, strength := combine(&s.own, &s.peers, now, s.delay)
 	s.strength, s.blend = strength, 0
-	if s.own.weight > 0 && math.Abs(s.own.mean-mean) >= math.Log(ownDeviation) {
+	if s.own.weight > 0 && math.Abs(s.own.mean-mean) >= logOwnDeviation {
 		s.blend = min(s.own.recent(now)/minSpeedSamples, 1)
 	}
 	s.value = mean*strength + s.blend*(s.own.mean-mean*strength)
@@ -340,13 +351,14 @@
 
 // refresh computes the slowness relative to the usual estimate of the service.
 func (s *endpointSpeed) refresh(usual float64, now time.Time) {
-	s.relative = min(max(s.value-usual, math.Log(minSlowness)), math.Log(maxSlowness))
-	s.slowness = math.Exp(s.relative)
+	s.relative = min(max(s.value-usual, logMinSlowness), logMaxSlowness)
 	switch {
 	case s.weight() == 0:
 		s.slowness, s.why = 1, whyNoSamples
-	case math.Abs(s.relative) < math.Log(speedDeadZone):
+		return
+	case math.Abs(s.relative) < logDeadZone:
 		s.slowness, s.why = 1, whyUsual
+		return
 	case s.blend > 0.5:
 		s.why = whyOwn
 	case s.fading(now):
@@ -354,6 +366,7 @@
 	default:
 		s.why = whyShared
 	}
+	s.slowness = math.Exp(s.relative)
 }
 
 // weight returns the number of samples of all processes.
@@ -380,13 +393,17 @@
 	return (values[(n-1)/2] + values[n/2]) / 2
 }
 
+func refreshInterval(endpoints int) time.Duration {
+	return min(max(speedRefreshInterval, time.Duration(endpoints)*speedRefreshPerEndpoint), maxSpeedRefreshInterval)
+}
+
 // refreshSpeeds brings the slowness of a service's endpoints up to date.
 func (t *Table) refreshSpeeds(name string, svc *service, now time.Time) {
 	if t.speed == nil {
 		return
 	}
 	t.checkLate(now)
-	if s := t.speed.service(name); now.Sub(s.refreshedAt) >= speedRefreshInterval {
+	if s := t.speed.service(name); now.Sub(s.refreshedAt) >= refreshInterval(len(svc.endpoints)) {
 		s.refresh(svc.endpoints, now)
 		t.speed.report()
 	}
--- a/cicadagateway/cicadaplace/speedestimate.go
+++ b/cicadagateway/cicadaplace/speedestimate.go
@@ -62,6 +62,9 @@
 
 // recent returns the weight that is left of the samples.
 func (e *speedEstimate) recent(now time.Time) float64 {
+	if e.weight == 0 {
+		return 0
+	}
 	return e.weight * math.Exp(-max(now.Sub(e.at).Seconds(), 0)/speedMemory.Seconds())
 }
 
--- a/cicadagateway/cicadaplace/speedshare.go
+++ b/cicadagateway/cicadaplace/speedshare.go
@@ -106,7 +106,7 @@
 
 // quantizeRatio returns a ratio in units of speedRatioUnit.
 func quantizeRatio(ratio float64) int8 {
-	ratio = min(max(ratio, math.Log(minSlowness)), math.Log(maxSlowness))
+	ratio = min(max(ratio, logMinSlowness), logMaxSlowness)
 	return int8(math.Round(ratio / speedRatioUnit))
 }
 
@@ -122,7 +122,7 @@
 		if e == nil || sample.Weight == 0 || now.Before(e.speed.peersFrom) {
 			continue
 		}
-		ratio := min(max(float64(sample.Ratio)*speedRatioUnit, math.Log(minSlowness)), math.Log(maxSlowness))
+		ratio := min(max(float64(sample.Ratio)*speedRatioUnit, logMinSlowness), logMaxSlowness)
 		e.speed.own.settle(ratio, now)
 		e.speed.peers.add(ratio, float64(min(sample.Weight, maxSpeedWeight)), now)
 	}
