Learn how many requests an endpoint runs well

Cause: an endpoint that slows down before it is full was filled again whenever its estimate had recovered.

Change: a limit for each endpoint between half of its slots and all of them, which falls by a fifth while the endpoint is slow under a higher load and rises by a fifth of a request a second. Online requests go beyond it only if no other endpoint has an idle slot.

--- a/cicadagateway/cicadaplace/speed.go
+++ b/cicadagateway/cicadaplace/speed.go
@@ -92,6 +92,7 @@
 	refreshedAt time.Time
 	slow        int       // endpoints slower than the dead zone
 	avoided     int       // endpoints that are avoided or on trial
+	limited     int       // endpoints that run fewer requests well than they have slots
 	values      []float64 // reused by refresh
 }
 
@@ -131,6 +132,7 @@
 	// one request at a time.
 	trial bool
 	why   string
+	limit loadLimit
 	// peersFrom is when samples of peers count again after a restart: until then they may be
 	// about the former process.
 	peersFrom time.Time
@@ -280,10 +282,14 @@
 	}
 	usual := median(s.values)
 	s.level += usual
-	s.slow, s.avoided = 0, 0
+	s.slow, s.avoided, s.limited = 0, 0, 0
 	for _, e := range endpoints {
 		e.speed.shift(usual)
 		e.speed.refresh(usual, now)
+		e.speed.limit.update(e.speed.slowness, e.total(), e.Slots, now)
+		if e.speed.limit.requests(e.Slots) < e.Slots {
+			s.limited++
+		}
 		e.speed.avoided, e.speed.trial = false, false
 		if e.Draining || e.speed.slowness <= 1 {
 			continue
@@ -426,12 +432,12 @@
 	return load
 }
 
-// avoidSlow removes the endpoints that are avoided from the candidates if another one has an idle
-// slot.
+// avoidSlow removes the endpoints that are avoided, or run as many requests as they run well, from
+// the candidates if another one has an idle slot.
 func avoidSlow(candidates []candidate) []candidate {
 	avoided := func(c candidate) bool {
 		s := c.endpoint.speed
-		return s != nil && (s.avoided || s.trial && c.endpoint.total() > 0)
+		return s != nil && (s.avoided || s.trial && c.endpoint.total() > 0 || c.endpoint.pastLimit())
 	}
 	free := func(c candidate) bool { return !avoided(c) && c.endpoint.total() < c.endpoint.Slots }
 	if !slices.ContainsFunc(candidates, free) {
@@ -462,6 +468,7 @@
 	Avoided bool
 	Weight  float64       // of the samples, in samples
 	Age     time.Duration // of the latest sample
+	Limit   int           // how many requests the endpoint runs well, at most its slots
 	// Why is what Slowness follows from: "shared" samples of all processes, "own" samples that
 	// differ from those, "fading" ones that grow old, "no-samples", or "usual" for an endpoint
 	// that is near the median.
@@ -481,7 +488,7 @@
 	for name, svc := range t.services {
 		t.refreshSpeeds(name, svc, now)
 		for _, e := range svc.endpoints {
-			s := Speed{Endpoint: e.ID, Service: name, Slowness: e.speed.slowness, Avoided: e.speed.avoided, Weight: e.speed.weight(), Why: e.speed.why}
+			s := Speed{Endpoint: e.ID, Service: name, Slowness: e.speed.slowness, Avoided: e.speed.avoided, Weight: e.speed.weight(), Limit: e.speed.limit.requests(e.Slots), Why: e.speed.why}
 			if s.Weight > 0 {
 				s.Age = now.Sub(e.speed.latest())
 			}
--- a/cicadagateway/cicadaplace/speed_test.go
+++ b/cicadagateway/cicadaplace/speed_test.go
@@ -25,7 +25,9 @@
 	// the rate of an entry.
 	slowness func(endpoint, entry int, at time.Duration) float64
 	load     func(entry int, at time.Duration) float64
-	fails    func(endpoint int, at time.Duration) bool
+	// knee is how many requests an endpoint runs before it becomes 4 times slower, if not 0.
+	knee  func(endpoint int) int
+	fails func(endpoint int, at time.Duration) bool
 	// at is called every 100 ms.
 	at func(tables []*Table, at time.Duration)
 }
@@ -167,6 +169,9 @@
 	defer func() { <-engines[endpoint] }()
 	step := func(usual time.Duration) {
 		slowness := d.slowness(endpoint, entry, time.Since(start)) * (1 + float64(len(engines[endpoint]))/(2*speedSlots))
+		if d.knee != nil && d.knee(endpoint) > 0 && len(engines[endpoint]) > d.knee(endpoint) {
+			slowness *= 4
+		}
 		time.Sleep(time.Duration(float64(usual) * noise * slowness))
 		sampler.Events(1)
 	}
@@ -241,6 +246,19 @@
 	assert.Assert(t, with.share(0, 11, 16, allEntries...) < 0.3)
 }
 
+// Guards against endpoints that slow down long before they are full being filled.
+func TestEndpointsSlowDownBeforeTheyAreFull(t *testing.T) {
+	d := speedDay{rate: 60, duration: 30 * time.Second, slowness: usualSpeed, knee: func(endpoint int) int {
+		if endpoint < 3 {
+			return 4
+		}
+		return 0
+	}}
+	without, with := d.compare(t)
+	assert.Assert(t, with.mean() < without.mean()*88/100)
+	assert.Assert(t, with.p99() < without.p99())
+}
+
 // Guards against load being taken for the slowness of endpoints.
 func TestAllEndpointsBecomeSlow(t *testing.T) {
 	avoided := 0
--- a/cicadagateway/cicadaplace/speedmetrics.go
+++ b/cicadagateway/cicadaplace/speedmetrics.go
@@ -12,6 +12,7 @@
 	received tally.Counter
 	slow     tally.Gauge // endpoints, over all services
 	avoided  tally.Gauge
+	limited  tally.Gauge
 }
 
 // WithSpeedMetrics makes the table learn speeds, as WithSpeedLearning does, and report metrics.
@@ -27,6 +28,7 @@
 		errors: scope.Counter("speed_errors"), late: scope.Counter("speed_late"),
 		sent: scope.Counter("speed_samples_sent"), received: scope.Counter("speed_samples_received"),
 		slow: scope.Gauge("endpoints_slow"), avoided: scope.Gauge("endpoints_avoided"),
+		limited: scope.Gauge("endpoints_load_limited"),
 	}
 	for kind, name := range speedKindNames {
 		m.samples[kind] = scope.Tagged(map[string]string{"kind": name}).Counter("speed_samples")
@@ -36,11 +38,13 @@
 
 // report updates the gauges.
 func (l *speedLearner) report() {
-	slow, avoided := 0, 0
+	slow, avoided, limited := 0, 0, 0
 	for _, s := range l.services {
 		slow += s.slow
 		avoided += s.avoided
+		limited += s.limited
 	}
 	l.metrics.slow.Update(float64(slow))
 	l.metrics.avoided.Update(float64(avoided))
+	l.metrics.limited.Update(float64(limited))
 }
