--- a/cicadagateway/cicadapeer/relay.go
+++ b/cicadagateway/cicadapeer/relay.go
@@ -22,7 +22,7 @@
 			state := s.state
 			state.NotReceived, state.Relayed = nil, nil
 			state.CrashReports, state.Quarantines, state.Refusals, state.Unreachable = nil, nil, nil, nil
-			state.PartQuarantines, state.SoundParts = nil, nil
+			state.PartQuarantines, state.SoundParts, state.Speeds = nil, nil, nil
 			relayed = append(relayed, state)
 		}
 	}
--- a/cicadagateway/cicadapeer/state.go
+++ b/cicadagateway/cicadapeer/state.go
@@ -78,6 +78,16 @@
 	Roster []RosterEntry
 	// Unreachable lists endpoints to which the member could not connect in time.
 	Unreachable []string
+	// Speeds holds new samples of how fast endpoints are.
+	Speeds []SpeedSample
+}
+
+// A SpeedSample says how slow an endpoint was for a member, relative to its service.
+type SpeedSample struct {
+	_        struct{} `cbor:",toarray"`
+	Endpoint string
+	Ratio    int8 // logarithm of the ratio to the usual time, in units of 1/32
+	Weight   uint8
 }
 
 // A CrashReport reports a run of a request during which the endpoint's connection broke.
--- a/cicadagateway/cicadaplace/table.go
+++ b/cicadagateway/cicadaplace/table.go
@@ -8,6 +8,10 @@
 // peers to its own. Online requests may take slots that batch items hold: the
 // processes that run those items see the excess and preempt items.
 //
+// With WithSpeedLearning a Table also learns from responses how slow each endpoint is, relative to
+// the median of its service, and selects the endpoint where a request will be done soonest. Peers
+// exchange what they have measured.
+//
 // # Usage
 //
 //	table := cicadaplace.NewTable("ee-1", cicadaplace.WithOnChange(notifyPeers))
@@ -15,6 +19,13 @@
 //	grant, err := table.Acquire(ctx, cicadaplace.SlotRequest{Service: "assistants", MaxWait: 200 * time.Millisecond})
 //	if err != nil { ... refuse with Retry-After: table.RetryAfter("assistants") ... }
 //	defer grant.Release()
+//	sampler := grant.StartSampling(true, promptTokens)
+//	... sampler.Events(n) for events that were read, sampler.Done() at the end of the response ...
+//
+// and, if speeds are learned, with each message to and from peers
+//
+//	samples := table.LocalSpeed(time.Now())
+//	table.MergeSpeed(samplesOfPeer, time.Now())
 //
 // The package does no network I/O.
 package cicadaplace
@@ -81,6 +92,7 @@
 	statesStart       bool // whether the endpoint has stated its start to this process
 	lastSuccess       time.Time
 	unreachable       unreachableReport
+	speed             *endpointSpeed
 }
 
 func (e *endpointState) online() int { return e.local.Online + e.peers.Online }
@@ -121,7 +133,8 @@
 	onLeaving     func(id string)
 	leaving       map[string]leavingMark // by endpoint
 	staleness     func() time.Duration
-	candidates    []candidate // reused by choose
+	candidates    []candidate   // reused by choose
+	speed         *speedLearner // nil if speeds are not learned
 }
 
 // An Option configures a Table.
@@ -190,9 +203,13 @@
 			state.limit = rateLimit{}
 			state.unreachable = unreachableReport{}
 		}
-		if state.StartedMs != e.StartedMs || state.SoftwareVersion != e.SoftwareVersion {
+		restarted := state.StartedMs != e.StartedMs || state.SoftwareVersion != e.SoftwareVersion
+		if restarted {
 			state.versionDoubtUntil = time.Time{}
 		}
+		if restarted || state.speed == nil {
+			t.resetSpeed(state, e.ID, state.ID != "")
+		}
 		e.Draining = e.Draining || t.saidLeaving(e)
 		state.Endpoint = e
 		byID[e.ID] = state
@@ -284,20 +301,22 @@
 // requests do not hold all slots, or nil.
 func (t *Table) choose(svc *service, req SlotRequest, healthy func(*endpointState) bool) *endpointState {
 	now := time.Now()
+	t.refreshSpeeds(req.Service, svc, now)
 	t.candidates = t.candidates[:0]
 	for _, e := range svc.endpoints {
 		if !req.allows(e) || e.online() >= e.Slots || !healthy(e) || !e.limit.allows(now) {
 			continue
 		}
-		cost := float64(e.online()) + batchCost*float64(e.batch())
+		cost := e.expectedTime(float64(e.online()) + batchCost*float64(e.batch()))
 		if e.total() >= e.Slots {
 			cost += preemptionCost
 		}
 		if e.DataCentre == t.dataCentre {
 			cost -= sameDataCentreBonus
 		}
-		t.candidates = append(t.candidates, candidate{e, cost})
+		t.candidates = append(t.candidates, candidate{e, cost, e.slowness()})
 	}
+	t.candidates = avoidSlow(t.candidates)
 	return spread(t.candidates, 1+t.unseenArrivals(svc))
 }
 
--- a/cicadagateway/cicadaprocess/inflight.go
+++ b/cicadagateway/cicadaprocess/inflight.go
@@ -56,3 +56,19 @@
 	}
 	return names
 }
+
+func encodeSpeeds(samples []cicadaplace.SpeedSample) []cicadapeer.SpeedSample {
+	out := make([]cicadapeer.SpeedSample, 0, len(samples))
+	for _, s := range samples {
+		out = append(out, cicadapeer.SpeedSample{Endpoint: s.Endpoint, Ratio: s.Ratio, Weight: s.Weight})
+	}
+	return out
+}
+
+func decodeSpeeds(samples []cicadapeer.SpeedSample) []cicadaplace.SpeedSample {
+	out := make([]cicadaplace.SpeedSample, 0, len(samples))
+	for _, s := range samples {
+		out = append(out, cicadaplace.SpeedSample{Endpoint: s.Endpoint, Ratio: s.Ratio, Weight: s.Weight})
+	}
+	return out
+}
--- a/cicadagateway/cicadaprocess/process.go
+++ b/cicadagateway/cicadaprocess/process.go
@@ -122,9 +122,7 @@
 			n.endpointFollower.Refresh()
 		}
 	})
-	n.table = cicadaplace.NewTable(cfg.Name, cicadaplace.WithDataCentre(cfg.DataCentre), cicadaplace.WithOnChange(n.notifyPeers),
-		cicadaplace.WithStaleness(n.peerStaleness), cicadaplace.WithOnRefusal(n.reportRefusal), cicadaplace.WithOnUnreachable(n.reportUnreachable),
-		cicadaplace.WithOnLeaving(func(id string) { n.log.Info("endpoint states that it is leaving", "endpoint", id) }))
+	n.table = cicadaplace.NewTable(cfg.Name, n.tableOptions()...)
 	n.refusalsReported = p.Scope().Counter("endpoint_refusals_reported")
 	n.refusals, n.unreachable = newRefusals(), newRefusals()
 	n.crashes = newCrashEvidence(cfg.Name, n.log, p.Scope(), n.notifyPeers)
@@ -147,6 +145,19 @@
 	n.client.CloseInactive(since)
 }
 
+// tableOptions returns the options of the table of endpoints.
+func (n *Node) tableOptions() []cicadaplace.Option {
+	opts := []cicadaplace.Option{
+		cicadaplace.WithDataCentre(n.cfg.DataCentre), cicadaplace.WithOnChange(n.notifyPeers), cicadaplace.WithStaleness(n.peerStaleness),
+		cicadaplace.WithOnRefusal(n.reportRefusal), cicadaplace.WithOnUnreachable(n.reportUnreachable),
+		cicadaplace.WithOnLeaving(func(id string) { n.log.Info("endpoint states that it is leaving", "endpoint", id) }),
+	}
+	if n.cfg.LearnEndpointSpeed {
+		opts = append(opts, cicadaplace.WithSpeedMetrics(n.process.Scope()))
+	}
+	return opts
+}
+
 func (n *Node) notifyPeers() {
 	if g := n.group; g != nil {
 		g.Notify()
@@ -220,6 +231,7 @@
 	for id, count := range n.table.LocalInFlight() {
 		s.InFlight = append(s.InFlight, encodeInFlight(id, count))
 	}
+	s.Speeds = encodeSpeeds(n.table.LocalSpeed(time.Now()))
 	return s
 }
 
@@ -239,6 +251,7 @@
 		o.Wake()
 	}
 	n.crashes.merge(s, time.Now())
+	n.table.MergeSpeed(decodeSpeeds(s.Speeds), time.Now())
 	if n.versions.SetPeer(s.Member.Name, s.VersionsDigest) {
 		n.origins.Update()
 	}
