Count the slowness of endpoints as an addition to their load

Cause: the cost multiplied load and slowness, so that fast endpoints were filled first; with counts of peers that are some milliseconds old, requests met endpoints without a free slot.

--- a/cicadagateway/cicadaplace/speedchoice.go
+++ b/cicadagateway/cicadaplace/speedchoice.go
@@ -10,14 +10,14 @@
 	return e.speed.slowness
 }
 
-// expectedTime returns the time until a request that is sent to the endpoint is done, in units of
-// a typical request and less one, if it has a load, in requests.
-func (e *endpointState) expectedTime(load float64) float64 {
-	if slowness := e.slowness(); slowness != 1 {
-		return (load+1)*slowness - 1
-	}
-	return load
-}
+// slownessCost is the cost, in requests, of an endpoint that takes twice as long as a typical one.
+// Engines advance all requests that they run together, so that the load of an endpoint lengthens a
+// request much less than its slowness does. What the load costs is that no slot may be free: a
+// product of both would fill the fast endpoints first, and requests would wait there.
+const slownessCost = 2.5
+
+// speedCost returns what the speed of the endpoint adds to its cost, in requests.
+func (e *endpointState) speedCost() float64 { return slownessCost * (e.slowness() - 1) }
 
 // avoidSlow removes the endpoints that are avoided, or run as many requests as they run well, from
 // the candidates if another one has an idle slot.
@@ -33,13 +33,22 @@
 	return slices.DeleteFunc(candidates, avoided)
 }
 
+// slowBatchBonus, in requests, makes an endpoint that takes twice as long as a typical one preferred
+// for batch items when loads are equal, which leaves fast ones to online requests.
+const slowBatchBonus = 0.3
+
 // batchCandidate returns an endpoint as a candidate for a batch item. Endpoints with the most idle
-// slots are preferred, and among these slower ones, which leaves fast ones to online requests. An
-// item that is urgent goes where it will be done soonest, and any item to one that is avoided last.
+// slots are preferred, so that online requests find idle slots everywhere. An item that is urgent
+// prefers fast ones, and any item takes those that are avoided last.
 func batchCandidate(e *endpointState, urgent bool) candidate {
-	weight := e.slowness()
-	if urgent || weight > avoidedSlowness {
-		weight = 1 / weight
+	cost := -float64(e.Slots - e.total())
+	if urgent {
+		cost += e.speedCost()
+	} else {
+		cost -= slowBatchBonus * (e.slowness() - 1)
+	}
+	if e.speed != nil && e.speed.avoided {
+		cost += float64(e.Slots)
 	}
-	return candidate{e, -weight * float64(e.Slots-e.total()), weight}
+	return candidate{e, cost}
 }
--- a/cicadagateway/cicadaplace/spread.go
+++ b/cicadagateway/cicadaplace/spread.go
@@ -6,12 +6,10 @@
 	"slices"
 )
 
-// A candidate is an endpoint that a request may use, its cost in requests, and what each request
-// that is sent there adds to that.
+// A candidate is an endpoint that a request may use, and its cost in requests.
 type candidate struct {
 	endpoint *endpointState
 	cost     float64
-	added    float64
 }
 
 // spread selects an endpoint for a request while other processes select endpoints for
@@ -27,16 +25,15 @@
 		return nil
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.cost, b.cost) })
-	level, filled, sum, rate := 0.0, 0, 0.0, 0.0 // rate is how many requests raise the level by 1
+	level, filled, sum := 0.0, 0, 0.0
 	for filled < len(candidates) && (filled == 0 || candidates[filled].cost < level) {
-		sum += candidates[filled].cost / candidates[filled].added
-		rate += 1 / candidates[filled].added
+		sum += candidates[filled].cost
 		filled++
-		level = (arrivals + sum) / rate
+		level = (arrivals + sum) / float64(filled)
 	}
 	point := rand.Float64() * arrivals
 	for _, c := range candidates[:filled] {
-		if point -= (level - c.cost) / c.added; point < 0 {
+		if point -= level - c.cost; point < 0 {
 			return c.endpoint
 		}
 	}
--- a/cicadagateway/cicadaplace/table.go
+++ b/cicadagateway/cicadaplace/table.go
@@ -307,14 +307,14 @@
 		if !req.allows(e) || e.online() >= e.Slots || !healthy(e) || !e.limit.allows(now) {
 			continue
 		}
-		cost := e.expectedTime(float64(e.online()) + batchCost*float64(e.batch()))
+		cost := float64(e.online()) + batchCost*float64(e.batch()) + e.speedCost()
 		if e.total() >= e.Slots {
 			cost += preemptionCost
 		}
 		if e.DataCentre == t.dataCentre {
 			cost -= sameDataCentreBonus
 		}
-		t.candidates = append(t.candidates, candidate{e, cost, e.slowness()})
+		t.candidates = append(t.candidates, candidate{e, cost})
 	}
 	t.candidates = avoidSlow(t.candidates)
 	return spread(t.candidates, 1+t.unseenArrivals(svc))
