--- a/cicadagateway/cicadaplace/speedchoice.go
+++ b/cicadagateway/cicadaplace/speedchoice.go
@@ -35,7 +35,7 @@
 
 // slowBatchBonus, in requests, makes an endpoint that takes twice as long as a typical one preferred
 // for batch items when loads are equal, which leaves fast ones to online requests.
-const slowBatchBonus = 0.3
+const slowBatchBonus = 0.6
 
 // batchCandidate returns an endpoint as a candidate for a batch item. Endpoints with the most idle
 // slots are preferred, so that online requests find idle slots everywhere. An item that is urgent
