Order waiting requests by priority and fair shares of customers

Waiting requests were granted slots by arrival, so a customer that floods took the slots of all others.

SlotRequest now states a customer, a priority and the work in tokens. Waiters are ranked by continuation, priority, the customer's decayed work in all processes and arrival. Processes report the work of their busiest customers to each other (LocalUsage, SetPeerUsage). A full queue refuses its last waiter for one of a better rank, and waiters that miss their deadlines because others were put before them are refused at once. RetryAfterFor considers the place in the order. Requests without customers are ordered as before.

Customers above their fair share therefore leave a few slots idle (reserve.go), and the expected wait of others counts what that leaves them.

--- a/cicadagateway/cicadaplace/grant.go
+++ b/cicadagateway/cicadaplace/grant.go
@@ -19,6 +19,8 @@
 	waited      time.Duration
 	load        int
 	released    bool
+	customer    uint64  // hash of the name
+	work        float64 // in tokens, that the customer was charged with
 }
 
 // Endpoint returns the endpoint as it was when the slot was granted.
--- a/cicadagateway/cicadaplace/queue.go
+++ b/cicadagateway/cicadaplace/queue.go
@@ -21,6 +21,13 @@
 	Continues bool
 	// Version is the version that began the output, if Continues is set.
 	Version string
+	// Customer is the name of the customer that sent the request. Requests without one are
+	// ordered by arrival among themselves.
+	Customer string
+	// Priority orders waiting requests, also those without a customer. 0 comes first.
+	Priority int
+	// Work is the expected number of tokens, of the prompt and the output.
+	Work float64
 }
 
 // allows reports whether an endpoint may be used for the request at all.
@@ -38,15 +45,20 @@
 func (req SlotRequest) Unrestricted() bool { return len(req.Avoid) == 0 && !req.Continues }
 
 // Acquire returns a slot for an online request. If none is free, the request waits
-// for at most MaxWait. Requests are granted slots in order of arrival, those that continue
-// an output before the others. Acquire fails with ErrBusy at once if the expected wait exceeds MaxWait or the queue is
-// full, and with ErrNoEndpoint if no endpoint can be used.
+// for at most MaxWait. Those that continue an output are granted slots before the others. Then
+// they are ordered by priority, by the recent work of their customers in all processes, and by
+// arrival. Acquire fails with ErrBusy at once if the expected wait exceeds MaxWait or the queue is
+// full of requests that come first, also when later requests have been put before it. It fails
+// with ErrNoEndpoint if no endpoint can be used.
 func (t *Table) Acquire(ctx context.Context, req SlotRequest) (*Grant, error) {
 	t.mu.Lock()
-	svc := t.service(req.Service)
-	if len(svc.waiters) == 0 || req.Continues {
+	svc, now := t.service(req.Service), time.Now()
+	w := t.newWaiter(req, now)
+	ahead := t.waitersAhead(svc, w, now)
+	reserve := slotReserve{table: t, service: svc, now: now}
+	if (ahead == 0 || req.Continues) && !reserve.blocks(w) {
 		if e := t.selectEndpoint(svc, req); e != nil {
-			g := t.grantOnline(e, time.Now())
+			g := t.grant(e, w)
 			t.mu.Unlock()
 			t.onChange()
 			return g, nil
@@ -56,19 +68,17 @@
 		t.mu.Unlock()
 		return nil, ErrNoEndpoint
 	}
-	ahead := svc.waitersAhead(req)
-	if req.MaxWait <= 0 || svc.expectedWait(ahead, req, time.Now()) > req.MaxWait || len(svc.waiters) >= maxWaitersPerSlot*svc.slots {
+	if req.MaxWait <= 0 || t.expectedWait(svc, w, ahead, now) > req.MaxWait || !svc.hasRoom(w, ahead) {
 		t.mu.Unlock()
 		return nil, ErrBusy
 	}
-	queued := &waiter{request: req, enqueuedAt: time.Now(), granted: make(chan *Grant, 1)}
-	svc.waiters = slices.Insert(svc.waiters, ahead, queued)
+	t.enqueue(svc, w, ahead, now)
 	t.wakeForToken(svc)
 	t.mu.Unlock()
-	return t.wait(ctx, svc, queued)
+	return t.wait(ctx, svc, w)
 }
 
-// wait blocks until the waiter is granted a slot, its MaxWait has passed or ctx is
+// wait blocks until the waiter is granted a slot or refused, its MaxWait has passed or ctx is
 // done. A slot that is granted just before the waiter is removed from the queue is
 // returned after MaxWait, but released if ctx is done.
 func (t *Table) wait(ctx context.Context, svc *service, w *waiter) (*Grant, error) {
@@ -77,6 +87,9 @@
 	var err error
 	select {
 	case g := <-w.granted:
+		if g == nil {
+			return nil, ErrBusy
+		}
 		t.onChange()
 		return g, nil
 	case <-timer.C:
@@ -89,6 +102,9 @@
 	t.mu.Unlock()
 	select {
 	case g := <-w.granted:
+		if g == nil {
+			break
+		}
 		if ctx.Err() == nil {
 			t.onChange()
 			return g, nil
@@ -100,11 +116,8 @@
 }
 
 func (s *service) removeWaiter(w *waiter) {
-	for i, other := range s.waiters {
-		if other == w {
-			s.waiters = append(s.waiters[:i], s.waiters[i+1:]...)
-			return
-		}
+	if i := slices.Index(s.waiters, w); i >= 0 {
+		s.takeWaiter(i)
 	}
 }
 
@@ -119,34 +132,25 @@
 	return false
 }
 
-// waitersAhead returns the number of waiters that come before a request that arrives now.
-func (s *service) waitersAhead(req SlotRequest) int {
-	if !req.Continues {
-		return len(s.waiters)
-	}
-	ahead := 0
-	for ahead < len(s.waiters) && s.waiters[ahead].request.Continues {
-		ahead++
-	}
-	return ahead
-}
-
 // expectedWait estimates how long a request that joins the queue behind others will wait
 // for a slot. It assumes that the waiters of this process get only slots that its own
-// online requests release, or the tokens of the endpoints if all of them have limits.
-func (s *service) expectedWait(ahead int, req SlotRequest, now time.Time) time.Duration {
+// online requests release, a part of those that other processes release (see leftByOthers), or
+// the tokens of the endpoints if all of them have limits.
+func (s *service) expectedWait(ahead int, req SlotRequest, left float64, now time.Time) time.Duration {
 	if rate, limited := s.tokenRate(now); limited {
 		return time.Duration(float64(ahead+1) / max(rate, 1/maxTokenWait.Seconds()) * float64(time.Second))
 	}
-	releasing := 0
+	releasing, elsewhere := 0, 0
 	for _, e := range s.endpoints {
 		switch {
 		case !req.Continues:
 			releasing += e.local.Online
+			elsewhere += e.peers.Online
 		case e.SoftwareVersion == req.Version:
 			releasing += e.online()
 		}
 	}
+	releasing += int(left * float64(elsewhere))
 	return s.meanHold * time.Duration(ahead+1) / time.Duration(max(releasing, 1))
 }
 
@@ -156,26 +160,60 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	svc := t.service(name)
-	wait := max(svc.expectedWait(len(svc.waiters), SlotRequest{}, time.Now()), minRetryAfter)
+	return retryAfter(svc.expectedWait(len(svc.waiters), SlotRequest{}, 0, time.Now()))
+}
+
+// RetryAfterFor returns the time after which a refused caller should retry a request. By then the
+// request is expected to be granted a slot at its place among those that wait now.
+func (t *Table) RetryAfterFor(req SlotRequest) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	svc, now := t.service(req.Service), time.Now()
+	w := t.newWaiter(req, now)
+	ahead := t.waitersAhead(svc, w, now)
+	return retryAfter(t.expectedWait(svc, w, ahead, now))
+}
+
+// retryAfter adds a random time to an expected wait.
+func retryAfter(wait time.Duration) time.Duration {
+	wait = max(wait, minRetryAfter)
 	return wait + time.Duration(rand.Float64()*retryJitter*float64(wait))
 }
 
-// grantWaiters grants free slots to queued requests in order. A request that may not use
-// any of the free endpoints does not block those behind it.
+// grantWaiters grants free slots to queued requests in order.
 func (t *Table) grantWaiters() {
 	for _, svc := range t.services {
-		for i := 0; i < len(svc.waiters); {
-			w := svc.waiters[i]
-			e := t.selectEndpoint(svc, w.request)
-			if e == nil {
-				i++
-				if w.request.Unrestricted() {
-					break
-				}
-				continue
+		t.grantWaitersOf(svc)
+	}
+}
+
+// grantWaitersOf grants the free slots of a service. A request that may not use any of the free
+// endpoints, or that must leave them idle, does not block those behind it. As most calls find no
+// free slot, requests are ranked only when there is one.
+func (t *Table) grantWaitersOf(svc *service) {
+	if len(svc.waiters) == 0 {
+		return
+	}
+	reserve := slotReserve{table: t, service: svc, now: time.Now()}
+	for i := 0; i < len(svc.waiters); {
+		w := svc.waiters[i]
+		if reserve.blocks(w) {
+			i++
+			continue
+		}
+		e := t.selectEndpoint(svc, w.request)
+		if e == nil {
+			i++
+			if w.request.Unrestricted() {
+				break
 			}
-			svc.waiters = append(svc.waiters[:i], svc.waiters[i+1:]...)
-			w.granted <- t.grantOnline(e, w.enqueuedAt)
+			continue
+		}
+		if t.rankForGrant(svc) {
+			i = 0
+			continue
 		}
+		svc.takeWaiter(i).granted <- t.grant(e, w)
+		reserve.spare--
 	}
 }
--- a/cicadagateway/cicadaplace/table.go
+++ b/cicadagateway/cicadaplace/table.go
@@ -8,6 +8,10 @@
 // peers to its own. Online requests may take slots that batch items hold: the
 // processes that run those items see the excess and preempt items.
 //
+// Waiting requests are ordered by priority and by fair shares of their customers: the customer
+// comes first that has had the least work done lately. Processes report the work of their busiest
+// customers to each other.
+//
 // # Usage
 //
 //	table := cicadaplace.NewTable("ee-1", cicadaplace.WithOnChange(notifyPeers))
@@ -16,6 +20,15 @@
 //	if err != nil { ... refuse with Retry-After: table.RetryAfter("assistants") ... }
 //	defer grant.Release()
 //
+// With customers, requests state them, and peers exchange their work with their counts:
+//
+//	req := cicadaplace.SlotRequest{Service: "assistants", Customer: "acme", Priority: 1, Work: 800, MaxWait: time.Second}
+//	grant, err := table.Acquire(ctx, req)
+//	if err != nil { ... refuse with Retry-After: table.RetryAfterFor(req) ... }
+//	grant.RecordWork(750)
+//	send(table.LocalInFlight(), table.LocalUsage(8))
+//	table.SetPeerUsage("ee-2", received)
+//
 // The package does no network I/O.
 package cicadaplace
 
@@ -88,7 +101,13 @@
 type waiter struct {
 	request    SlotRequest
 	enqueuedAt time.Time
-	granted    chan *Grant
+	granted    chan *Grant // sends nil if the request is refused
+	arrival    uint64      // ascending
+	work       float64     // in tokens
+	account    *customerAccount
+	share      float64   // see compareWaiters
+	deadline   time.Time // end of MaxWait
+	expectedAt time.Time // when a slot was expected, considering later requests that came before
 }
 
 type service struct {
@@ -99,6 +118,8 @@
 	// batchGrants holds the times of the latest grants to batch items.
 	batchGrants []time.Time
 	tokenTimer  bool // a timer of wakeForToken is set
+	// rankedAt is the number of changes of work when the waiters were last ranked for a grant.
+	rankedAt uint64
 }
 
 // A Table tracks the requests in flight at all endpoints and grants slots. It is
@@ -119,6 +140,8 @@
 	leaving       map[string]leavingMark // by endpoint
 	staleness     func() time.Duration
 	candidates    []candidate // reused by choose
+	work          *workAccounts
+	arrivals      uint64
 }
 
 // An Option configures a Table.
@@ -157,6 +180,7 @@
 		name: name, endpointsByID: make(map[string]*endpointState), services: make(map[string]*service),
 		peers: make(map[string]*peer), onChange: func() {}, onRefusal: func(string) {}, onLeaving: func(string) {},
 		leaving: make(map[string]leavingMark), staleness: func() time.Duration { return 0 },
+		work: newWorkAccounts(),
 	}
 	for _, opt := range opts {
 		opt(t)
