Order waiting requests by priority and fair shares, and share the work of customers

Cause: requests were granted slots in order of arrival, so that one customer that floods made all wait (design/fair-queueing.md). Change: entries state customer, priority and tokens of each request; processes report the work of their 8 busiest customers twice a second. Without customers nothing changes.

--- a/cicadagateway/cicadapeer/state.go
+++ b/cicadagateway/cicadapeer/state.go
@@ -80,6 +80,16 @@
 	Unreachable []string
 	// Speeds holds new samples of how fast endpoints are.
 	Speeds []SpeedSample
+	// Usage lists the customers that the member has done the most work for lately. It is in some
+	// messages only.
+	Usage []CustomerUsage
+}
+
+// A CustomerUsage is the work that a member has lately done for a customer.
+type CustomerUsage struct {
+	_        struct{} `cbor:",toarray"`
+	Customer uint64   // hash of the name
+	Work     uint64   // in tokens
 }
 
 // A SpeedSample says how slow an endpoint was for a member, relative to its service.
--- a/cicadagateway/cicadaplace/grant.go
+++ b/cicadagateway/cicadaplace/grant.go
@@ -20,6 +20,8 @@
 	load        int
 	released    bool
 	sampler     *Sampler // nil unless the request's speed is measured
+	customer    uint64   // hash of the name
+	work        float64  // in tokens, that the customer was charged with
 }
 
 // Endpoint returns the endpoint as it was when the slot was granted.
--- a/cicadagateway/cicadaprocess/inflight.go
+++ b/cicadagateway/cicadaprocess/inflight.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	"cicadalink.example/cicadagateway/cicadapeer"
 	"cicadalink.example/cicadagateway/cicadaplace"
@@ -72,3 +73,34 @@
 	}
 	return out
 }
+
+const (
+	// usageInterval is the interval between the messages that hold the work of customers. Shares are
+	// those of the last seconds, so that more messages would tell little more.
+	usageInterval = 500 * time.Millisecond
+	// maxSentUsage limits the customers in a message. The others' work hardly counts.
+	maxSentUsage = 8
+)
+
+// nextUsage returns the work of customers for the next message to peers, or nil if that holds none.
+func (n *Node) nextUsage(now time.Time) []cicadapeer.CustomerUsage {
+	if now.Sub(n.usageSentAt) < usageInterval {
+		return nil
+	}
+	var out []cicadapeer.CustomerUsage
+	for _, u := range n.table.LocalUsage(maxSentUsage) {
+		out = append(out, cicadapeer.CustomerUsage{Customer: u.Customer, Work: u.Work})
+	}
+	if out != nil {
+		n.usageSentAt = now
+	}
+	return out
+}
+
+func decodeUsage(usage []cicadapeer.CustomerUsage) []cicadaplace.CustomerUsage {
+	out := make([]cicadaplace.CustomerUsage, 0, len(usage))
+	for _, u := range usage {
+		out = append(out, cicadaplace.CustomerUsage{Customer: u.Customer, Work: u.Work})
+	}
+	return out
+}
--- a/cicadagateway/cicadaprocess/process.go
+++ b/cicadagateway/cicadaprocess/process.go
@@ -87,6 +87,7 @@
 	history          *versionHistory
 	freshness        *cicadafreshness.Tracker // nil if withdrawn keys need not be refused in time
 	quotas           *cicadaratelimit.Limiter // nil at an owner
+	usageSentAt      time.Time                // accessed by the sender of states only
 	refusalsReported tally.Counter
 	drainLimit       atomic.Int64              // longest time of a graceful shutdown, in nanoseconds
 	leaving          atomic.Bool               // this process is shutting down
@@ -232,6 +233,7 @@
 		s.InFlight = append(s.InFlight, encodeInFlight(id, count))
 	}
 	s.Speeds = encodeSpeeds(n.table.LocalSpeed(time.Now()))
+	s.Usage = n.nextUsage(time.Now())
 	return s
 }
 
@@ -252,6 +254,9 @@
 	}
 	n.crashes.merge(s, time.Now())
 	n.table.MergeSpeed(decodeSpeeds(s.Speeds), time.Now())
+	if len(s.Usage) > 0 {
+		n.table.SetPeerUsage(s.Member.Name, decodeUsage(s.Usage))
+	}
 	if n.versions.SetPeer(s.Member.Name, s.VersionsDigest) {
 		n.origins.Update()
 	}
--- a/cicadagateway/cicadarelay/exchange.go
+++ b/cicadagateway/cicadarelay/exchange.go
@@ -85,7 +85,12 @@
 // panics with http.ErrAbortHandler to close the caller's connection.
 func (x *exchange) attemptAndRelease(ctx context.Context, grant *cicadaplace.Grant) bool {
 	defer grant.Release()
-	return x.attempt(ctx, grant)
+	runs := x.runs
+	again := x.attempt(ctx, grant)
+	if x.runs == runs {
+		grant.RecordWork(0)
+	}
+	return again
 }
 
 // refreshRoute looks up the route again, because the configuration may have changed
@@ -330,6 +335,9 @@
 	}
 	if status == http.StatusServiceUnavailable {
 		retry := x.relay.table.RetryAfter(x.route.Targets[0].Service)
+		if x.caller.customer != nil {
+			retry = x.relay.table.RetryAfterFor(x.slotRequest())
+		}
 		switch reason {
 		case reasonCrashesEndpoints:
 			verdict, _ := x.relay.monitor.Check(x.fingerprint, x.parts, time.Now())
--- a/cicadagateway/cicadarelay/resume.go
+++ b/cicadagateway/cicadarelay/resume.go
@@ -54,12 +54,17 @@
 
 // slotRequest returns the request for a slot of the next attempt.
 func (x *exchange) slotRequest() cicadaplace.SlotRequest {
-	if !x.continues {
-		return cicadaplace.SlotRequest{Service: selectService(x.route), MaxWait: max(x.slotWait(), 0), Avoid: x.avoid}
+	req := cicadaplace.SlotRequest{MaxWait: max(x.slotWait(), 0), Avoid: x.avoid}
+	if x.caller.customer != nil {
+		req.Customer, req.Priority = x.caller.customer.Name, x.caller.customer.PriorityOn(x.route)
+		req.Work = float64(adapter.RequestedTokens(x.r.Header))
 	}
-	return cicadaplace.SlotRequest{
-		Service: x.origin.Service, MaxWait: max(x.slotWait(), 0), Avoid: x.avoid, Continues: true, Version: x.origin.Version,
+	if !x.continues {
+		req.Service = selectService(x.route)
+		return req
 	}
+	req.Service, req.Continues, req.Version = x.origin.Service, true, x.origin.Version
+	return req
 }
 
 // slotWait returns how long the next attempt may wait for a slot. Once the request may have
