Grant tokens as soon as all known entries are heard

Change: an entry that hears all others that it knows does not wait; the Retry-After is spread over 200 ms. Until the list of entries has arrived from the store, limits count as not known.

--- a/cicadagateway/cicadaprocess/customers.go
+++ b/cicadagateway/cicadaprocess/customers.go
@@ -23,6 +23,9 @@
 	// revocationMargin is the time from the check of a key to the request's arrival at an endpoint,
 	// and the difference between the rates of two clocks over the revocation limit.
 	revocationMargin = 200 * time.Millisecond
+	// unlistedRetryAfter is the time after which a caller should try again while the entry has not
+	// received the list of the others, of which rate limits depend.
+	unlistedRetryAfter = 200 * time.Millisecond
 )
 
 // startCustomers starts what the requests of customers need: the confirmation of the
@@ -127,6 +130,9 @@
 	return cicadarelay.CustomerPolicy{
 		Fresh: n.configIsFresh,
 		AcquireQuota: func(ctx context.Context, customer string, limit cicadaview.RateLimit) cicadarelay.Quota {
+			if !n.directory.listed.Load() {
+				return cicadarelay.Quota{RetryAfter: unlistedRetryAfter, Detail: "entries not known yet"}
+			}
 			at := cicadaclock.SinceBoot()
 			d := n.quotas.Acquire(ctx, customer, cicadaratelimit.Limit(limit))
 			return cicadarelay.Quota{
@@ -150,8 +156,9 @@
 // receiveMessage passes on a message that another member has sent to this one.
 func (n *Node) receiveMessage(b []byte) {
 	switch key := firstMapKey(b); {
+	case key >= firstFreshnessKey && !n.followersStarted.Load(): // what follows has not been set up yet
 	case key >= firstRateLimitKey:
-		receive(n, b, n.quotas != nil, func(m cicadaratelimit.Message) { n.quotas.Receive(m) })
+		receive(n, b, n.quotas != nil && n.directory.listed.Load(), func(m cicadaratelimit.Message) { n.quotas.Receive(m) })
 	case key >= firstFreshnessKey:
 		receive(n, b, n.freshness != nil, func(m cicadafreshness.Message) { n.freshness.Receive(m) })
 	default:
--- a/cicadagateway/cicadaprocess/directory.go
+++ b/cicadagateway/cicadaprocess/directory.go
@@ -6,6 +6,7 @@
 	"errors"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -40,6 +41,7 @@
 	recentlySeen func(name string) bool    // reports whether a process was seen recently
 	isCleaner    func() bool               // reports whether this process is the one that deletes registrations
 
+	listed        atomic.Bool // the registrations in the store have been received
 	mu            sync.Mutex
 	registrations map[string]registration // by object name
 	removed       chan struct{}           // signals that this process's registration was deleted
@@ -114,6 +116,9 @@
 // apply processes a change of the registrations in the store.
 func (d *directory) apply(c cicadafollow.Change) {
 	d.onMembers(d.update(c, time.Now()))
+	if c.Full() {
+		d.listed.Store(true)
+	}
 }
 
 func (d *directory) update(c cicadafollow.Change, now time.Time) []cicadapeer.Member {
--- a/cicadagateway/cicadaratelimit/entry.go
+++ b/cicadagateway/cicadaratelimit/entry.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -28,6 +29,9 @@
 	usageTime     = GrantLifetime
 	usageFraction = 0.75
 	maxWant       = 4096
+	// startSpread spreads the return of callers that were refused while an entry started, as
+	// they would come back together else.
+	startSpread = 200 * time.Millisecond
 	// minBackoff and maxBackoff bound the time in which an entry refuses requests without
 	// asking again.
 	minBackoff = 25 * time.Millisecond
@@ -98,11 +102,11 @@
 func (q *query) unknownDecision(home string, starting time.Duration) Decision {
 	switch {
 	case starting > 0:
-		return Decision{retryAfter: starting, home: home}
+		return Decision{retryAfter: starting + rand.N(startSpread), home: home}
 	case q.timeouts >= maxTimeouts:
 		return Decision{retryAfter: unknownRetryAfter, home: home}
 	}
-	return Decision{retryAfter: startTime, home: home} // the home has just started
+	return Decision{retryAfter: rand.N(startTime), home: home} // the home has just started
 }
 
 func (l *Limiter) decide(w *waiter, d Decision) {
--- a/cicadagateway/cicadaratelimit/limiter.go
+++ b/cicadagateway/cicadaratelimit/limiter.go
@@ -14,8 +14,9 @@
 // it, with a fifth of the burst, is the initial level of a new one. The following rules
 // apply:
 //
-//   - An entry that has started, or was suspended, grants nothing for startTime. The next in the
-//     order of preference grants in its place.
+//   - An entry that has started, or was suspended, grants nothing until it is in contact with all
+//     entries that it knows, or for startTime. The next in the order of preference grants in its
+//     place.
 //   - The share of the rate that an entry grants is that of the entries whose home it is, out
 //     of all known, so that the shares of all homes add up to at most the whole. A share that
 //     rises takes effect after settleTime, one that falls at once.
@@ -54,8 +55,8 @@
 	// suspendedAfter is the time without a tick after which an entry counts as suspended. It
 	// is shorter than the time in which the other entries replace one that is silent.
 	suspendedAfter = 800 * time.Millisecond
-	// startTime is the time after the start or a suspension in which an entry may not have
-	// heard all others, and grants nothing. State messages are sent every 250 ms.
+	// startTime is how long after the start or a suspension an entry waits to hear all others before
+	// it grants tokens. State messages are sent every 250 ms.
 	startTime = 400 * time.Millisecond
 	// defaultSlack is the number of requests that may exceed the limit in a window.
 	defaultSlack = 20
@@ -188,8 +189,10 @@
 	l.outbox = append(l.outbox, outgoing{to, m})
 }
 
-// starting reports whether this entry has just started or resumed.
-func (l *Limiter) starting(now time.Time) bool { return now.Sub(l.startedAt) < startTime }
+// starting reports whether this entry has just started or resumed, and does not hear all others yet.
+func (l *Limiter) starting(now time.Time) bool {
+	return now.Sub(l.startedAt) < startTime && !l.view.complete()
+}
 
 // Acquire decides whether a request of a customer may be served. It waits for the reply of
 // the home entry if this entry has no token.
--- a/cicadagateway/cicadaratelimit/view.go
+++ b/cicadagateway/cicadaratelimit/view.go
@@ -157,6 +157,9 @@
 	}
 }
 
+// complete reports whether the entry is in contact with all others that it knows, at least one.
+func (v *view) complete() bool { return len(v.live) > 1 && len(v.live) == v.known }
+
 func (v *view) isLive(name string) bool {
 	_, ok := slices.BinarySearch(v.live, name)
 	return ok
