--- a/cicadagateway/cicadaplace/speed.go
+++ b/cicadagateway/cicadaplace/speed.go
@@ -30,7 +30,7 @@
 	minSlowness = 1.0 / 3
 	// speedDeadZone is how much slower or faster than the median an endpoint must be for this to
 	// count. Without it, noise would order endpoints of the same speed.
-	speedDeadZone = 1.15
+	speedDeadZone = 1.3
 	// avoidedSlowness is how slow an endpoint must be to be avoided, and maxAvoidedPart how much of
 	// a service may be.
 	avoidedSlowness = 2.0
--- a/cicadagateway/cicadaplace/speedlimit.go
+++ b/cicadagateway/cicadaplace/speedlimit.go
@@ -7,7 +7,7 @@
 	// full must be to be taken to run too many requests, and limitFastSlowness that below which it
 	// may run more.
 	limitSlowness     = 1.4
-	limitFastSlowness = speedDeadZone
+	limitFastSlowness = 1.15
 	// lightWeight is the weight of the newest slowness in that at a light load.
 	lightWeight   = 0.2
 	limitInterval = 500 * time.Millisecond // between changes of a limit
