Serve public requests whose key ends while they wait

Cause: before each attempt, the key of a request was checked also on public routes, so that a request which needs no key got 401, or 503 without a recent confirmation, if its key ended between arrival and an attempt. Change: such a request is sent on without a customer, as one that arrives later is. Result: TestPublicRequestsAreServedWhenTheirKeyEnds failed with 401 before; tests of cicadarelay pass with the race detector.

--- a/cicadagateway/cicadarelay/customer.go
+++ b/cicadagateway/cicadarelay/customer.go
@@ -117,7 +117,8 @@
 func needsKey(route *cicadaview.Route) bool { return !route.Public }
 
 // stillValid reports whether the key of a request is valid just before it is sent to an endpoint,
-// as it may have been withdrawn while the request waited. If not, the request fails.
+// as it may have been withdrawn while the request waited. If not, the request fails, unless its
+// route needs no key: it is then sent without a customer.
 func (x *exchange) stillValid(ctx context.Context) bool {
 	if x.caller.customer == nil {
 		return true
@@ -130,6 +131,10 @@
 	if status == 0 {
 		return true
 	}
+	if !needsKey(x.route) {
+		x.caller.customer = nil
+		return true
+	}
 	if x.runs > 0 || x.headerSent {
 		x.fail(ctx, errKeyWithdrawn)
 		return false
--- a/cicadagateway/cicadarelay/customer_test.go
+++ b/cicadagateway/cicadarelay/customer_test.go
@@ -180,6 +180,26 @@
 	})
 }
 
+// Guards against a request on a public route that is refused because of its key, which it does not need.
+func TestPublicRequestsAreServedWhenTheirKeyEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, c := range []struct {
+			name   string
+			change func(*customerRelay)
+		}{
+			{"withdrawn", func(c *customerRelay) { c.config = customerConfig(2) }},
+			{"outdated", func(c *customerRelay) { c.fresh = false }},
+		} {
+			rl := newCustomerRelay()
+			rl.notRun = 1
+			rl.onRequest = func() { c.change(rl) }
+			assert.Equal(t, rl.send("/open/1", testKey).Code, http.StatusOK, c.name)
+			assert.Equal(t, rl.headers[1].Get(adapter.HeaderCustomer), "", c.name)
+			assert.Equal(t, rl.headers[1].Get(adapter.HeaderKey), "", c.name)
+		}
+	})
+}
+
 // Guards against requests above a rate limit that run, and against a caller that is told that it exceeds a
 // limit that could not be checked.
 func TestRequestsAboveTheRateLimitAreRefused(t *testing.T) {
