Handle concurrent submissions of two customers apart

Cause: concurrent submissions were handled as one by the id of the job alone, so that a customer got 202 for the job of another one, and its own was lost. Change: they are handled as one only if they are of the same customer; the store then tells which one is second, and it gets 409. Result: TestSubmissionsOfTwoCustomersAreNotOne failed with 202 for both before; tests of cicadabatch pass with the race detector.

--- a/cicadagateway/cicadabatch/customer_test.go
+++ b/cicadagateway/cicadabatch/customer_test.go
@@ -1,6 +1,7 @@
 package cicadabatch
 
 import (
+	"context"
 	"net/http"
 	"strings"
 	"testing"
@@ -9,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"cicadalink.example/cicadakernel/cicadaplatform"
 	adapter "cicadalink.example/platform"
 )
 
@@ -36,6 +38,30 @@
 	})
 }
 
+// Guards against a customer that is told that its job is accepted, while it is that of another customer, which
+// submits one with the same id at the same time.
+func TestSubmissionsOfTwoCustomersAreNotOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newTestDeployment()
+		create := d.backend.Create
+		d.backend.Create = func(ctx context.Context, name string, value []byte) (cicadaplatform.Object, error) {
+			time.Sleep(100 * time.Millisecond)
+			return create(ctx, name, value)
+		}
+		o := d.startOwner("o1", fixedOwners("o1"))
+		defer o.stop()
+		time.Sleep(time.Second)
+		statuses := make(chan int, 2)
+		for _, customer := range []string{"a", "b"} {
+			submit := submitCall("j", manyEvents)
+			submit.Customer = customer
+			go func() { statuses <- o.call(t, submit).Status }()
+			time.Sleep(10 * time.Millisecond)
+		}
+		assert.Equal(t, <-statuses+<-statuses, http.StatusAccepted+http.StatusConflict)
+	})
+}
+
 // Guards against items that reach an endpoint with a key or under the name of another customer, and against
 // keys in stored jobs.
 func TestItemsRunInTheNameOfTheirCustomer(t *testing.T) {
--- a/cicadagateway/cicadabatch/owner.go
+++ b/cicadagateway/cicadabatch/owner.go
@@ -78,7 +78,7 @@
 	sendCheckpoint func(ctx context.Context, p Checkpoint) error
 	sendWaiting    func(ctx context.Context, reports []WaitingTokens)
 	limiter        *cicadareservation.Limiter // nil if the limits of routes are not enforced
-	submissions    singleflight.Group         // by job
+	submissions    singleflight.Group         // by customer and job
 	doubts         doubts
 	checkpointFile *CheckpointFile
 	retention      time.Duration
--- a/cicadagateway/cicadabatch/submit.go
+++ b/cicadagateway/cicadabatch/submit.go
@@ -15,9 +15,9 @@
 	adapter "cicadalink.example/platform"
 )
 
-// submit accepts a job. Concurrent submissions of one job are handled as one.
+// submit accepts a job. Concurrent submissions of one job by one customer are handled as one.
 func (o *Owner) submit(ctx context.Context, c *Call) Response {
-	outcome := o.submissions.DoChan(c.Job, func() (any, error) {
+	outcome := o.submissions.DoChan(c.Customer+"\x00"+c.Job, func() (any, error) {
 		ctx, cancel := context.WithTimeout(o.ctx, acceptTimeout)
 		defer cancel()
 		resp := outcomeUnknown()
