Return the tokens of a job that conflicts with another customer's

Cause: a submission that the store shows to be of another customer's job got 409, and its tokens stayed reserved on the account of its own customer for 10 s; a later job which fits got 429. Change: the tokens are released with the 409.

--- a/cicadagateway/cicadabatch/customer_test.go
+++ b/cicadagateway/cicadabatch/customer_test.go
@@ -62,6 +62,32 @@
 	})
 }
 
+// Guards against tokens that stay reserved for a job that was not accepted, as another customer has one with the
+// same id, so that jobs which fit are refused.
+func TestTokensOfAConflictingJobAreReturned(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newLimitedDeployment(500)
+		d.stalled = true
+		create := d.backend.Create
+		d.backend.Create = func(ctx context.Context, name string, value []byte) (cicadaplatform.Object, error) {
+			time.Sleep(100 * time.Millisecond)
+			return create(ctx, name, value)
+		}
+		o := d.startLimited("o1", fixedOwners("o1"))
+		defer o.stop()
+		time.Sleep(time.Second)
+		submit := func(id, customer string) int {
+			c := limitedCall(id, 900, 900, 900, 900, 900)
+			c.Customer = customer
+			return o.call(t, c).Status
+		}
+		go submit("j1", "a")
+		time.Sleep(10 * time.Millisecond)
+		assert.Equal(t, submit("j1", "b"), http.StatusConflict)
+		assert.Equal(t, submit("j2", "b"), http.StatusAccepted)
+	})
+}
+
 // Guards against items that reach an endpoint with a key or under the name of another customer, and against
 // keys in stored jobs.
 func TestItemsRunInTheNameOfTheirCustomer(t *testing.T) {
--- a/cicadagateway/cicadabatch/submit.go
+++ b/cicadagateway/cicadabatch/submit.go
@@ -127,7 +127,11 @@
 		o.log.Warn("failed to look up repeated job", "job", c.Job, "error", err)
 		return outcomeUnknown()
 	}
-	return repeatResponse(obj, c)
+	resp := repeatResponse(obj, c)
+	if resp.Status == http.StatusConflict {
+		o.releaseTokens(c.Host, c.Path, c.Customer, c.Job)
+	}
+	return resp
 }
 
 // dropsCredentials reports whether the headers of items must not name a key or a customer, as the
