Refuse a submission without a key that has the id of a customer's job

Cause: where customers are configured and a batch route is public, a submission without a key got 202 if another owner had stored a job with the same id, also if that job is a customer's: the caller could not read it, and its own was lost. Change: the stored job is looked up in all deployments with customers.

--- a/cicadagateway/cicadabatch/customer_test.go
+++ b/cicadagateway/cicadabatch/customer_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"cicadalink.example/cicadakernel/cicadaplatform"
+	"cicadalink.example/cicadakernel/cicadaview"
 	adapter "cicadalink.example/platform"
 )
 
@@ -88,6 +89,23 @@
 	})
 }
 
+// Guards against a caller without a key that is told that its job is accepted, while it is that of a customer
+// which another owner has stored.
+func TestJobOfACustomerIsNoRepeatForCallersWithoutOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newTestDeployment()
+		d.config.SetCustomers([]cicadaview.Customer{{Name: "a"}})
+		o := d.startOwner("o1", fixedOwners("o1"))
+		defer o.stop()
+		time.Sleep(time.Second)
+		submit := submitCall("j", manyEvents)
+		submit.Customer = "a"
+		assert.Equal(t, o.call(t, submit).Status, http.StatusAccepted)
+		submit.Customer = ""
+		assert.Equal(t, o.confirmRepeat(t.Context(), submit).Status, http.StatusConflict)
+	})
+}
+
 // Guards against items that reach an endpoint with a key or under the name of another customer, and against
 // keys in stored jobs.
 func TestItemsRunInTheNameOfTheirCustomer(t *testing.T) {
--- a/cicadagateway/cicadabatch/submit.go
+++ b/cicadagateway/cicadabatch/submit.go
@@ -119,7 +119,7 @@
 // confirmRepeat returns the response to the submission of a job that another owner has stored. Without
 // customers, the job can only be the same one.
 func (o *Owner) confirmRepeat(ctx context.Context, c *Call) Response {
-	if c.Customer == "" {
+	if !o.dropsCredentials(c.Customer) {
 		return Response{Status: http.StatusAccepted}
 	}
 	obj, err := o.store.Get(ctx, JobsPrefix+c.Job)
