Tell each refused caller when to come back

Cause: an entry that refuses all requests of a customer for a moment answered 429 without a Retry-After if the time for the next caller had passed meanwhile, so that the caller came back at once and was refused again. Change: such a caller is told to come back when the entry asks for tokens again.

--- a/cicadagateway/cicadaratelimit/acquire_test.go
+++ b/cicadagateway/cicadaratelimit/acquire_test.go
@@ -153,6 +153,17 @@
 	})
 }
 
+// Guards against callers that are refused without being told to wait, who would come back at once, while
+// this entry refuses all.
+func TestRefusedCallersAreToldToWait(t *testing.T) {
+	now := time.Unix(100, 0)
+	c := &customer{refusedUntil: now.Add(minBackoff), retryAt: now.Add(2 * time.Millisecond), retryStep: 5 * time.Millisecond}
+	assert.Equal(t, c.refuse(now).RetryAfter(), 2*time.Millisecond)
+	later := now.Add(minBackoff - time.Millisecond) // nobody was refused meanwhile
+	assert.Equal(t, c.refuse(later).RetryAfter(), time.Millisecond)
+	assert.Equal(t, c.refuse(later).RetryAfter(), 6*time.Millisecond)
+}
+
 // Guards against a token that is lost because its request was cancelled while it waited.
 func TestCancelledRequest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/cicadagateway/cicadaratelimit/entry.go
+++ b/cicadagateway/cicadaratelimit/entry.go
@@ -183,8 +183,8 @@
 // refuse returns the decision for the next caller that is told to come back.
 func (c *customer) refuse(now time.Time) Decision {
 	at := c.retryAt
-	if at.Before(now) {
-		at = now
+	if !at.After(now) {
+		at = c.refusedUntil // this entry refuses all requests before
 	}
 	if latest := now.Add(maxRetryAfter); at.After(latest) {
 		at = latest
