Grant idle slots past requests that must leave them idle

Cause: a request that came behind waiters which the reserve blocks was queued, or refused with ErrBusy, although a slot was free that it may use; waiters that came later or were checked at a release got it. Change: Acquire tries an endpoint also if all waiters before the request are blocked, as grantWaitersOf does. Result: TestRequestPassesThoseThatLeaveSlotsIdle failed with ErrBusy before; tests of cicadaplace pass with the race detector.

--- a/cicadagateway/cicadaplace/order_test.go
+++ b/cicadagateway/cicadaplace/order_test.go
@@ -125,6 +125,29 @@
 	}
 }
 
+// Guards against a request that waits, or is refused, although a slot is free, because those before it must
+// leave the slot idle.
+func TestRequestPassesThoseThatLeaveSlotsIdle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := NewTable("me")
+		table.SetEndpoints(endpoints(8, 8))
+		counts := make(map[string]InFlight)
+		for _, e := range endpoints(7, 8) {
+			counts[e.ID] = InFlight{Online: 8}
+		}
+		counts["h"] = InFlight{Online: 7}
+		table.SetPeer("other", counts)
+		table.SetPeerUsage("other", []CustomerUsage{{hashOf("a"), 5000}, {hashOf("b"), 1000}, {hashOf("c"), 1000}})
+		go func() {
+			_, _ = table.Acquire(t.Context(), SlotRequest{Service: "s", Customer: "a", MaxWait: time.Second})
+		}()
+		synctest.Wait()
+		assert.Equal(t, table.Loads()[0].Waiting, 1)
+		_, err := table.Acquire(t.Context(), SlotRequest{Service: "s", Customer: "d", Priority: 1})
+		assert.NilError(t, err)
+	})
+}
+
 // Guards against a full queue that keeps out requests which come before its last one, and against
 // requests that change places although nothing ranks them.
 func TestFullQueueRefusesItsLastRequest(t *testing.T) {
--- a/cicadagateway/cicadaplace/queue.go
+++ b/cicadagateway/cicadaplace/queue.go
@@ -56,7 +56,7 @@
 	w := t.newWaiter(req, now)
 	ahead := t.waitersAhead(svc, w, now)
 	reserve := slotReserve{table: t, service: svc, now: now}
-	if (ahead == 0 || req.Continues) && !reserve.blocks(w) {
+	if (req.Continues || reserve.blocksAll(svc.waiters[:ahead])) && !reserve.blocks(w) {
 		if e := t.selectEndpoint(svc, req); e != nil {
 			g := t.grant(e, w)
 			t.mu.Unlock()
--- a/cicadagateway/cicadaplace/reserve.go
+++ b/cicadagateway/cicadaplace/reserve.go
@@ -113,6 +113,17 @@
 	return leave > 0 && float64(r.spare) <= leave
 }
 
+// blocksAll reports whether all of some waiters must leave the idle slots, so that a request behind
+// them may use one.
+func (r *slotReserve) blocksAll(waiters []*waiter) bool {
+	for _, w := range waiters {
+		if !r.blocks(w) {
+			return false
+		}
+	}
+	return true
+}
+
 // count counts the slots that no online request holds and computes the reserve. There is none if
 // an endpoint has a limit on the rate of requests, which is divided among processes anyway.
 func (r *slotReserve) count() {
