Refuse jobs whose key cannot be checked

Cause: where a batch route is public, a submission or call with a key was taken for one without while the configuration was not confirmed within the limit. Calls on a customer's job got 404, and a job that was submitted then could not be found with its key later. Change: both get 503 with a Retry-After, as other requests with keys do; without a key they are served. Result: TestJobsNeedACheckedKeyIfTheyHaveOne failed with 200 for the submission before; tests of cicadarelay pass with the race detector.

--- a/cicadagateway/cicadarelay/customer.go
+++ b/cicadagateway/cicadarelay/customer.go
@@ -58,6 +58,8 @@
 	// customers is set if the deployment has customers, so that the headers of keys and customers
 	// are not the caller's to set.
 	customers bool
+	// unchecked is set if the caller has a key that it does not need, and that cannot be checked now.
+	unchecked bool
 }
 
 // name returns the name of the caller's customer, or "".
@@ -85,6 +87,7 @@
 	c.key = cicadaview.DigestKey(key)
 	status, reason = rl.verify(config, &c)
 	if !needsKey {
+		c.unchecked = status == http.StatusServiceUnavailable
 		return c, 0, ""
 	}
 	return c, status, reason
@@ -113,6 +116,15 @@
 	rl.refuse(w, r, status, reason, retryAfter)
 }
 
+// refuseUnchecked refuses a call on a job, or its submission, if it has a key that cannot be checked now:
+// the job would be looked for, or stored, as one of no customer. It reports whether it has.
+func (rl *Relay) refuseUnchecked(w http.ResponseWriter, r *http.Request, sender caller) bool {
+	if sender.unchecked {
+		rl.refuseCaller(w, r, http.StatusServiceUnavailable, reasonStaleConfiguration)
+	}
+	return sender.unchecked
+}
+
 // needsKey reports whether a request on the route must have a key.
 func needsKey(route *cicadaview.Route) bool { return !route.Public }
 
--- a/cicadagateway/cicadarelay/customer_test.go
+++ b/cicadagateway/cicadarelay/customer_test.go
@@ -118,6 +118,18 @@
 	return w
 }
 
+// readJob reads the results of a job with a key, unless it is empty, and with the name of another customer.
+func (c *customerRelay) readJob(key string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(http.MethodGet, "/cicadalink/lots/j", nil)
+	r.Header.Set(adapter.HeaderCustomer, "b")
+	if key != "" {
+		r.Header.Set(adapter.HeaderKey, key)
+	}
+	w := httptest.NewRecorder()
+	c.ServeHTTP(w, r)
+	return w
+}
+
 // Guards against endpoints that get keys, or the name of a customer that the caller has made up.
 func TestEndpointsGetTheCustomerAndNotTheKey(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -237,22 +249,41 @@
 		customers = append(customers, customer)
 		return JobResponse{Status: http.StatusOK}
 	}}
-	read := func(key string) int {
-		r := httptest.NewRequest(http.MethodGet, "/cicadalink/lots/j", nil)
-		r.Header.Set(adapter.HeaderCustomer, "b")
-		if key != "" {
-			r.Header.Set(adapter.HeaderKey, key)
-		}
-		w := httptest.NewRecorder()
-		c.ServeHTTP(w, r)
-		return w.Code
-	}
+	read := func(key string) int { return c.readJob(key).Code }
 	assert.Equal(t, read(testKey), http.StatusOK)
 	assert.Equal(t, read("other"), http.StatusUnauthorized)
 	assert.Equal(t, read(""), http.StatusUnauthorized)
 	assert.DeepEqual(t, customers, []string{"a"})
 }
 
+// Guards against a customer that is told that its job does not exist while its key cannot be checked, and
+// against jobs that are stored as those of nobody then.
+func TestJobsNeedACheckedKeyIfTheyHaveOne(t *testing.T) {
+	c := newCustomerRelay()
+	c.config = cicadaview.NewConfig(1, []cicadaview.Route{{
+		Host: "h.example", Prefix: "/batch/", Kind: cicadaview.Batch, Public: true, Targets: []cicadaview.Target{{Service: "s", Weight: 1}},
+	}}, nil, cicadaview.Limits{MaxBodyBytes: 100})
+	c.config.SetCustomers([]cicadaview.Customer{{Name: "a", Keys: []cicadaview.KeyDigest{cicadaview.DigestKey(testKey)}}})
+	c.fresh = false
+	respond := func(customer string) JobResponse {
+		assert.Equal(t, customer, "")
+		return JobResponse{Status: http.StatusOK}
+	}
+	c.jobs = JobHandlers{
+		Submit: func(_ context.Context, _ *cicadaview.Route, _, customer, _ string, _ []byte) JobResponse {
+			return respond(customer)
+		},
+		Call: func(_ context.Context, _ adapter.JobCallKind, customer, _, _ string, _ time.Duration) JobResponse {
+			return respond(customer)
+		},
+	}
+	for key, want := range map[string]int{testKey: http.StatusServiceUnavailable, "": http.StatusOK} {
+		assert.Equal(t, c.send("/batch/1", key).Code, want, "submission with key %q", key)
+		assert.Equal(t, c.readJob(key).Code, want, "call with key %q", key)
+		assert.Equal(t, c.readJob(key).Header().Get("Retry-After") != "", key != "")
+	}
+}
+
 // Guards against metrics that grow with the number of customers.
 func TestCustomersWithCountersOfTheirOwnAreLimited(t *testing.T) {
 	counters := newCustomerCounters(tally.NoopScope)
--- a/cicadagateway/cicadarelay/relay.go
+++ b/cicadagateway/cicadarelay/relay.go
@@ -363,6 +363,9 @@
 		rl.refuse(w, r, http.StatusBadRequest, "bad-submission", 0)
 		return
 	}
+	if rl.refuseUnchecked(w, r, sender) {
+		return
+	}
 	if rl.jobs.Submit == nil {
 		rl.refuse(w, r, http.StatusServiceUnavailable, "no-owner", time.Second)
 		return
@@ -376,6 +379,9 @@
 		rl.refuseCaller(w, r, status, reason)
 		return
 	}
+	if rl.refuseUnchecked(w, r, sender) {
+		return
+	}
 	if rl.jobs.Call == nil {
 		rl.refuse(w, r, http.StatusServiceUnavailable, "no-owner", time.Second)
 		return
