Check keys of requests that are sent again once customers are introduced

Cause: a request that arrived under a configuration without customers, and was sent once more after one with customers had come into force, was not checked: the endpoint got its key, and the X-Tenant header that the caller had set. Change: the look-up of the route between two attempts also notices customers, and such a request is authenticated before it is sent. A first attempt that waits for a slot meanwhile is not covered: it would need another look at the configuration, whose calls TestStreamOfAChangedRouteStaysAtItsIncarnation counts.

--- a/cicadagateway/cicadarelay/customer.go
+++ b/cicadagateway/cicadarelay/customer.go
@@ -132,14 +132,21 @@
 // as it may have been withdrawn while the request waited. If not, the request fails, unless its
 // route needs no key: it is then sent without a customer.
 func (x *exchange) stillValid(ctx context.Context) bool {
-	if x.caller.customer == nil {
+	if x.caller.customer == nil && !x.customersIntroduced {
 		return true
 	}
 	config := x.relay.config()
 	if !config.HasCustomers() {
 		return true
 	}
-	status, reason := x.relay.verify(config, &x.caller)
+	var status int
+	var reason string
+	if x.caller.customers {
+		status, reason = x.relay.verify(config, &x.caller)
+	} else {
+		x.caller, status, reason = x.relay.authenticate(config, x.r, needsKey(x.route))
+		x.customersIntroduced = false
+	}
 	if status == 0 {
 		return true
 	}
--- a/cicadagateway/cicadarelay/customer_test.go
+++ b/cicadagateway/cicadarelay/customer_test.go
@@ -212,6 +212,25 @@
 	})
 }
 
+// Guards against a request that waits while customers are introduced, and then reaches an endpoint without a
+// valid key, with its key, or under a name that the caller has made up.
+func TestKeyIsCheckedOnceCustomersAreIntroduced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for key, want := range map[string]int{testKey: http.StatusOK, "other": http.StatusUnauthorized, "": http.StatusUnauthorized} {
+			rl := newCustomerRelay()
+			introduced := rl.config
+			rl.config = cicadaview.NewConfig(1, introduced.Routes(), nil, cicadaview.Limits{MaxBodyBytes: 100})
+			rl.notRun = 1
+			rl.onRequest = func() { rl.config = introduced }
+			assert.Equal(t, rl.send("/p/1", key).Code, want, "key %q", key)
+			if want == http.StatusOK {
+				assert.Equal(t, rl.headers[1].Get(adapter.HeaderCustomer), "a")
+				assert.Equal(t, rl.headers[1].Get(adapter.HeaderKey), "")
+			}
+		}
+	})
+}
+
 // Guards against requests above a rate limit that run, and against a caller that is told that it exceeds a
 // limit that could not be checked.
 func TestRequestsAboveTheRateLimitAreRefused(t *testing.T) {
--- a/cicadagateway/cicadarelay/exchange.go
+++ b/cicadagateway/cicadarelay/exchange.go
@@ -53,6 +53,10 @@
 	tracked      bool                // whether origins knows the stream as running
 	emptyRests   int                 // attempts to resume a stream that brought no event, and no error
 	avoidCleared bool                // whether avoid was cleared because no other endpoint was left
+
+	// customersIntroduced is set if the configuration had no customers when the request arrived, and
+	// has some since the last attempt.
+	customersIntroduced bool
 }
 
 // run makes attempts until one succeeds or no further attempt is allowed.
@@ -100,6 +104,7 @@
 	if config == nil {
 		return true
 	}
+	x.customersIntroduced = config.HasCustomers() && !x.caller.customers
 	route, ok := config.Route(hostOf(x.r), x.r.URL.Path)
 	if ok {
 		x.route = route
