Forget the reports of ended peers before computing fair shares

Cause: reports of peers expired only while requests waited, or when another peer reported. Until then the customers of a peer that had ended counted as customers without work, so that the others seemed to be above their fair share, and slots were left idle.

--- a/cicadagateway/cicadaplace/fairness_test.go
+++ b/cicadagateway/cicadaplace/fairness_test.go
@@ -106,3 +106,23 @@
 	assert.NilError(t, err)
 	assert.Equal(t, len(table.LocalUsage(8)), 2)
 }
+
+// Guards against a customer that must leave slots idle because a peer that has ended reported many others.
+func TestEndedPeersDoNotLowerTheFairShare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := NewTable("me")
+		table.SetEndpoints(endpoints(8, 8))
+		var usage []CustomerUsage
+		for i := range 20 {
+			usage = append(usage, CustomerUsage{uint64(i), 1})
+		}
+		table.SetPeerUsage("ended", usage)
+		time.Sleep(2 * peerTimeout)
+		table.SetPeer("other", nil)
+		for i := range 64 {
+			time.Sleep(levelInterval)
+			_, err := table.Acquire(t.Context(), SlotRequest{Service: "s", Customer: string(rune('a' + i%2)), Work: 100})
+			assert.NilError(t, err, "request %d", i)
+		}
+	})
+}
--- a/cicadagateway/cicadaplace/reserve.go
+++ b/cicadagateway/cicadaplace/reserve.go
@@ -38,6 +38,7 @@
 	if ok && now.Sub(l.computedAt) < levelInterval {
 		return l
 	}
+	s.expire(now)
 	l = workLevel{computedAt: now}
 	scale := s.scale(now)
 	for _, a := range s.byID {
