--- a/cicadagateway/cicadabatch/customer_test.go
+++ b/cicadagateway/cicadabatch/customer_test.go
@@ -1,6 +1,7 @@
 package cicadabatch
 
 import (
+	"context"
 	"net/http"
 	"strings"
 	"testing"
@@ -9,6 +10,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"cicadalink.example/cicadakernel/cicadaplatform"
+	"cicadalink.example/cicadakernel/cicadaview"
 	adapter "cicadalink.example/platform"
 )
 
@@ -36,6 +39,73 @@
 	})
 }
 
+// Guards against a customer that is told that its job is accepted, while it is that of another customer, which
+// submits one with the same id at the same time.
+func TestSubmissionsOfTwoCustomersAreNotOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newTestDeployment()
+		create := d.backend.Create
+		d.backend.Create = func(ctx context.Context, name string, value []byte) (cicadaplatform.Object, error) {
+			time.Sleep(100 * time.Millisecond)
+			return create(ctx, name, value)
+		}
+		o := d.startOwner("o1", fixedOwners("o1"))
+		defer o.stop()
+		time.Sleep(time.Second)
+		statuses := make(chan int, 2)
+		for _, customer := range []string{"a", "b"} {
+			submit := submitCall("j", manyEvents)
+			submit.Customer = customer
+			go func() { statuses <- o.call(t, submit).Status }()
+			time.Sleep(10 * time.Millisecond)
+		}
+		assert.Equal(t, <-statuses+<-statuses, http.StatusAccepted+http.StatusConflict)
+	})
+}
+
+// Guards against tokens that stay reserved for a job that was not accepted, as another customer has one with the
+// same id, so that jobs which fit are refused.
+func TestTokensOfAConflictingJobAreReturned(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newLimitedDeployment(500)
+		d.stalled = true
+		create := d.backend.Create
+		d.backend.Create = func(ctx context.Context, name string, value []byte) (cicadaplatform.Object, error) {
+			time.Sleep(100 * time.Millisecond)
+			return create(ctx, name, value)
+		}
+		o := d.startLimited("o1", fixedOwners("o1"))
+		defer o.stop()
+		time.Sleep(time.Second)
+		submit := func(id, customer string) int {
+			c := limitedCall(id, 900, 900, 900, 900, 900)
+			c.Customer = customer
+			return o.call(t, c).Status
+		}
+		go submit("j1", "a")
+		time.Sleep(10 * time.Millisecond)
+		assert.Equal(t, submit("j1", "b"), http.StatusConflict)
+		assert.Equal(t, submit("j2", "b"), http.StatusAccepted)
+	})
+}
+
+// Guards against a caller without a key that is told that its job is accepted, while it is that of a customer
+// which another owner has stored.
+func TestJobOfACustomerIsNoRepeatForCallersWithoutOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newTestDeployment()
+		d.config.SetCustomers([]cicadaview.Customer{{Name: "a"}})
+		o := d.startOwner("o1", fixedOwners("o1"))
+		defer o.stop()
+		time.Sleep(time.Second)
+		submit := submitCall("j", manyEvents)
+		submit.Customer = "a"
+		assert.Equal(t, o.call(t, submit).Status, http.StatusAccepted)
+		submit.Customer = ""
+		assert.Equal(t, o.confirmRepeat(t.Context(), submit).Status, http.StatusConflict)
+	})
+}
+
 // Guards against items that reach an endpoint with a key or under the name of another customer, and against
 // keys in stored jobs.
 func TestItemsRunInTheNameOfTheirCustomer(t *testing.T) {
--- a/cicadagateway/cicadabatch/submit.go
+++ b/cicadagateway/cicadabatch/submit.go
@@ -15,9 +15,9 @@
 	adapter "cicadalink.example/platform"
 )
 
-// submit accepts a job. Concurrent submissions of one job are handled as one.
+// submit accepts a job. Concurrent submissions of one job by one customer are handled as one.
 func (o *Owner) submit(ctx context.Context, c *Call) Response {
-	outcome := o.submissions.DoChan(c.Job, func() (any, error) {
+	outcome := o.submissions.DoChan(c.Customer+"\x00"+c.Job, func() (any, error) {
 		ctx, cancel := context.WithTimeout(o.ctx, acceptTimeout)
 		defer cancel()
 		resp := outcomeUnknown()
@@ -119,7 +119,7 @@
 // confirmRepeat returns the response to the submission of a job that another owner has stored. Without
 // customers, the job can only be the same one.
 func (o *Owner) confirmRepeat(ctx context.Context, c *Call) Response {
-	if c.Customer == "" {
+	if !o.dropsCredentials(c.Customer) {
 		return Response{Status: http.StatusAccepted}
 	}
 	obj, err := o.store.Get(ctx, JobsPrefix+c.Job)
@@ -127,7 +127,11 @@
 		o.log.Warn("failed to look up repeated job", "job", c.Job, "error", err)
 		return outcomeUnknown()
 	}
-	return repeatResponse(obj, c)
+	resp := repeatResponse(obj, c)
+	if resp.Status == http.StatusConflict {
+		o.releaseTokens(c.Host, c.Path, c.Customer, c.Job)
+	}
+	return resp
 }
 
 // dropsCredentials reports whether the headers of items must not name a key or a customer, as the
--- a/cicadagateway/cicadarelay/customer.go
+++ b/cicadagateway/cicadarelay/customer.go
@@ -58,6 +58,8 @@
 	// customers is set if the deployment has customers, so that the headers of keys and customers
 	// are not the caller's to set.
 	customers bool
+	// unchecked is set if the caller has a key that it does not need, and that cannot be checked now.
+	unchecked bool
 }
 
 // name returns the name of the caller's customer, or "".
@@ -85,6 +87,7 @@
 	c.key = cicadaview.DigestKey(key)
 	status, reason = rl.verify(config, &c)
 	if !needsKey {
+		c.unchecked = status == http.StatusServiceUnavailable
 		return c, 0, ""
 	}
 	return c, status, reason
@@ -113,23 +116,44 @@
 	rl.refuse(w, r, status, reason, retryAfter)
 }
 
+// refuseUnchecked refuses a call on a job, or its submission, if it has a key that cannot be checked now:
+// the job would be looked for, or stored, as one of no customer. It reports whether it has.
+func (rl *Relay) refuseUnchecked(w http.ResponseWriter, r *http.Request, sender caller) bool {
+	if sender.unchecked {
+		rl.refuseCaller(w, r, http.StatusServiceUnavailable, reasonStaleConfiguration)
+	}
+	return sender.unchecked
+}
+
 // needsKey reports whether a request on the route must have a key.
 func needsKey(route *cicadaview.Route) bool { return !route.Public }
 
 // stillValid reports whether the key of a request is valid just before it is sent to an endpoint,
-// as it may have been withdrawn while the request waited. If not, the request fails.
+// as it may have been withdrawn while the request waited. If not, the request fails, unless its
+// route needs no key: it is then sent without a customer.
 func (x *exchange) stillValid(ctx context.Context) bool {
-	if x.caller.customer == nil {
+	if x.caller.customer == nil && !x.customersIntroduced {
 		return true
 	}
 	config := x.relay.config()
 	if !config.HasCustomers() {
 		return true
 	}
-	status, reason := x.relay.verify(config, &x.caller)
+	var status int
+	var reason string
+	if x.caller.customers {
+		status, reason = x.relay.verify(config, &x.caller)
+	} else {
+		x.caller, status, reason = x.relay.authenticate(config, x.r, needsKey(x.route))
+		x.customersIntroduced = false
+	}
 	if status == 0 {
 		return true
 	}
+	if !needsKey(x.route) {
+		x.caller.customer = nil
+		return true
+	}
 	if x.runs > 0 || x.headerSent {
 		x.fail(ctx, errKeyWithdrawn)
 		return false
--- a/cicadagateway/cicadarelay/customer_test.go
+++ b/cicadagateway/cicadarelay/customer_test.go
@@ -118,6 +118,18 @@
 	return w
 }
 
+// readJob reads the results of a job with a key, unless it is empty, and with the name of another customer.
+func (c *customerRelay) readJob(key string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(http.MethodGet, "/cicadalink/lots/j", nil)
+	r.Header.Set(adapter.HeaderCustomer, "b")
+	if key != "" {
+		r.Header.Set(adapter.HeaderKey, key)
+	}
+	w := httptest.NewRecorder()
+	c.ServeHTTP(w, r)
+	return w
+}
+
 // Guards against endpoints that get keys, or the name of a customer that the caller has made up.
 func TestEndpointsGetTheCustomerAndNotTheKey(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -180,6 +192,45 @@
 	})
 }
 
+// Guards against a request on a public route that is refused because of its key, which it does not need.
+func TestPublicRequestsAreServedWhenTheirKeyEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, c := range []struct {
+			name   string
+			change func(*customerRelay)
+		}{
+			{"withdrawn", func(c *customerRelay) { c.config = customerConfig(2) }},
+			{"outdated", func(c *customerRelay) { c.fresh = false }},
+		} {
+			rl := newCustomerRelay()
+			rl.notRun = 1
+			rl.onRequest = func() { c.change(rl) }
+			assert.Equal(t, rl.send("/open/1", testKey).Code, http.StatusOK, c.name)
+			assert.Equal(t, rl.headers[1].Get(adapter.HeaderCustomer), "", c.name)
+			assert.Equal(t, rl.headers[1].Get(adapter.HeaderKey), "", c.name)
+		}
+	})
+}
+
+// Guards against a request that waits while customers are introduced, and then reaches an endpoint without a
+// valid key, with its key, or under a name that the caller has made up.
+func TestKeyIsCheckedOnceCustomersAreIntroduced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for key, want := range map[string]int{testKey: http.StatusOK, "other": http.StatusUnauthorized, "": http.StatusUnauthorized} {
+			rl := newCustomerRelay()
+			introduced := rl.config
+			rl.config = cicadaview.NewConfig(1, introduced.Routes(), nil, cicadaview.Limits{MaxBodyBytes: 100})
+			rl.notRun = 1
+			rl.onRequest = func() { rl.config = introduced }
+			assert.Equal(t, rl.send("/p/1", key).Code, want, "key %q", key)
+			if want == http.StatusOK {
+				assert.Equal(t, rl.headers[1].Get(adapter.HeaderCustomer), "a")
+				assert.Equal(t, rl.headers[1].Get(adapter.HeaderKey), "")
+			}
+		}
+	})
+}
+
 // Guards against requests above a rate limit that run, and against a caller that is told that it exceeds a
 // limit that could not be checked.
 func TestRequestsAboveTheRateLimitAreRefused(t *testing.T) {
@@ -217,22 +268,41 @@
 		customers = append(customers, customer)
 		return JobResponse{Status: http.StatusOK}
 	}}
-	read := func(key string) int {
-		r := httptest.NewRequest(http.MethodGet, "/cicadalink/lots/j", nil)
-		r.Header.Set(adapter.HeaderCustomer, "b")
-		if key != "" {
-			r.Header.Set(adapter.HeaderKey, key)
-		}
-		w := httptest.NewRecorder()
-		c.ServeHTTP(w, r)
-		return w.Code
-	}
+	read := func(key string) int { return c.readJob(key).Code }
 	assert.Equal(t, read(testKey), http.StatusOK)
 	assert.Equal(t, read("other"), http.StatusUnauthorized)
 	assert.Equal(t, read(""), http.StatusUnauthorized)
 	assert.DeepEqual(t, customers, []string{"a"})
 }
 
+// Guards against a customer that is told that its job does not exist while its key cannot be checked, and
+// against jobs that are stored as those of nobody then.
+func TestJobsNeedACheckedKeyIfTheyHaveOne(t *testing.T) {
+	c := newCustomerRelay()
+	c.config = cicadaview.NewConfig(1, []cicadaview.Route{{
+		Host: "h.example", Prefix: "/batch/", Kind: cicadaview.Batch, Public: true, Targets: []cicadaview.Target{{Service: "s", Weight: 1}},
+	}}, nil, cicadaview.Limits{MaxBodyBytes: 100})
+	c.config.SetCustomers([]cicadaview.Customer{{Name: "a", Keys: []cicadaview.KeyDigest{cicadaview.DigestKey(testKey)}}})
+	c.fresh = false
+	respond := func(customer string) JobResponse {
+		assert.Equal(t, customer, "")
+		return JobResponse{Status: http.StatusOK}
+	}
+	c.jobs = JobHandlers{
+		Submit: func(_ context.Context, _ *cicadaview.Route, _, customer, _ string, _ []byte) JobResponse {
+			return respond(customer)
+		},
+		Call: func(_ context.Context, _ adapter.JobCallKind, customer, _, _ string, _ time.Duration) JobResponse {
+			return respond(customer)
+		},
+	}
+	for key, want := range map[string]int{testKey: http.StatusServiceUnavailable, "": http.StatusOK} {
+		assert.Equal(t, c.send("/batch/1", key).Code, want, "submission with key %q", key)
+		assert.Equal(t, c.readJob(key).Code, want, "call with key %q", key)
+		assert.Equal(t, c.readJob(key).Header().Get("Retry-After") != "", key != "")
+	}
+}
+
 // Guards against metrics that grow with the number of customers.
 func TestCustomersWithCountersOfTheirOwnAreLimited(t *testing.T) {
 	counters := newCustomerCounters(tally.NoopScope)
