Name limiter state after what it holds

Cause: names such as startTime (a duration), tellToWait, denials and begin, and the comment of Message.View, misled a reader who is new to the package. No behaviour, log keys, metrics or encoded keys change. Tests: go vet, revive and go test of cicadaratelimit pass.

--- a/cicadagateway/cicadaratelimit/acquire_test.go
+++ b/cicadagateway/cicadaratelimit/acquire_test.go
@@ -54,7 +54,7 @@
 			p.customer = name
 		}
 	}
-	p.tick(startTime)
+	p.tick(startupPeriod)
 	return p
 }
 
@@ -174,7 +174,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		l := New("entry", func() Members { return Members{Live: []string{"entry"}, Known: 1} }, func(string, Message) { t.Error("sent") })
 		assert.Assert(t, !l.Acquire(t.Context(), "c", Limit{10, 10}).Known())
-		time.Sleep(startTime)
+		time.Sleep(startupPeriod)
 		d := l.Acquire(t.Context(), "c", Limit{10, 10})
 		assert.Assert(t, d.Allowed())
 		assert.Equal(t, d.Home(), "entry")
--- a/cicadagateway/cicadaratelimit/entry.go
+++ b/cicadagateway/cicadaratelimit/entry.go
@@ -14,23 +14,25 @@
 	// GrantLifetime is how long granted tokens may be used, from the time at which they were
 	// asked for.
 	GrantLifetime = cicadalimit.BucketLeaseDuration
-	// returnTime is the time after the expiry of a grant within which unused tokens are
+	// returnGracePeriod is the time after the expiry of a grant within which unused tokens are
 	// returned. Tokens returned later could be granted again in a window that the bucket has
 	// filled for already.
-	returnTime = 100 * time.Millisecond
-	// replyTimeout is the time after which a request is repeated, and maxTimeouts the number
-	// of requests without a reply after which the limit counts as not known.
+	returnGracePeriod = 100 * time.Millisecond
+	// replyTimeout is the time after which a Request without a reply is repeated, and maxTimeouts
+	// the number of Requests without a reply after which the limit counts as not known.
 	replyTimeout = 40 * time.Millisecond
 	maxTimeouts  = 2
-	// maxRequests limits the requests of one query, some of which may be redirected.
+	// maxRequests limits the Requests of one query, so that entries that redirect it to each other
+	// do not do so forever.
 	maxRequests = 5
-	// usageTime is the time constant of the average of recent usage, and usageFraction the
-	// part of that usage which a request for tokens adds to those that wait.
-	usageTime     = GrantLifetime
-	usageFraction = 0.75
-	maxWant       = 4096
-	// startSpread spreads the return of callers that were refused while an entry started, as
-	// they would come back together else.
+	// usageTimeConstant is the time constant of the average of recent usage, and usageFraction the
+	// fraction of that usage that is requested in addition to the tokens for waiting requests.
+	usageTimeConstant = GrantLifetime
+	usageFraction     = 0.75
+	// maxWant limits the tokens that one Request asks for.
+	maxWant = 4096
+	// startSpread spreads the retries of callers that were refused while an entry started, which
+	// would otherwise arrive together.
 	startSpread = 200 * time.Millisecond
 	// minBackoff and maxBackoff bound the time in which an entry refuses requests without
 	// asking again.
@@ -39,32 +41,32 @@
 	// maxRetryAfter bounds the time that a refused caller is told to wait. Callers of plain
 	// requests wait no longer.
 	maxRetryAfter = 1500 * time.Millisecond
-	// unknownRetryAfter is the time to wait if the limit is not known, since a home entry does not
-	// reply. It covers the time until a home that has failed is replaced, as a caller that comes back
-	// sooner is refused again.
+	// unknownRetryAfter is the time to wait if the limit is not known because the home entry does
+	// not reply. It covers the time until a failed home is replaced; a caller that retries sooner is
+	// refused again.
 	unknownRetryAfter = 1200 * time.Millisecond
 	// customerIdleTime is how long the state of an unused customer is kept.
 	customerIdleTime = 2 * Window
 )
 
-// customer is what an entry keeps of a customer that it serves.
+// A customer is the state that an entry keeps for a customer that it serves.
 type customer struct {
 	name   string
 	limit  Limit
 	lease  cicadalimit.Lease
 	bucket uint64 // source of the lease
-	home   string // that granted or refused last
+	home   string // entry that granted or refused tokens last
 	query  *query // nil if none is outstanding
 	usedAt time.Time
 
-	// taken is the decayed number of tokens taken.
+	// taken is the number of tokens taken, decayed with usageTimeConstant since takenAt.
 	taken   float64
 	takenAt time.Time
 
-	refusedUntil time.Time
-	retryAt      time.Time     // when the next caller that is refused may come back
-	retryStep    time.Duration // between callers
-	toldToWait   int64         // callers since the last request
+	refusedUntil        time.Time
+	retryAt             time.Time     // when the next refused caller should retry
+	retryStep           time.Duration // between the retries of two refused callers
+	refusedSinceRequest int64         // callers refused since the last Request
 
 	// spent is the number of initial tokens that new buckets have granted, the last ones at
 	// spentAt.
@@ -72,7 +74,8 @@
 	spentAt time.Time
 }
 
-// A query asks for tokens on behalf of all requests that wait.
+// A query asks for tokens on behalf of all requests of a customer that wait. It sends one Request
+// after another until one is answered.
 type query struct {
 	waiters   []*waiter
 	attempts  []attempt
@@ -82,6 +85,7 @@
 	stop      func() bool
 }
 
+// An attempt is one Request of a query.
 type attempt struct {
 	id      int64
 	to      string
@@ -97,16 +101,16 @@
 	abandoned bool
 }
 
-// unknownDecision returns the decision on a request whose limit could not be checked. The caller is told
-// to come back once it can be.
-func (q *query) unknownDecision(home string, starting time.Duration) Decision {
+// unknownDecision returns the decision on a request whose limit could not be checked. Its caller
+// should retry when the limit can be checked. startupLeft is the time until this entry has started.
+func (q *query) unknownDecision(home string, startupLeft time.Duration) Decision {
 	switch {
-	case starting > 0:
-		return Decision{retryAfter: starting + rand.N(startSpread), home: home}
+	case startupLeft > 0:
+		return Decision{retryAfter: startupLeft + rand.N(startSpread), home: home}
 	case q.timeouts >= maxTimeouts:
 		return Decision{retryAfter: unknownRetryAfter, home: home}
 	}
-	return Decision{retryAfter: rand.N(startTime), home: home} // the home has just started
+	return Decision{retryAfter: rand.N(startupPeriod), home: home} // the home has just started
 }
 
 func (l *Limiter) decide(w *waiter, d Decision) {
@@ -128,8 +132,8 @@
 // acquire decides on a request, now or when the home entry has replied.
 func (l *Limiter) acquire(name string, limit Limit, done func(Decision)) *waiter {
 	w := &waiter{done: done}
-	now := l.begin()
-	defer l.end()
+	now := l.lock()
+	defer l.unlock()
 	if limit.PerSecond <= 0 {
 		l.decide(w, Decision{allowed: true, known: true})
 		return w
@@ -145,7 +149,7 @@
 		l.decide(w, Decision{allowed: true, known: true, home: c.home})
 	case now.Before(c.refusedUntil):
 		l.decide(w, c.refuse(now))
-		c.toldToWait++
+		c.refusedSinceRequest++
 	case c.query != nil:
 		c.query.waiters = append(c.query.waiters, w)
 	default:
@@ -175,12 +179,13 @@
 	c.takenAt = now
 }
 
-// recent returns about how many tokens were taken within the last usageTime.
+// recent returns the approximate number of tokens taken within the last usageTimeConstant.
 func (c *customer) recent(now time.Time) float64 {
-	return c.taken * math.Exp(-now.Sub(c.takenAt).Seconds()/usageTime.Seconds())
+	return c.taken * math.Exp(-now.Sub(c.takenAt).Seconds()/usageTimeConstant.Seconds())
 }
 
-// refuse returns the decision for the next caller that is told to come back.
+// refuse returns the decision for the next caller over the limit. Each call returns a later retry
+// time, so that callers do not retry together.
 func (c *customer) refuse(now time.Time) Decision {
 	at := c.retryAt
 	if at.Before(now) {
@@ -198,13 +203,13 @@
 func (c *customer) takeUnused(now time.Time) int64 {
 	left, expired := c.lease.Left(), now.Sub(c.lease.Grant().Expires)
 	c.lease.Renew(cicadalimit.Grant{})
-	if expired > returnTime {
+	if expired > returnGracePeriod {
 		return 0
 	}
 	return left
 }
 
-// newRequest returns a request with an ID of its own.
+// newRequest returns a Request with a new ID.
 func (l *Limiter) newRequest(c *customer, now time.Time) Request {
 	l.lastID = max(l.lastID+1, now.UnixNano())
 	return Request{ID: l.lastID, Customer: c.name, PerSecond: c.limit.PerSecond, Burst: c.limit.Burst}
@@ -230,7 +235,7 @@
 	}
 	r.Want = min(r.Want, maxWant)
 	r.Waiting = min(r.Waiting, r.Want)
-	r.Refused, c.toldToWait = c.toldToWait, 0
+	r.Refused, c.refusedSinceRequest = c.refusedSinceRequest, 0
 	r.Bucket, r.Unused = c.bucket, c.takeUnused(now)
 	if now.Sub(c.spentAt) < Window {
 		r.Spent = c.spent
@@ -269,8 +274,8 @@
 
 // timeOut repeats a request that has had no reply.
 func (l *Limiter) timeOut(c *customer, q *query, id int64) {
-	now := l.begin()
-	defer l.end()
+	now := l.lock()
+	defer l.unlock()
 	if c.query != q || q.attempts[len(q.attempts)-1].id != id {
 		return
 	}
@@ -282,8 +287,9 @@
 	l.ask(c, now)
 }
 
+// finishUnknown ends a customer's query because its limit could not be checked.
 func (l *Limiter) finishUnknown(c *customer) {
-	starting := startTime - l.now().Sub(l.startedAt)
+	startupLeft := startupPeriod - l.now().Sub(l.startedAt)
 	q := c.query
 	c.query = nil
 	q.stop()
@@ -292,7 +298,7 @@
 		home = q.attempts[n-1].to
 	}
 	for _, w := range q.waiters {
-		l.decide(w, q.unknownDecision(home, starting))
+		l.decide(w, q.unknownDecision(home, startupLeft))
 	}
 }
 
@@ -308,7 +314,7 @@
 		}
 	}
 	age := now.Sub(time.Unix(0, r.ID))
-	if c != nil && r.Tokens > 0 && age >= 0 && age < GrantLifetime+returnTime {
+	if c != nil && r.Tokens > 0 && age >= 0 && age < GrantLifetime+returnGracePeriod {
 		l.returnTokens(c, from, r.Bucket, r.Tokens, now)
 	}
 }
@@ -341,9 +347,9 @@
 	}
 }
 
-// applyGrant gives the tokens of a reply to the requests that wait. If the home entry has
-// refused some, those that have joined since are refused too, and otherwise they are asked
-// for.
+// applyGrant gives the tokens of a reply to the requests that wait. The rest are those that joined
+// the query after the Request was sent. They are refused if the home entry granted fewer tokens
+// than requested, and are otherwise the subject of a new query.
 func (l *Limiter) applyGrant(c *customer, a attempt, r Reply, now time.Time) {
 	q := c.query
 	q.stop()
@@ -366,7 +372,7 @@
 		l.ask(c, now)
 	default:
 		c.refusedUntil = now.Add(min(max(micros(r.NextMicros), minBackoff), maxBackoff))
-		c.toldToWait += max(int64(len(q.waiters))-(a.waiting-r.Tokens), 0)
+		c.refusedSinceRequest += max(int64(len(q.waiters))-(a.waiting-r.Tokens), 0)
 		for _, w := range q.waiters {
 			l.decide(w, c.refuse(now))
 		}
--- a/cicadagateway/cicadaratelimit/home.go
+++ b/cicadagateway/cicadaratelimit/home.go
@@ -10,23 +10,23 @@
 )
 
 const (
-	// settleTime is the time after which a share that has risen takes effect. It covers the
-	// time by which the earlier home learns later that it no longer is one.
+	// settleTime is the delay before a higher share takes effect. It covers the time until the
+	// previous home learns that it has been replaced.
 	settleTime = 400 * time.Millisecond
 	// standInTime is how long an entry refills a bucket in place of a home that is not ready,
 	// after it was last asked to.
 	standInTime = 200 * time.Millisecond
-	// initialBurst is the part of the burst that a new bucket contains, in addition to half
-	// of the slack.
-	initialBurst = 0.2
-	// standInPart is the part of the initial level that a home and its stand-in each begin
-	// with.
-	standInPart = 0.5
-	// denialTime is how long a token is reserved for an entry that got none. It exceeds
+	// initialBurstFraction is the fraction of the burst that a new bucket contains, in addition to
+	// half of the slack.
+	initialBurstFraction = 0.2
+	// standInFraction is the fraction of the initial level with which a home and its stand-in each
+	// begin, so that they start with one initial level together.
+	standInFraction = 0.5
+	// reservationTime is how long a token is reserved for an entry that got none. It exceeds
 	// maxBackoff, after which the entry asks again with the next request.
-	denialTime = 600 * time.Millisecond
-	// maxDenials limits the entries for which tokens are reserved.
-	maxDenials = 16
+	reservationTime = 600 * time.Millisecond
+	// maxReservations limits the entries for which tokens are reserved.
+	maxReservations = 16
 	// bucketIdleTime is how long an unused bucket is kept.
 	bucketIdleTime = knownTime
 )
@@ -38,36 +38,38 @@
 	limit  Limit
 	usedAt time.Time
 
-	share        float64 // in effect
+	share        float64 // of the limit, in effect
 	pendingShare float64 // higher share that takes effect at pendingAt, or 0
 	pendingAt    time.Time
 	insteadOf    string // home that is not ready, until standInUntil
 	standInUntil time.Time
-	computed     float64 // share for the version of the view and insteadOf
-	version      uint64
-	computedFor  string
+	// computedShare is the share for a version of the view and a value of insteadOf.
+	computedShare     float64
+	computedVersion   uint64
+	computedInsteadOf string
 
-	// freshAt is when this entry has become the home. granted are the tokens that it has
-	// granted since, and initialUsed those of them that the refill did not cover. charged are
-	// those taken from the bucket because an earlier home has used as many initial ones.
-	freshAt     time.Time
-	granted     int64
-	initialUsed int64
-	charged     float64
-	refillFrom  time.Time
-	lostShareAt time.Time // when the share has become 0
-	// initialShare is the share to which the initial level corresponds.
+	// becameHomeAt is when this entry became the home. granted is the number of tokens granted
+	// since then, and initialUsed the number of those that the refill did not cover. charged is the
+	// number of tokens removed from the bucket because an earlier home has used as many initial ones.
+	becameHomeAt time.Time
+	granted      int64
+	initialUsed  int64
+	charged      float64
+	refillFrom   time.Time
+	lostShareAt  time.Time // when the share has become 0
+	// initialShare is the share for which the initial level was computed.
 	initialShare float64
-	// burstShare is the share before it fell, to which the capacity corresponds until
-	// burstUntil. Shares fall for a moment while entries learn of a change one after the other.
+	// burstShare is the share before the last decrease. The capacity is computed from it until
+	// burstUntil, because shares decrease briefly while entries learn of a change at different times.
 	burstShare float64
 	burstUntil time.Time
 
-	retryAt time.Time // when the next caller that is refused may come back
-	denials []denial  // entries that got no token, the first one first
+	retryAt      time.Time     // when the next refused caller should retry
+	reservations []reservation // entries that got no token, the first one first
 }
 
-type denial struct {
+// A reservation is a token kept for an entry that got none.
+type reservation struct {
 	entry string
 	at    time.Time
 }
@@ -108,8 +110,8 @@
 	l.updateHome(r.Customer, h, limit, now)
 	h.usedAt = now
 	home := l.view.home(r.Customer, h.insteadOf)
-	if home != l.self && h.bucket.Level(now) < 1 && (h.share == 0 || now.Sub(h.freshAt) < viewDelay) {
-		// The sender may not have heard the home yet.
+	if home != l.self && h.bucket.Level(now) < 1 && (h.share == 0 || now.Sub(h.becameHomeAt) < viewDelay) {
+		// The sender may not be in contact with the home yet.
 		reply.Status, reply.Home = statusNotHome, home
 		return reply
 	}
@@ -117,6 +119,7 @@
 	return reply
 }
 
+// limitAtHome returns the limit by which the home entry serves a Request.
 func (l *Limiter) limitAtHome(r Request) (Limit, bool) {
 	if l.limitOf == nil {
 		return Limit{PerSecond: r.PerSecond, Burst: r.Burst}, true
@@ -131,11 +134,11 @@
 
 // initialLevel returns the level of a bucket of an entry that has just become the home.
 func (l *Limiter) initialLevel(limit Limit, share float64) float64 {
-	return (l.slack/2 + initialBurst*limit.Burst) * share
+	return (l.slack/2 + initialBurstFraction*limit.Burst) * share
 }
 
-// newHomeBucket returns a bucket for a customer that was not active lately. If this entry has
-// been the home for longer, the bucket has filled since.
+// newHomeBucket returns a bucket for a customer without one. If this entry has been the home for
+// some time, the bucket contains the refill of that time.
 func (l *Limiter) newHomeBucket(r Request, limit Limit, now time.Time) *homeBucket {
 	since, share := now, l.view.share(r.Customer, r.InsteadOf)
 	if r.InsteadOf == "" && l.view.home(r.Customer, "") == l.self {
@@ -143,11 +146,11 @@
 	}
 	initial := l.initialLevel(limit, share)
 	if r.InsteadOf != "" || l.postponed[r.Customer] {
-		initial *= standInPart
+		initial *= standInFraction
 	}
 	h := &homeBucket{
 		id: rand.Uint64() | 1, limit: limit, share: share, pendingShare: share, initialShare: share,
-		freshAt: since, refillFrom: since.Add(settleTime),
+		becameHomeAt: since, refillFrom: since.Add(settleTime),
 	}
 	filled := max(now.Sub(h.refillFrom).Seconds(), 0) * limit.PerSecond * share
 	h.bucket = cicadalimit.NewBucket(now, 0, l.capacity(limit, share), initial+filled)
@@ -160,13 +163,13 @@
 	if now.After(h.standInUntil) {
 		h.insteadOf = ""
 	}
-	if h.version != l.view.version || h.computedFor != h.insteadOf || h.computed == 0 {
-		h.computed = l.view.share(name, h.insteadOf)
-		h.version, h.computedFor = l.view.version, h.insteadOf
+	if h.computedVersion != l.view.version || h.computedInsteadOf != h.insteadOf || h.computedShare == 0 {
+		h.computedShare = l.view.share(name, h.insteadOf)
+		h.computedVersion, h.computedInsteadOf = l.view.version, h.insteadOf
 	}
 	h.limit = limit
 	before := h.share
-	h.setShare(h.computed, now)
+	h.setShare(h.computedShare, now)
 	switch {
 	case before > 0 && h.share == 0:
 		l.handOver(name, h, now)
@@ -197,10 +200,10 @@
 func (l *Limiter) raiseInitial(h *homeBucket, now time.Time) {
 	added := l.initialLevel(h.limit, h.share-h.initialShare)
 	if h.insteadOf != "" {
-		added *= standInPart
+		added *= standInFraction
 	}
 	h.initialShare = h.share
-	if now.Sub(h.freshAt) < Window {
+	if now.Sub(h.becameHomeAt) < Window {
 		h.bucket.Take(now, -added)
 	}
 }
@@ -220,29 +223,30 @@
 	}
 }
 
+// applyShare puts a share into effect.
 func (h *homeBucket) applyShare(share float64, now time.Time) {
 	switch {
 	case share == 0:
 		h.lostShareAt = now
 	case h.share == 0:
-		h.freshAt, h.granted, h.initialUsed, h.charged = now, 0, 0, 0
+		h.becameHomeAt, h.granted, h.initialUsed, h.charged = now, 0, 0, 0
 	}
 	h.share, h.pendingShare = share, share
 }
 
-// handOver tells the new home of a customer how many initial tokens this entry has used while
-// it was new itself.
+// handOver tells the new home of a customer how many initial tokens this entry has granted, if it
+// became the home within the last window.
 func (l *Limiter) handOver(name string, h *homeBucket, now time.Time) {
 	home := l.view.home(name, "")
-	if now.Sub(h.freshAt) >= Window || h.initialUsed == 0 || home == l.self {
+	if now.Sub(h.becameHomeAt) >= Window || h.initialUsed == 0 || home == l.self {
 		return
 	}
 	l.log.Debug("customer handed over", "customer", name, "to", home, "initial-used", h.initialUsed)
 	l.queue(home, Message{Request: &Request{Customer: name, Bucket: h.id, Spent: h.initialUsed}})
 }
 
-// grant grants tokens, to requests that wait first, and then in advance. An entry that got none has a token
-// reserved, so that entries with many requests don't take them all.
+// grant grants tokens, first for requests that wait and then in advance. One token is reserved for
+// each entry that got none, so that entries with many requests don't take them all.
 func (l *Limiter) grant(from string, h *homeBucket, r Request, reply *Reply, now time.Time) {
 	l.charge(h, r, now)
 	unused := int64(0)
@@ -250,10 +254,10 @@
 		unused = r.Unused
 	}
 	h.bucket.Grant(now, 0, unused)
-	ahead := h.denialsAhead(from, now)
+	ahead := h.reservationsAhead(from, now)
 	available := max(int64(h.bucket.Level(now))-int64(ahead), 0)
 	n := min(r.Waiting, available)
-	if others := len(h.denials); others > 0 && n > 1 {
+	if others := len(h.reservations); others > 0 && n > 1 {
 		n = min(n, available/int64(others+1)+1)
 	}
 	if n == r.Waiting {
@@ -261,21 +265,21 @@
 	}
 	tokens := h.bucket.Grant(now, n, 0).Tokens
 	l.metrics.granted.Inc(tokens)
-	h.updateDenials(from, tokens, now)
+	h.updateReservations(from, tokens, now)
 	reply.Tokens, reply.Bucket = tokens, h.id
 	reply.Initial = h.countInitial(tokens, now)
 	reply.NextMicros = h.bucket.Wait(now, float64(ahead+1)).Microseconds()
-	h.tellToWait(max(r.Waiting-tokens, 0), r.Refused, reply, now)
+	h.scheduleRetries(max(r.Waiting-tokens, 0), r.Refused, reply, now)
 }
 
 // countInitial returns how many of the tokens that are granted now are initial ones of a new
 // bucket.
 func (h *homeBucket) countInitial(tokens int64, now time.Time) int64 {
-	if now.Sub(h.freshAt) >= Window {
+	if now.Sub(h.becameHomeAt) >= Window {
 		return 0
 	}
 	h.granted += tokens
-	from := h.freshAt
+	from := h.becameHomeAt
 	if h.refillFrom.After(from) {
 		from = h.refillFrom
 	}
@@ -285,11 +289,10 @@
 	return n
 }
 
-// charge takes the initial tokens from a new bucket that an earlier home has used while it was
-// new itself. If the home changes more than once within a window, the
-// initial tokens are granted only once.
+// charge removes from a new bucket the initial tokens that an earlier home has granted, so that
+// the initial tokens are granted only once if the home changes more than once within a window.
 func (l *Limiter) charge(h *homeBucket, r Request, now time.Time) {
-	if r.Bucket == h.id || r.Spent <= 0 || now.Sub(h.freshAt) >= Window {
+	if r.Bucket == h.id || r.Spent <= 0 || now.Sub(h.becameHomeAt) >= Window {
 		return
 	}
 	n := min(float64(r.Spent), l.initialLevel(h.limit, h.share)-h.charged)
@@ -300,9 +303,9 @@
 	}
 }
 
-// spare returns how many of the tokens that are left may be granted in advance. An entry that
-// has not refused any requests may not need them, so it gets them only while a reserve is left
-// for requests at other entries.
+// spare returns how many of the remaining tokens may be granted in advance. An entry that has not
+// refused any requests may not need them, so it gets only tokens beyond a reserve for requests at
+// other entries.
 func (l *Limiter) spare(h *homeBucket, r Request, left int64) int64 {
 	if r.Refused == 0 {
 		left -= int64(l.slack / 2 * h.share)
@@ -310,33 +313,34 @@
 	return max(left/2, 0)
 }
 
-// denialsAhead returns the number of entries for which a token is reserved before one for the
+// reservationsAhead returns the number of entries for which a token is reserved before one for the
 // given entry.
-func (h *homeBucket) denialsAhead(entry string, now time.Time) int {
-	h.denials = slices.DeleteFunc(h.denials, func(d denial) bool { return now.Sub(d.at) > denialTime })
-	if i := slices.IndexFunc(h.denials, func(d denial) bool { return d.entry == entry }); i >= 0 {
+func (h *homeBucket) reservationsAhead(entry string, now time.Time) int {
+	h.reservations = slices.DeleteFunc(h.reservations, func(r reservation) bool { return now.Sub(r.at) > reservationTime })
+	if i := slices.IndexFunc(h.reservations, func(r reservation) bool { return r.entry == entry }); i >= 0 {
 		return i
 	}
-	return len(h.denials)
+	return len(h.reservations)
 }
 
-func (h *homeBucket) updateDenials(entry string, tokens int64, now time.Time) {
-	i := slices.IndexFunc(h.denials, func(d denial) bool { return d.entry == entry })
+// updateReservations adds, renews or removes an entry's reservation after a grant of tokens.
+func (h *homeBucket) updateReservations(entry string, tokens int64, now time.Time) {
+	i := slices.IndexFunc(h.reservations, func(r reservation) bool { return r.entry == entry })
 	switch {
 	case tokens > 0 && i >= 0:
-		h.denials = slices.Delete(h.denials, i, i+1)
+		h.reservations = slices.Delete(h.reservations, i, i+1)
 	case tokens > 0:
 	case i >= 0:
-		h.denials[i].at = now
-	case len(h.denials) < maxDenials:
-		h.denials = append(h.denials, denial{entry, now})
+		h.reservations[i].at = now
+	case len(h.reservations) < maxReservations:
+		h.reservations = append(h.reservations, reservation{entry, now})
 	}
 }
 
-// tellToWait sets when callers that were refused may come back: one after the other, as
-// tokens will be added, after those that were told so before. elsewhere is the number of
-// callers that the entry has refused on its own since its last request.
-func (h *homeBucket) tellToWait(refused, elsewhere int64, reply *Reply, now time.Time) {
+// scheduleRetries sets when refused callers should retry: one after the other, at the rate at
+// which tokens are added, and after callers that were refused before. elsewhere is the number of
+// callers that the entry has refused on its own since its last Request.
+func (h *homeBucket) scheduleRetries(refused, elsewhere int64, reply *Reply, now time.Time) {
 	rate := h.limit.PerSecond * h.share
 	step := maxRetryAfter
 	if rate > 0 {
@@ -357,7 +361,7 @@
 	}
 }
 
-// tickHomes keeps the buckets up to date, and drops idle ones.
+// tickHomes updates the buckets and drops idle ones.
 func (l *Limiter) tickHomes(now time.Time) {
 	for _, name := range slices.Sorted(maps.Keys(l.homes)) {
 		h := l.homes[name]
--- a/cicadagateway/cicadaratelimit/limiter.go
+++ b/cicadagateway/cicadaratelimit/limiter.go
@@ -8,21 +8,20 @@
 //	(rate x 5 s + burst) x 1.1 + slack
 //
 // requests, also while entries are partitioned, killed, added, suspended and resumed. Of the
-// tenth of the rate, tokens that are leased before the window and used in it take up to
-// 0.04, and two homes that refill at the same time, as the entries learn of a change at
-// different times, the rest. Half of the slack is part of the capacity of a bucket, and half of
-// it, with a fifth of the burst, is the initial level of a new one. The following rules
-// apply:
+// tenth of the rate, up to 0.04 covers tokens that are leased before the window and used in it.
+// The rest covers two homes that refill at the same time, because entries learn of a change at
+// different times. Half of the slack is part of the capacity of a bucket. Half of it and a fifth
+// of the burst are the initial level of a new bucket. The following rules apply:
 //
 //   - An entry that has started, or was suspended, grants nothing until it is in contact with all
-//     entries that it knows, or for startTime. The next in the order of preference grants in its
+//     entries that it knows, or for startupPeriod. The next in the order of preference grants in its
 //     place.
 //   - The share of the rate that an entry grants is that of the entries whose home it is, out
 //     of all known, so that the shares of all homes add up to at most the whole. A share that
 //     rises takes effect after settleTime, one that falls at once.
 //   - The initial tokens that a new bucket has granted are taken from the bucket that replaces it
 //     within a window. The entries that got them report them, as does the earlier home itself.
-//     So several changes of the home in a window add one initial level.
+//     Several changes of the home within a window therefore add only one initial level.
 //
 // # Usage
 //
@@ -55,17 +54,17 @@
 	// suspendedAfter is the time without a tick after which an entry counts as suspended. It
 	// is shorter than the time in which the other entries replace one that is silent.
 	suspendedAfter = 800 * time.Millisecond
-	// startTime is how long after the start or a suspension an entry waits to hear all others before
-	// it grants tokens. State messages are sent every 250 ms.
-	startTime = 400 * time.Millisecond
+	// startupPeriod is how long an entry that has started or resumed waits for contact with all
+	// others before it grants tokens. State messages are sent every 250 ms.
+	startupPeriod = 400 * time.Millisecond
 	// defaultSlack is the number of requests that may exceed the limit in a window.
 	defaultSlack = 20
 )
 
 // A Limit is the limit of a customer. There is none if PerSecond is 0.
 type Limit struct {
-	PerSecond float64
-	Burst     float64
+	PerSecond float64 // requests per second
+	Burst     float64 // requests that may exceed the rate at once
 }
 
 // A Limiter decides at one entry which requests are within the limits. It is safe for
@@ -83,12 +82,12 @@
 
 	mu        sync.Mutex
 	view      *view
-	startedAt time.Time // or resumed
-	activeAt  time.Time // last call
-	customers map[string]*customer
-	homes     map[string]*homeBucket
-	postponed map[string]bool // customers whose home this entry was while it was starting
-	lastID    int64
+	startedAt time.Time              // or resumed
+	activeAt  time.Time              // last call
+	customers map[string]*customer   // by name, those that this entry serves
+	homes     map[string]*homeBucket // by customer, the buckets that this entry keeps
+	postponed map[string]bool        // customers whose home this entry was while it was starting
+	lastID    int64                  // of a Request
 	outbox    []outgoing
 }
 
@@ -155,9 +154,9 @@
 // now returns the time since the boot as a time, as cicadalimit expects.
 func (l *Limiter) now() time.Time { return time.Unix(0, 0).Add(l.clock()) }
 
-// begin locks the Limiter and returns the time. If the process was suspended, it first drops
-// what is no longer valid.
-func (l *Limiter) begin() time.Time {
+// lock locks the Limiter and returns the time. If the process was suspended, it drops the
+// buckets, since other entries may have replaced them. It also updates an outdated view.
+func (l *Limiter) lock() time.Time {
 	l.mu.Lock()
 	now := l.now()
 	if gap := now.Sub(l.activeAt); gap > suspendedAfter {
@@ -174,8 +173,8 @@
 	return now
 }
 
-// end unlocks the Limiter and sends the messages that have been queued since begin.
-func (l *Limiter) end() {
+// unlock unlocks the Limiter and sends the messages that have been queued since lock.
+func (l *Limiter) unlock() {
 	out := l.outbox
 	l.outbox = nil
 	l.mu.Unlock()
@@ -189,9 +188,10 @@
 	l.outbox = append(l.outbox, outgoing{to, m})
 }
 
-// starting reports whether this entry has just started or resumed, and does not hear all others yet.
+// starting reports whether this entry has just started or resumed, and is not yet in contact with
+// all others.
 func (l *Limiter) starting(now time.Time) bool {
-	return now.Sub(l.startedAt) < startTime && !l.view.complete()
+	return now.Sub(l.startedAt) < startupPeriod && !l.view.complete()
 }
 
 // Acquire decides whether a request of a customer may be served. It waits for the reply of
@@ -216,8 +216,8 @@
 // Return gives back a token of a request that no endpoint got. A token that was acquired more
 // than GrantLifetime ago counts as used, and must not be returned.
 func (l *Limiter) Return(customer string) {
-	now := l.begin()
-	defer l.end()
+	now := l.lock()
+	defer l.unlock()
 	if c := l.customers[customer]; c != nil {
 		c.lease.Return(now)
 		c.countTaken(now, -1)
@@ -226,8 +226,8 @@
 
 // Receive handles a message of another entry.
 func (l *Limiter) Receive(m Message) {
-	now := l.begin()
-	defer l.end()
+	now := l.lock()
+	defer l.unlock()
 	if m.View != nil {
 		l.view.setPeer(m.From, *m.View, now)
 	}
@@ -243,8 +243,8 @@
 
 // Tick does the periodic work. It must be called every TickInterval.
 func (l *Limiter) Tick() {
-	now := l.begin()
-	defer l.end()
+	now := l.lock()
+	defer l.unlock()
 	l.view.expire(now)
 	for _, name := range l.view.receivers(now) {
 		v := l.view.message()
--- a/cicadagateway/cicadaratelimit/message.go
+++ b/cicadagateway/cicadaratelimit/message.go
@@ -9,15 +9,17 @@
 	Request *Request `cbor:"21,keyasint,omitempty"`
 	// Reply answers a request.
 	Reply *Reply `cbor:"22,keyasint,omitempty"`
-	// View says which entries the sender is not in contact with.
+	// View says which entries the sender is in contact with.
 	View *View `cbor:"23,keyasint,omitempty"`
 }
 
-// A Request asks for tokens.
+// A Request asks the home entry of a customer for tokens, returns unused ones, or reports the
+// initial tokens of an earlier home.
 type Request struct {
 	// ID is the time at which the request was sent, by the clock of the sender, in
 	// nanoseconds. It differs between the requests of a sender.
-	ID       int64  `cbor:"1,keyasint"`
+	ID int64 `cbor:"1,keyasint"`
+	// Customer is the customer's name.
 	Customer string `cbor:"2,keyasint"`
 	// PerSecond and Burst are the limit that the sender knows. They apply where the home
 	// entry has no view of its own.
@@ -27,7 +29,7 @@
 	// request for none has no reply.
 	Want    int64 `cbor:"5,keyasint,omitempty"`
 	Waiting int64 `cbor:"6,keyasint,omitempty"`
-	// Refused is the number of callers that the sender has told to come back since its last
+	// Refused is the number of callers that the sender has refused on its own since its last
 	// request.
 	Refused int64 `cbor:"7,keyasint,omitempty"`
 	// Unused is the number of tokens that the sender returns to Bucket.
@@ -51,19 +53,22 @@
 
 // A Reply answers a request.
 type Reply struct {
+	// ID and Customer are those of the request.
 	ID       int64  `cbor:"1,keyasint"`
 	Customer string `cbor:"2,keyasint"`
-	Status   int    `cbor:"3,keyasint,omitempty"`
+	// Status is statusGranted or the reason why the request was not served.
+	Status int `cbor:"3,keyasint,omitempty"`
 	// Home is the home entry in the view of the sender, if that isn't the sender.
-	Home   string `cbor:"4,keyasint,omitempty"`
-	Tokens int64  `cbor:"5,keyasint,omitempty"`
+	Home string `cbor:"4,keyasint,omitempty"`
+	// Tokens is the number of tokens granted.
+	Tokens int64 `cbor:"5,keyasint,omitempty"`
 	// Bucket identifies the bucket that the tokens are from. Initial of them are from its
 	// initial level, and not from its refill.
 	Bucket  uint64 `cbor:"6,keyasint,omitempty"`
 	Initial int64  `cbor:"7,keyasint,omitempty"`
-	// NextMicros is the time until another request may be granted tokens. RetryMicros is
-	// the time after which the first caller that was refused may come back, and StepMicros
-	// that between one such caller and the next.
+	// NextMicros is the time until another request may be granted tokens. RetryMicros is the
+	// time after which the first refused caller should retry, and StepMicros the time between the
+	// retries of two refused callers. All are in microseconds.
 	NextMicros  int64 `cbor:"8,keyasint,omitempty"`
 	RetryMicros int64 `cbor:"9,keyasint,omitempty"`
 	StepMicros  int64 `cbor:"10,keyasint,omitempty"`
--- a/cicadagateway/cicadaratelimit/view.go
+++ b/cicadagateway/cicadaratelimit/view.go
@@ -20,13 +20,13 @@
 	// viewsPerTick limits the views sent on one tick, so that their volume doesn't grow with
 	// the number of entries.
 	viewsPerTick = 8
-	// viewDelay is the time after a change in which the views of others may not show it yet.
+	// viewDelay is the time after a change within which views of other entries may not contain it.
 	viewDelay = time.Second
-	// goneDelay is the time by which others learn later that an entry is gone. Their views of
-	// it are not used before.
+	// goneDelay is the time within which other entries learn that an entry is gone. Their views of
+	// that entry are not used earlier.
 	goneDelay = 600 * time.Millisecond
-	// viewRepeatTime is how long views are sent after the last entry has come back, or
-	// another's view has differed.
+	// viewRepeatTime is how long views are sent after an entry was last in contact again, or after
+	// a different view was last received.
 	viewRepeatTime = 2 * time.Second
 	// maxMissing limits the names in a View.
 	maxMissing = 32
@@ -57,19 +57,20 @@
 	version uint64               // incremented when the view changes
 	gone    map[string]time.Time // entries that were live, and when contact with them ended
 	peers   map[string]peerView
-	// returnedAt is when an entry that had been gone was last in contact again. While it was
+	// rejoinedAt is when an entry that had been gone was last in contact again. While it was
 	// gone, others may have been homes of the same customers.
-	returnedAt time.Time
+	rejoinedAt time.Time
 	changedAt  time.Time // of live
-	// differsAt is when a view was last received that differs from this one. Its sender has
-	// to know this one.
-	differsAt time.Time
-	refreshed time.Time
-	settled   bool // viewDelay has passed since the change
-	learned   bool // goneDelay has passed since the change
-	sendNext  int  // index of the live entry that is sent the next view
+	// differenceSeenAt is when a view was last received that differs from this one. This view must
+	// then be sent to the sender.
+	differenceSeenAt time.Time
+	refreshed        time.Time
+	settled          bool // viewDelay has passed since the change
+	learned          bool // goneDelay has passed since the change
+	sendNext         int  // index of the live entry that is sent the next view
 }
 
+// A peerView is the last View received from another entry.
 type peerView struct {
 	View
 	at time.Time
@@ -82,7 +83,7 @@
 	return &view{self: self, live: []string{self}, known: 1, gone: make(map[string]time.Time), peers: make(map[string]peerView)}
 }
 
-// set sets the members.
+// set replaces the entries that are live and records those that are gone or back.
 func (v *view) set(m Members, now time.Time) {
 	v.refreshed = now
 	live := slices.Sorted(slices.Values(m.Live))
@@ -103,7 +104,7 @@
 	for _, name := range live {
 		if _, ok := v.gone[name]; ok {
 			delete(v.gone, name)
-			v.returnedAt = now
+			v.rejoinedAt = now
 		}
 	}
 	v.live, v.known, v.digest = live, known, digestOf(live)
@@ -111,7 +112,7 @@
 	v.update()
 }
 
-// update brings the version and what depends on the names up to date.
+// update increments the version and computes what depends on the names in the view.
 func (v *view) update() {
 	v.version++
 	v.all = v.digest
@@ -248,8 +249,8 @@
 // of entries that are now in contact.
 func (v *view) homeSince(customer string, started time.Time) time.Time {
 	since := started
-	if v.returnedAt.After(since) {
-		since = v.returnedAt
+	if v.rejoinedAt.After(since) {
+		since = v.rejoinedAt
 	}
 	for _, name := range v.rank(customer) {
 		if name == v.self {
@@ -262,13 +263,13 @@
 	return since
 }
 
-// setPeer sets what another entry says of its contacts.
+// setPeer records the View received from another entry.
 func (v *view) setPeer(name string, p View, now time.Time) {
 	if !v.isLive(name) {
 		return
 	}
 	if p.Live != v.digest {
-		v.differsAt = now
+		v.differenceSeenAt = now
 	}
 	old, ok := v.peers[name]
 	v.peers[name] = peerView{View: p, at: now, explained: v.explains(p)}
@@ -287,7 +288,7 @@
 // receivers returns the entries that are to be sent the view on this tick. There are none
 // while all entries have been in contact with each other for a while.
 func (v *view) receivers(now time.Time) []string {
-	if len(v.gone) == 0 && now.Sub(v.returnedAt) > viewRepeatTime && now.Sub(v.differsAt) > viewRepeatTime {
+	if len(v.gone) == 0 && now.Sub(v.rejoinedAt) > viewRepeatTime && now.Sub(v.differenceSeenAt) > viewRepeatTime {
 		return nil
 	}
 	names := make([]string, 0, viewsPerTick)
