Separate weighted work from fair shares in the order of waiters

Cause: share named the weighted work of a customer, level and excess named sums over customers, and spare named idle slots, so that the order and the reserve could only be read with their definitions at hand. Change: rename unexported identifiers of cicadaplace and state what the reserve, the accounts and RecordWork count. No behaviour changes. Tests: go vet, revive and go test of cicadaplace pass.

--- a/cicadagateway/cicadaplace/fairness.go
+++ b/cicadagateway/cicadaplace/fairness.go
@@ -10,17 +10,18 @@
 )
 
 const (
+	// workHalfLife is the half-life of recorded work. It is about the length of a load peak.
 	workHalfLife = 2 * time.Second
 	// maxCustomers limits the customers of this process whose work is recorded.
 	maxCustomers = 4096
 	// minRecordedWork, in tokens, is the decayed work below which a customer is forgotten.
 	minRecordedWork = 1.0
-	// unstatedWork, in tokens, is the work of a request that states none.
-	unstatedWork = 100.0
+	// defaultWork, in tokens, is the work assumed for a request that states none.
+	defaultWork = 100.0
 	// minRequestWork and maxRequestWork, in tokens, limit what a request may state.
 	minRequestWork = 1.0
 	maxRequestWork = 1e6
-	// maxWorkAge limits the growth of the scale of work, 2^(age/workHalfLife).
+	// maxWorkAge limits the scale of work, 2^(age/workHalfLife), so that it does not overflow.
 	maxWorkAge = 100 * workHalfLife
 )
 
@@ -37,7 +38,7 @@
 // requestWork returns the work that a request is charged with.
 func requestWork(stated float64) float64 {
 	if !(stated > 0) { // also if it is not a number
-		return unstatedWork
+		return defaultWork
 	}
 	return min(max(stated, minRequestWork), maxRequestWork)
 }
@@ -58,9 +59,11 @@
 	queued float64
 }
 
-// share returns the rank of the customer's next request among those of equal priority.
-func (a *customerAccount) share() float64 { return (a.local + a.peers + a.queued) / a.weight }
+// weightedWork returns the scaled work of the customer divided by its weight. Among requests of
+// equal priority, that of the customer with the least weighted work comes first.
+func (a *customerAccount) weightedWork() float64 { return (a.local + a.peers + a.queued) / a.weight }
 
+// unused reports whether the account may be dropped.
 func (a *customerAccount) unused(scale float64) bool {
 	return a.reports == 0 && a.waiting == 0 && a.local < minRecordedWork*scale
 }
@@ -77,17 +80,17 @@
 	scaledSince time.Time // when the scale was 1
 	byID        map[uint64]*customerAccount
 	peers       map[string]*peerUsage
-	pruneAt     int               // number of accounts
-	nextExpiry  time.Time         // no report expires before this
-	changes     uint64            // counts the changes of work
-	levels      map[int]workLevel // by priority
+	pruneAt     int                   // number of accounts from which prune is called
+	nextExpiry  time.Time             // no report expires before this
+	changes     uint64                // counts the changes of work
+	competing   map[int]competingWork // by priority, reused for competingWorkInterval
 }
 
 func newWorkAccounts() *workAccounts {
-	return &workAccounts{byID: make(map[uint64]*customerAccount), peers: make(map[string]*peerUsage), levels: make(map[int]workLevel), pruneAt: maxCustomers}
+	return &workAccounts{byID: make(map[uint64]*customerAccount), peers: make(map[string]*peerUsage), competing: make(map[int]competingWork), pruneAt: maxCustomers}
 }
 
-// scale returns the factor of work that is done now.
+// scale returns the factor by which work that is done now is multiplied.
 func (s *workAccounts) scale(now time.Time) float64 {
 	if now.Sub(s.scaledSince) > maxWorkAge {
 		s.rescale(now)
@@ -95,6 +98,7 @@
 	return math.Exp2(now.Sub(s.scaledSince).Seconds() / workHalfLife.Seconds())
 }
 
+// rescale sets the scale to 1.
 func (s *workAccounts) rescale(now time.Time) {
 	factor := math.Exp2(-now.Sub(s.scaledSince).Seconds() / workHalfLife.Seconds())
 	s.scaledSince = now
@@ -103,7 +107,7 @@
 		a.peers *= factor
 		a.queued *= factor
 	}
-	clear(s.levels)
+	clear(s.competing)
 	for _, p := range s.peers {
 		for a := range p.work {
 			p.work[a] *= factor
@@ -124,8 +128,8 @@
 	return a
 }
 
-// prune drops unused accounts and, if too many are left, those with the least work. It makes
-// room for many new accounts, because it visits all of them.
+// prune drops unused accounts and, if too many are left, those with the least work. It drops many
+// at once, because it visits all accounts.
 func (s *workAccounts) prune(now time.Time) {
 	const room = maxCustomers / 4
 	scale := s.scale(now)
@@ -240,8 +244,8 @@
 	s.nextExpiry = oldest.Add(peerTimeout)
 }
 
-// LocalUsage returns the n customers with the most recent work in this process. They are to be
-// sent to its peers, which pass them to SetPeerUsage.
+// LocalUsage returns the n customers with the most recent work in this process. The caller sends
+// them to peers, which pass them to SetPeerUsage.
 func (t *Table) LocalUsage(n int) []CustomerUsage {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -249,17 +253,17 @@
 }
 
 // SetPeerUsage replaces the recent work of customers in a peer. It expires as the counts of the
-// peer do. Messages need not contain it as often as the counts; it is not to be called for those
-// that do not.
+// peer do. It must not be called for a message without usage, which does not mean that there is
+// none.
 func (t *Table) SetPeerUsage(peer string, usage []CustomerUsage) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.work.setPeer(peer, usage, time.Now())
 }
 
-// RecordWork corrects the work of the request, in tokens, when its true amount is known. It is 0
-// if the endpoint has not run the request. More work than stated counts from now on, as the
-// endpoint has done it lately.
+// RecordWork corrects the work of the request, in tokens, once its actual amount is known: 0 if the
+// endpoint has not run the request. Work beyond the stated amount is charged as of now, since the
+// endpoint has done it recently. A reduction is decayed since the grant, as the charge was.
 func (g *Grant) RecordWork(work float64) {
 	t := g.table
 	t.mu.Lock()
--- a/cicadagateway/cicadaplace/fairness_test.go
+++ b/cicadagateway/cicadaplace/fairness_test.go
@@ -44,7 +44,7 @@
 // Guards against reports of peers that are counted twice, or for ever after the peer has failed.
 func TestPeerUsageIsReplacedAndExpires(t *testing.T) {
 	s, now := newWorkAccounts(), time.Now()
-	share := func(id uint64) float64 { return math.Round(s.account(id, now).share() / s.scale(now)) }
+	share := func(id uint64) float64 { return math.Round(s.account(id, now).weightedWork() / s.scale(now)) }
 	s.setPeer("a", []CustomerUsage{{1, 100}, {2, 50}}, now)
 	s.setPeer("b", []CustomerUsage{{1, 30}}, now)
 	assert.Equal(t, share(1), 130.0)
@@ -74,10 +74,10 @@
 			{400, 0, 0},
 			{400, 100, 100 / 2},
 			{400, 1000, 400/2 + 600},
-			{0, math.NaN(), unstatedWork / 2},
-			{math.NaN(), -1, unstatedWork / 2},
+			{0, math.NaN(), defaultWork / 2},
+			{math.NaN(), -1, defaultWork / 2},
 			{math.Inf(1), 0, 0},
-			{-1, math.Inf(1), unstatedWork/2 + maxRequestWork - unstatedWork},
+			{-1, math.Inf(1), defaultWork/2 + maxRequestWork - defaultWork},
 		} {
 			name := fmt.Sprint(c)
 			g, err := table.Acquire(t.Context(), SlotRequest{Service: "s", Customer: name, Work: c.stated})
--- a/cicadagateway/cicadaplace/order.go
+++ b/cicadagateway/cicadaplace/order.go
@@ -22,9 +22,10 @@
 	if c := compareClasses(a, b); c != 0 {
 		return c
 	}
-	return cmp.Or(cmp.Compare(a.share, b.share), cmp.Compare(a.arrival, b.arrival))
+	return cmp.Or(cmp.Compare(a.weightedWork, b.weightedWork), cmp.Compare(a.arrival, b.arrival))
 }
 
+// compareClasses orders waiters by what takes precedence over the work of their customers.
 func compareClasses(a, b *waiter) int {
 	if a.request.Continues != b.request.Continues {
 		if a.request.Continues {
@@ -35,9 +36,9 @@
 	return cmp.Compare(a.request.Priority, b.request.Priority)
 }
 
-// rankedApart reports whether the order of two requests depends on their customers or
-// priorities. If it does not, neither may displace the other.
-func rankedApart(a, b SlotRequest) bool {
+// orderMatters reports whether the order of two requests depends on their customers or
+// priorities. Otherwise they are ordered by arrival, and neither may displace the other.
+func orderMatters(a, b SlotRequest) bool {
 	return a.Customer != "" || b.Customer != "" || a.Priority != b.Priority
 }
 
@@ -52,7 +53,7 @@
 		w.account.queued = 0
 	}
 	for _, w := range waiters {
-		w.share = w.account.share()
+		w.weightedWork = w.account.weightedWork()
 		w.account.queued += w.work * scale
 	}
 	for _, w := range waiters {
@@ -65,7 +66,8 @@
 	return true
 }
 
-// position returns how many of the ranked waiters come before a new one, which it ranks.
+// position returns how many of the ranked waiters come before a new one, and sets the weighted work
+// of the new one.
 func (s *workAccounts) position(waiters []*waiter, w *waiter, now time.Time) int {
 	scale := s.scale(now)
 	for _, other := range waiters {
@@ -73,7 +75,7 @@
 			w.account.queued += other.work * scale
 		}
 	}
-	w.share = w.account.share()
+	w.weightedWork = w.account.weightedWork()
 	w.account.queued = 0
 	ahead, _ := slices.BinarySearchFunc(waiters, w, compareWaiters)
 	return ahead
@@ -104,7 +106,7 @@
 	if len(s.waiters) < maxWaitersPerSlot*s.slots {
 		return true
 	}
-	if ahead >= len(s.waiters) || !rankedApart(w.request, s.waiters[len(s.waiters)-1].request) {
+	if ahead >= len(s.waiters) || !orderMatters(w.request, s.waiters[len(s.waiters)-1].request) {
 		return false
 	}
 	s.takeWaiter(len(s.waiters) - 1).refuse()
@@ -113,11 +115,12 @@
 
 // expectedWait estimates how long a request will wait for a slot behind others.
 func (t *Table) expectedWait(svc *service, w *waiter, ahead int, now time.Time) time.Duration {
-	left := t.work.leftByOthers(w.account, w.request.Priority, now)
+	left := t.work.yieldedByOthers(w.account, w.request.Priority, now)
 	return svc.expectedWait(ahead, w.request, left, now)
 }
 
-// enqueue inserts a waiter behind others. Those behind it that it makes too late are refused.
+// enqueue inserts a waiter behind others. Waiters behind it that would now miss their deadline are
+// refused.
 func (t *Table) enqueue(svc *service, w *waiter, ahead int, now time.Time) {
 	w.granted = make(chan *Grant, 1)
 	w.deadline = now.Add(w.request.MaxWait)
@@ -129,17 +132,17 @@
 	}
 }
 
-// refuseDelayed refuses the waiters from an index on that would be granted a slot after their
-// deadline, now that they wait for another request. A waiter that was expected to be late for
-// other reasons is left to its timeout, as that expectation is rough.
+// refuseDelayed refuses the waiters from an index on that are expected to miss their deadline
+// because by was inserted before them. Waiters that were expected to miss it anyway wait until
+// their timeout, because the expected wait is an estimate.
 func (t *Table) refuseDelayed(svc *service, by *waiter, from int, now time.Time) {
 	ordinary := svc.expectedWait(0, SlotRequest{}, 0, now)
-	preferred := svc.expectedWait(0, SlotRequest{}, t.work.level(by.request.Priority, now).above, now)
+	preferred := svc.expectedWait(0, SlotRequest{}, t.work.competingWith(by.request.Priority, now).above, now)
 	kept := svc.waiters[:from]
 	for _, w := range svc.waiters[from:] {
-		if !w.request.Continues && rankedApart(w.request, by.request) {
+		if !w.request.Continues && orderMatters(w.request, by.request) {
 			waitForOne := ordinary
-			if t.work.leftByOthers(w.account, w.request.Priority, now) > 0 {
+			if t.work.yieldedByOthers(w.account, w.request.Priority, now) > 0 {
 				waitForOne = preferred
 			}
 			w.expectedAt = w.expectedAt.Add(waitForOne)
--- a/cicadagateway/cicadaplace/queue.go
+++ b/cicadagateway/cicadaplace/queue.go
@@ -134,7 +134,7 @@
 
 // expectedWait estimates how long a request that joins the queue behind others will wait
 // for a slot. It assumes that the waiters of this process get only slots that its own
-// online requests release, a part of those that other processes release (see leftByOthers), or
+// online requests release, a part of those that other processes release (see yieldedByOthers), or
 // the tokens of the endpoints if all of them have limits.
 func (s *service) expectedWait(ahead int, req SlotRequest, left float64, now time.Time) time.Duration {
 	if rate, limited := s.tokenRate(now); limited {
@@ -214,6 +214,6 @@
 			continue
 		}
 		svc.takeWaiter(i).granted <- t.grant(e, w)
-		reserve.spare--
+		reserve.idle--
 	}
 }
--- a/cicadagateway/cicadaplace/reserve_test.go
+++ b/cicadagateway/cicadaplace/reserve_test.go
@@ -60,7 +60,7 @@
 			assert.NilError(t, acquire(SlotRequest{Customer: "a", Work: 200}))
 		}
 		table.SetEndpoints(endpoints(9, 8))
-		time.Sleep(levelInterval)
+		time.Sleep(competingWorkInterval)
 		var err error
 		n := 0
 		for ; err == nil; n++ {
--- a/cicadagateway/cicadaplace/table.go
+++ b/cicadagateway/cicadaplace/table.go
@@ -113,15 +113,15 @@
 func (e *endpointState) total() int  { return e.online() + e.batch() }
 
 type waiter struct {
-	request    SlotRequest
-	enqueuedAt time.Time
-	granted    chan *Grant // sends nil if the request is refused
-	arrival    uint64      // ascending
-	work       float64     // in tokens
-	account    *customerAccount
-	share      float64   // see compareWaiters
-	deadline   time.Time // end of MaxWait
-	expectedAt time.Time // when a slot was expected, considering later requests that came before
+	request      SlotRequest
+	enqueuedAt   time.Time
+	granted      chan *Grant // sends nil if the request is refused
+	arrival      uint64      // ascending
+	work         float64     // in tokens
+	account      *customerAccount
+	weightedWork float64   // of the customer, see compareWaiters
+	deadline     time.Time // end of MaxWait
+	expectedAt   time.Time // when a slot was expected, considering later requests that came before
 }
 
 type service struct {
