Use measurement terms in the learning of endpoint speed

Change: rename unexported identifiers of cicadaplace (unsent, sentMean, baseline, estimateHoldTime and others) and rewrite the comments. No behaviour, metrics, values of Why or messages change.

--- a/cicadagateway/cicadaplace/limit.go
+++ b/cicadagateway/cicadaplace/limit.go
@@ -137,11 +137,12 @@
 
 // forgetDelay spreads the times at which processes forget the limit of an endpoint.
 func forgetDelay(name, endpoint string) time.Duration {
-	return time.Duration(hashPart(name, endpoint) * float64(limitTimeout))
+	return time.Duration(hashFraction(name, endpoint) * float64(limitTimeout))
 }
 
-// hashPart returns a number from 0 to 1 that depends on a process and an endpoint.
-func hashPart(name, endpoint string) float64 {
+// hashFraction returns a number from 0 to 1 that is fixed for a process and an endpoint, and spreads
+// what several processes do at different times.
+func hashFraction(name, endpoint string) float64 {
 	return float64(xxhash.Sum64String(name+"\x00"+endpoint)) / math.MaxUint64
 }
 
--- a/cicadagateway/cicadaplace/sampler.go
+++ b/cicadagateway/cicadaplace/sampler.go
@@ -6,12 +6,13 @@
 )
 
 const (
-	// paceWindow is how long a stream is observed for one sample of its pace.
+	// paceWindow is the length of a stream over which one sample of its pace is taken.
 	paceWindow = 250 * time.Millisecond
-	// minPaceEvents is how many events the rest of a stream must have to make a sample.
+	// minPaceEvents is the number of events from which an incomplete window at the end of a stream
+	// gives a sample.
 	minPaceEvents = 3
-	// blockedWrite is how long a write to a caller takes at least if the caller is slow. The
-	// events that follow have waited at the endpoint's connection.
+	// blockedWrite is the duration of a write to a caller from which the caller counts as slow. The
+	// next events have then waited in the endpoint's connection and give no sample.
 	blockedWrite = 10 * time.Millisecond
 )
 
@@ -19,10 +20,10 @@
 // reads the response makes. A nil Sampler does nothing.
 type Sampler struct {
 	grant *Grant
-	kind  speedKind // of what is awaited
+	kind  speedKind // of the sample that is awaited
 	size  int       // tokens of the prompt
 
-	since   time.Time // of what is awaited: the request was sent, or the last event was read
+	since   time.Time // start of the awaited sample: the request was sent, or the last event was read
 	writing time.Time // when the current write to the caller began
 	blocked bool      // the last write was blocked
 	events  int       // in the current window
@@ -95,6 +96,7 @@
 	}
 }
 
+// endWindow records the mean pace of the current window and begins another.
 func (s *Sampler) endWindow(now time.Time) {
 	s.grant.recordSpeed(speedPace, s.window/time.Duration(s.events), 0, now)
 	s.events, s.window = 0, 0
@@ -136,8 +138,8 @@
 	s.grant.stopSampling()
 }
 
-// checkLate counts requests in flight that wait long for their next event: an endpoint that
-// responds to nothing would else give no samples.
+// checkLate records samples of requests in flight that have waited long for their next event.
+// Otherwise an endpoint that does not respond would give no samples.
 func (t *Table) checkLate(now time.Time) {
 	l := t.speed
 	if now.Sub(l.checkedAt) < speedRefreshInterval {
@@ -149,13 +151,15 @@
 	}
 }
 
+// checkLate records a sample if the request has waited lateFactor times its baseline, and again each
+// time the wait has doubled since.
 func (s *Sampler) checkLate(now time.Time) {
 	if !s.writing.IsZero() || !s.grant.learns() {
 		return
 	}
-	_, usual := s.grant.speedCell(s.kind, s.size)
-	x := math.Log(now.Sub(s.since).Seconds()) - usual.mean - s.grant.table.speed.service(s.grant.endpoint.Service).level
-	if !usual.trained() || x < math.Log(lateFactor)+float64(s.late)*math.Ln2 {
+	_, baseline := s.grant.speedCell(s.kind, s.size)
+	x := math.Log(now.Sub(s.since).Seconds()) - baseline.mean - s.grant.table.speed.service(s.grant.endpoint.Service).level
+	if !baseline.trained() || x < math.Log(lateFactor)+float64(s.late)*math.Ln2 {
 		return
 	}
 	s.late++
--- a/cicadagateway/cicadaplace/speed.go
+++ b/cicadagateway/cicadaplace/speed.go
@@ -20,29 +20,29 @@
 var speedKindNames = [speedKinds]string{"first-event", "pace", "response"}
 
 const (
-	// speedRefreshInterval is how often the slowness of a service's endpoints is computed. It grows
-	// with the number of endpoints up to a maximum, as the cost does.
+	// speedRefreshInterval is the interval at which the slowness of a service's endpoints is computed.
+	// It grows with the number of endpoints, as the cost does, up to maxSpeedRefreshInterval.
 	speedRefreshInterval    = 100 * time.Millisecond
 	speedRefreshPerEndpoint = time.Millisecond
 	maxSpeedRefreshInterval = 500 * time.Millisecond
-	// maxSlowness and minSlowness bound what an endpoint is taken for.
+	// maxSlowness and minSlowness bound the slowness of an endpoint.
 	maxSlowness = 8.0
 	minSlowness = 1.0 / 3
-	// speedDeadZone is how much slower or faster than the median an endpoint must be for this to
-	// count. Without it, noise would order endpoints of the same speed.
+	// speedDeadZone is the ratio to the median within which an endpoint counts as typical. Without
+	// it, noise would order endpoints of the same speed.
 	speedDeadZone = 1.15
-	// avoidedSlowness is how slow an endpoint must be to be avoided, and maxAvoidedPart how much of
-	// a service may be.
-	avoidedSlowness = 2.0
-	maxAvoidedPart  = 1.0 / 3
-	// minLevelEndpoints is how many endpoints a process must have samples of to tell load from the
-	// slowness of an endpoint.
+	// avoidedSlowness is the slowness from which an endpoint is avoided, and maxAvoidedFraction the
+	// largest fraction of a service's endpoints that are.
+	avoidedSlowness    = 2.0
+	maxAvoidedFraction = 1.0 / 3
+	// minLevelEndpoints is the number of endpoints with samples that a process needs to distinguish
+	// load from the slowness of an endpoint.
 	minLevelEndpoints = 3
-	// ownDeviation is by how much what a process has measured must differ from what all have, for
-	// an endpoint to count as slow for this process alone.
+	// ownDeviation is the ratio between the estimates of this process and of all processes from which
+	// an endpoint counts as slow, or fast, for this process alone.
 	ownDeviation = 1.5
-	// lateFactor is how many times the usual time a request must have waited to count before
-	// it gets its event, and again whenever that time has doubled.
+	// lateFactor is the multiple of the baseline time after which a request that still waits gives a
+	// sample. It gives another one each time its wait has doubled.
 	lateFactor = 3.0
 )
 
@@ -56,13 +56,13 @@
 // An endpointSpeed is what is known about the speed of an endpoint. It is nil if speeds are not
 // learned.
 type endpointSpeed struct {
-	own   speedEstimate // from this process's samples
-	peers speedEstimate // from those of peers
-	news  speedEstimate // from the own samples that peers have not been told
-	told  float64       // the mean that peers were told last
+	own      speedEstimate // from this process's samples
+	peers    speedEstimate // from those of peers
+	unsent   speedEstimate // from this process's samples that have not been sent to peers
+	sentMean float64       // the mean that was last sent to peers
 
 	value    float64 // see estimate
-	blend    float64 // by how much the own samples count in it instead of those of all
+	blend    float64 // weight of this process's samples in value, from 0 to 1
 	relative float64 // logarithm of the slowness relative to the median
 	slowness float64 // relative, beyond the dead zone; 1 within it
 	avoided  bool
@@ -71,18 +71,19 @@
 	trial bool
 	why   string
 	limit loadLimit
-	// peersFrom is when samples of peers count again after a restart: until then they may be
-	// about the former process.
-	peersFrom time.Time
-	delay     time.Duration // by which this process tries a slow endpoint later than others
+	// ignorePeersUntil is the end of restartQuietTime after a restart of the endpoint.
+	ignorePeersUntil time.Time
+	// retryDelay is added to estimateHoldTime, so that processes try a slow endpoint at different
+	// times.
+	retryDelay time.Duration
 }
 
-// restartQuietTime is how long after the restart of an endpoint samples of peers may be about the
-// process that has ended.
+// restartQuietTime is how long samples of peers are ignored after the restart of an endpoint, since
+// they may be about the process that has ended.
 const restartQuietTime = time.Second
 
-// maxRetryDelay spreads the times at which processes try a slow endpoint again, so that the first
-// ones find out for all.
+// maxRetryDelay is the time over which processes spread their retries of a slow endpoint, so that
+// the others learn the result from the first ones.
 const maxRetryDelay = 3 * time.Second
 
 // Reasons for the slowness of an endpoint, see Speed.
@@ -123,20 +124,20 @@
 	return s
 }
 
-// resetSpeed begins anew, at slowness 1, for an endpoint that is new or has restarted.
+// resetSpeed sets the slowness of an endpoint that is new or has restarted to 1, without samples.
 func (t *Table) resetSpeed(e *endpointState, id string, restarted bool) {
 	if t.speed == nil {
 		return
 	}
-	delay := time.Duration(hashPart(t.name, id) * float64(maxRetryDelay))
-	e.speed = &endpointSpeed{slowness: 1, why: whyNoSamples, delay: delay}
+	delay := time.Duration(hashFraction(t.name, id) * float64(maxRetryDelay))
+	e.speed = &endpointSpeed{slowness: 1, why: whyNoSamples, retryDelay: delay}
 	if restarted {
-		e.speed.peersFrom = time.Now().Add(restartQuietTime)
+		e.speed.ignorePeersUntil = time.Now().Add(restartQuietTime)
 	}
 }
 
-// learns reports whether the grant's request may tell about the speed of its endpoint: the table
-// learns speeds, and the endpoint has not restarted since.
+// learns reports whether the grant's request gives samples of its endpoint: the table learns speeds,
+// and the endpoint has not restarted since the grant.
 func (g *Grant) learns() bool {
 	if g.table.speed == nil || g.state.speed == nil || g.released {
 		return false
@@ -144,61 +145,63 @@
 	return g.endpoint.StartedMs == g.state.StartedMs || g.startedMs() == g.state.StartedMs
 }
 
-// speedCell returns the cells of the grant's request, see serviceSpeed.cell. What the endpoint ran
-// during the request is about the mean of what it ran at the start and runs now.
-func (g *Grant) speedCell(kind speedKind, size int) (own, usual *speedCell) {
+// speedCell returns the cells of the grant's request, see serviceSpeed.cell. The load during the
+// request is approximated by the mean of the loads at the grant and now.
+func (g *Grant) speedCell(kind speedKind, size int) (own, baseline *speedCell) {
 	load := (g.load + max(g.state.total()-1, 0)) / 2
 	return g.table.speed.service(g.endpoint.Service).cell(kind, load, g.state.Slots, size)
 }
 
-// recordSpeed records that something took the time d.
+// recordSpeed records a sample of a kind that took the time d, for a prompt of size tokens. The
+// caller must hold the table's lock.
 func (g *Grant) recordSpeed(kind speedKind, d time.Duration, size int, now time.Time) {
 	if !g.learns() || d <= 0 {
 		return
 	}
 	x, speed := math.Log(d.Seconds()), g.state.speed
-	cell, usual := g.speedCell(kind, size)
+	cell, baseline := g.speedCell(kind, size)
 	x -= g.table.speed.service(g.endpoint.Service).level
-	if usual.trained() {
-		speed.add(x-usual.mean, now)
+	if baseline.trained() {
+		speed.add(x-baseline.mean, now)
 	}
-	if speed.why != whyFading { // else relative is no longer what the endpoint is known for
+	if speed.why != whyFading { // otherwise relative is outdated
 		cell.add(x - speed.relative)
 	}
 	g.table.speed.metrics.samples[kind].Inc(1)
 }
 
-// add records a sample of this process.
+// add records a sample of this process, the logarithm x of a ratio to the baseline.
 func (s *endpointSpeed) add(x float64, now time.Time) {
 	x = min(max(x, logMinSlowness), logMaxSlowness)
 	s.peers.settle(x, now)
 	s.own.add(x, 1, now)
-	s.news.add(x, 1, now)
+	s.unsent.add(x, 1, now)
 }
 
 // RecordFirstEvent records the time from sending the request, with a prompt of some tokens, to the
 // first event.
 func (g *Grant) RecordFirstEvent(d time.Duration, promptTokens int) {
-	g.recordLocked(speedFirstEvent, d, promptTokens)
+	g.lockAndRecord(speedFirstEvent, d, promptTokens)
 }
 
 // RecordPace records the mean time from one event to the next.
-func (g *Grant) RecordPace(perEvent time.Duration) { g.recordLocked(speedPace, perEvent, 0) }
+func (g *Grant) RecordPace(perEvent time.Duration) { g.lockAndRecord(speedPace, perEvent, 0) }
 
 // RecordResponse records the time from sending the request to its complete response, which is not
 // a stream.
 func (g *Grant) RecordResponse(d time.Duration, promptTokens int) {
-	g.recordLocked(speedResponse, d, promptTokens)
+	g.lockAndRecord(speedResponse, d, promptTokens)
 }
 
-func (g *Grant) recordLocked(kind speedKind, d time.Duration, size int) {
+// lockAndRecord locks the table and records a sample.
+func (g *Grant) lockAndRecord(kind speedKind, d time.Duration, size int) {
 	g.table.mu.Lock()
 	defer g.table.mu.Unlock()
 	g.recordSpeed(kind, d, size, time.Now())
 }
 
-// RecordErrorResponse records that the endpoint answered with an error of its own. However fast it
-// was, it counts as slow, as requests would else go where they fail.
+// RecordErrorResponse records that the endpoint answered with an error of its own. It counts as a
+// slow response regardless of its time, since an endpoint that fails fast must not attract requests.
 func (g *Grant) RecordErrorResponse() {
 	g.table.mu.Lock()
 	defer g.table.mu.Unlock()
--- a/cicadagateway/cicadaplace/speedcell.go
+++ b/cicadagateway/cicadaplace/speedcell.go
@@ -7,40 +7,44 @@
 )
 
 const (
+	// speedLoadBuckets is the number of ranges of load, each an equal part of the slots.
 	speedLoadBuckets = 4
+	// speedSizeBuckets is the number of ranges of prompt sizes, by powers of two of the tokens.
 	speedSizeBuckets = 16
-	minCellSamples   = 3  // before a cell tells whether a sample is fast or slow
-	cellMemory       = 50 // samples
+	// minCellSamples is the number of samples from which a cell serves as a baseline.
+	minCellSamples = 3
+	// maxCellSamples is the number of samples that the running mean of a cell spans.
+	maxCellSamples = 50
 )
 
 // A speedCell is the running mean of the logarithms of the times, in seconds, that a service takes
-// for requests of one kind and size under one load. The slowness of the endpoints is taken out of
-// it: slow endpoints get less load, and would else pass for the usual at low load.
+// for requests of one kind and size under one load. The slowness of the endpoint is subtracted from
+// each sample: slow endpoints get less load, and would otherwise define the baseline at low load.
 type speedCell struct {
 	mean    float64
 	samples int
 }
 
-// maxCellStep is how far from the mean of a cell with many samples a sample counts, as a logarithm.
-// An endpoint that has become slow is to raise its own estimate, and not the cells.
-var maxCellStep = math.Log(1.5)
+// maxCellDeviation limits the difference of a sample from the mean of a cell with many samples, as a
+// logarithm. An endpoint that has become slow must raise its own estimate and not the cells.
+var maxCellDeviation = math.Log(1.5)
 
 func (c *speedCell) trained() bool { return c.samples >= minCellSamples }
 
 func (c *speedCell) add(x float64) {
-	if c.samples >= cellMemory/2 {
-		x = min(max(x, c.mean-maxCellStep), c.mean+maxCellStep)
+	if c.samples >= maxCellSamples/2 {
+		x = min(max(x, c.mean-maxCellDeviation), c.mean+maxCellDeviation)
 	}
-	c.samples = min(c.samples+1, cellMemory)
+	c.samples = min(c.samples+1, maxCellSamples)
 	c.mean += (x - c.mean) / float64(c.samples)
 }
 
 // A serviceSpeed is what is known about the speed of a service as a whole.
 type serviceSpeed struct {
 	cells [speedKinds][speedLoadBuckets][speedSizeBuckets]speedCell
-	// level is added to all cells. It takes up what most endpoints show, which is load: at each
-	// refresh, the median of their estimates becomes 0. Cells would do so too slowly, and estimates
-	// without recent samples would then be compared with another usual.
+	// level is added to all cells. It absorbs what most endpoints have in common, which is load: each
+	// refresh moves the median of their estimates to it. Cells change too slowly for this, and
+	// estimates without recent samples would then be relative to another baseline.
 	level       float64
 	refreshedAt time.Time
 	slow        int       // endpoints slower than the dead zone
@@ -49,10 +53,10 @@
 	values      []float64 // reused by refresh
 }
 
-// cell returns the cell of requests of a kind, with prompts of a size in tokens, at an endpoint
-// that has load requests in its slots, and the cell that tells what is usual for these: the same, or
-// that of the nearest load which is trained. Only slow endpoints may have had that load so far.
-func (s *serviceSpeed) cell(kind speedKind, load, slots, size int) (own, usual *speedCell) {
+// cell returns the cell of requests of a kind, with prompts of a size in tokens, at an endpoint that
+// runs load requests, and the cell that serves as their baseline: the same, or the trained cell of
+// the nearest load.
+func (s *serviceSpeed) cell(kind speedKind, load, slots, size int) (own, baseline *speedCell) {
 	bucket := min(max(load, 0)*speedLoadBuckets/max(slots, 1), speedLoadBuckets-1)
 	column := min(bits.Len(uint(max(size, 0))), speedSizeBuckets-1)
 	own = &s.cells[kind][bucket][column]
--- a/cicadagateway/cicadaplace/speedchoice.go
+++ b/cicadagateway/cicadaplace/speedchoice.go
@@ -2,7 +2,8 @@
 
 import "slices"
 
-// slowness returns how many times as long as at a typical endpoint of the service a request takes.
+// slowness returns the ratio of the time that a request takes at the endpoint to that at a typical
+// endpoint of the service.
 func (e *endpointState) slowness() float64 {
 	if e.speed == nil {
 		return 1
@@ -11,20 +12,20 @@
 }
 
 // slownessCost is the cost, in requests, of an endpoint that takes twice as long as a typical one.
-// Engines advance all requests that they run together, so that the load of an endpoint lengthens a
-// request much less than its slowness does. What the load costs is that no slot may be free: a
-// product of both would fill the fast endpoints first, and requests would wait there.
+// It is added to the load and not multiplied by it: engines advance all running requests together,
+// so load lengthens a request much less than slowness does, and a product would fill the fast
+// endpoints first and make requests wait there.
 const slownessCost = 2.5
 
 // speedCost returns what the speed of the endpoint adds to its cost, in requests.
 func (e *endpointState) speedCost() float64 { return slownessCost * (e.slowness() - 1) }
 
-// avoidSlow removes the endpoints that are avoided, or run as many requests as they run well, from
-// the candidates if another one has an idle slot.
+// avoidSlow removes the endpoints that are avoided, on trial with a request or at their load limit
+// from the candidates if another one has an idle slot.
 func avoidSlow(candidates []candidate) []candidate {
 	avoided := func(c candidate) bool {
 		s := c.endpoint.speed
-		return s != nil && (s.avoided || s.trial && c.endpoint.total() > 0 || c.endpoint.pastLimit())
+		return s != nil && (s.avoided || s.trial && c.endpoint.total() > 0 || c.endpoint.atLoadLimit())
 	}
 	free := func(c candidate) bool { return !avoided(c) && c.endpoint.total() < c.endpoint.Slots }
 	if !slices.ContainsFunc(candidates, free) {
--- a/cicadagateway/cicadaplace/speedestimate.go
+++ b/cicadagateway/cicadaplace/speedestimate.go
@@ -6,26 +6,26 @@
 )
 
 const (
-	// speedMemory is the time constant with which samples lose weight.
-	speedMemory = 2 * time.Second
-	// minSpeedSamples is how many samples an estimate spans, however old they are, and how many
-	// it takes until it counts fully.
+	// sampleTimeConstant is the time constant with which samples lose weight.
+	sampleTimeConstant = 2 * time.Second
+	// minSpeedSamples is the number of samples that an estimate spans at least, however old they are,
+	// and the number from which the samples of this process alone count fully.
 	minSpeedSamples = 4.0
-	// halfStrengthSamples is how many samples make an estimate count by half.
+	// halfStrengthSamples is the number of samples with which an estimate has half of its effect.
 	halfStrengthSamples = minSpeedSamples / 2
-	// maxEstimateSamples is how many samples an estimate spans at most. More make it slower to
-	// change, and hardly more exact.
+	// maxEstimateSamples is the number of samples that an estimate spans at most. More would make it
+	// slower to change and hardly more exact.
 	maxEstimateSamples = 20.0
-	// speedHold is how long an estimate holds without samples. Then it fades, so that an endpoint
-	// that gets no requests is tried again.
-	speedHold = 3 * time.Second
-	// speedFade is the time constant of fading.
-	speedFade = 3 * time.Second
+	// estimateHoldTime is how long an estimate is kept without samples. Then it fades, so that an
+	// endpoint that gets no requests is tried again.
+	estimateHoldTime = 3 * time.Second
+	// estimateFadeTime is the time constant of fading.
+	estimateFadeTime = 3 * time.Second
 )
 
-// maxSpeedStep is how far from the mean a sample counts, as a logarithm. One request that takes
-// very long says little.
-var maxSpeedStep = math.Log(4)
+// maxSampleDeviation limits the difference of a sample from the mean, as a logarithm, so that a
+// single request that takes very long has little effect.
+var maxSampleDeviation = math.Log(4)
 
 // A speedEstimate is a weighted mean of logarithms, in which old samples lose their weight.
 type speedEstimate struct {
@@ -38,15 +38,15 @@
 func (e *speedEstimate) add(x, weight float64, now time.Time) {
 	e.settle(x, now)
 	e.weight = max(e.recent(now), min(e.weight, minSpeedSamples))
-	x = min(max(x, e.mean-maxSpeedStep), e.mean+maxSpeedStep)
+	x = min(max(x, e.mean-maxSampleDeviation), e.mean+maxSampleDeviation)
 	e.weight += weight
 	e.mean += (x - e.mean) * weight / e.weight
 	e.weight = min(e.weight, maxEstimateSamples)
 	e.at = now
 }
 
-// settle takes account of a sample if the estimate has begun to fade. One that agrees with it
-// restores it, as a trial has shown no change, and another one leaves of it what has not faded.
+// settle ends the fading of an estimate when a sample arrives. A sample that agrees with the
+// estimate restores it; another one keeps only the part that has not faded.
 func (e *speedEstimate) settle(x float64, now time.Time) {
 	fade := e.fade(now)
 	if fade == 1 {
@@ -57,7 +57,7 @@
 		e.mean *= fade
 		e.weight *= fade
 	}
-	e.at = now.Add(-speedHold)
+	e.at = now.Add(-estimateHoldTime)
 }
 
 // recent returns the weight that is left of the samples.
@@ -65,23 +65,25 @@
 	if e.weight == 0 {
 		return 0
 	}
-	return e.weight * math.Exp(-max(now.Sub(e.at).Seconds(), 0)/speedMemory.Seconds())
+	return e.weight * math.Exp(-max(now.Sub(e.at).Seconds(), 0)/sampleTimeConstant.Seconds())
 }
 
-// agrees reports whether a sample is at least half as far from the usual as the mean.
+// agrees reports whether a sample deviates from the baseline in the direction of the mean and by at
+// least half as much.
 func (e *speedEstimate) agrees(x float64) bool { return x*e.mean >= e.mean*e.mean/2 }
 
-// fade returns by how much the estimate still counts: 1 while it has recent samples.
+// fade returns the fraction of the estimate that has not faded: 1 while it has recent samples.
 func (e *speedEstimate) fade(now time.Time) float64 {
-	idle := now.Sub(e.at) - speedHold
+	idle := now.Sub(e.at) - estimateHoldTime
 	if idle <= 0 || e.weight == 0 {
 		return 1
 	}
-	return math.Exp(-idle.Seconds() / speedFade.Seconds())
+	return math.Exp(-idle.Seconds() / estimateFadeTime.Seconds())
 }
 
-// combine returns the mean of two estimates, weighted by their recent samples, and by how much it
-// counts. Few samples count less, since their mean is less exact. Fading begins later by delay.
+// combine returns the mean of two estimates, weighted by their recent samples, and its strength from
+// 0 to 1, which grows with the number of samples and falls as they fade. Fading begins later by
+// delay.
 func combine(a, b *speedEstimate, now time.Time, delay time.Duration) (mean, strength float64) {
 	weight := a.weight + b.weight
 	if weight == 0 {
@@ -98,7 +100,7 @@
 	return mean, fade * weight / (weight + halfStrengthSamples)
 }
 
-// shift changes the mean after the level of the service has changed.
+// shift subtracts a change of the level of the service from the mean.
 func (e *speedEstimate) shift(by float64) {
 	if e.weight > 0 {
 		e.mean -= by
--- a/cicadagateway/cicadaplace/speedmetrics.go
+++ b/cicadagateway/cicadaplace/speedmetrics.go
@@ -8,11 +8,11 @@
 	samples  [speedKinds]tally.Counter
 	errors   tally.Counter // responses that counted as slow because they were errors
 	late     tally.Counter // requests that counted as slow before they had their event
-	sent     tally.Counter
-	received tally.Counter
-	slow     tally.Gauge // endpoints, over all services
-	avoided  tally.Gauge
-	limited  tally.Gauge
+	sent     tally.Counter // samples sent to peers
+	received tally.Counter // samples received from peers
+	slow     tally.Gauge   // endpoints slower than the dead zone, over all services
+	avoided  tally.Gauge   // endpoints avoided or on trial
+	limited  tally.Gauge   // endpoints whose load limit is below their slots
 }
 
 // WithSpeedMetrics makes the table learn speeds, as WithSpeedLearning does, and report metrics.
--- a/cicadagateway/cicadaplace/speedrefresh.go
+++ b/cicadagateway/cicadaplace/speedrefresh.go
@@ -16,18 +16,19 @@
 			s.values = append(s.values, e.speed.estimate(now))
 		}
 	}
-	usual := median(s.values)
-	s.level += usual
+	center := median(s.values)
+	s.level += center
 	s.slow, s.avoided, s.limited = 0, 0, 0
 	for _, e := range endpoints {
-		e.speed.shift(usual)
-		e.speed.refresh(usual, now)
+		e.speed.shift(center)
+		e.speed.refresh(center, now)
 		e.speed.limit.update(e.speed.slowness, e.total(), e.Slots, now)
 		s.count(e)
 	}
-	if float64(s.avoided) <= maxAvoidedPart*float64(usable) {
+	if float64(s.avoided) <= maxAvoidedFraction*float64(usable) {
 		return
 	}
+	// Avoiding them all would set aside more than maxAvoidedFraction of the service.
 	s.avoided = 0
 	for _, e := range endpoints {
 		e.speed.avoided, e.speed.trial = false, false
@@ -50,9 +51,9 @@
 	}
 }
 
-// adjustLevel moves what most endpoints show from the estimates of this process to the level of
-// the service. Where peers have told about an endpoint, only what is beyond that counts. It returns
-// how many endpoints may be used.
+// adjustLevel moves the median of this process's estimates to the level of the service. Only the
+// difference of an estimate from that of peers counts. It returns the number of endpoints that may
+// be used.
 func (s *serviceSpeed) adjustLevel(endpoints []*endpointState) (usable int) {
 	s.values = s.values[:0]
 	for _, e := range endpoints {
@@ -71,15 +72,15 @@
 	s.level += shift
 	for _, e := range endpoints {
 		e.speed.own.shift(shift)
-		e.speed.news.shift(shift)
+		e.speed.unsent.shift(shift)
 	}
 	return usable
 }
 
-// estimate returns the logarithm of the slowness as far as it counts. It is that which all
-// processes have measured, or what this one has if that is clearly different.
+// estimate returns the logarithm of the slowness, reduced while it rests on few or old samples. It
+// is that of all processes, or that of this process if the two differ clearly.
 func (s *endpointSpeed) estimate(now time.Time) float64 {
-	mean, strength := combine(&s.own, &s.peers, now, s.delay)
+	mean, strength := combine(&s.own, &s.peers, now, s.retryDelay)
 	s.blend = 0
 	if s.own.weight > 0 && math.Abs(s.own.mean-mean) >= logOwnDeviation {
 		s.blend = min(s.own.recent(now)/minSpeedSamples, 1)
@@ -88,16 +89,16 @@
 	return s.value
 }
 
-// shift makes a slowness the usual one.
-func (s *endpointSpeed) shift(usual float64) {
-	s.own.shift(usual)
-	s.peers.shift(usual)
-	s.news.shift(usual)
+// shift subtracts a change of the level of the service from all estimates.
+func (s *endpointSpeed) shift(by float64) {
+	s.own.shift(by)
+	s.peers.shift(by)
+	s.unsent.shift(by)
 }
 
-// refresh computes the slowness relative to the usual estimate of the service.
-func (s *endpointSpeed) refresh(usual float64, now time.Time) {
-	s.relative = min(max(s.value-usual, logMinSlowness), logMaxSlowness)
+// refresh computes the slowness relative to center, the median estimate of the service.
+func (s *endpointSpeed) refresh(center float64, now time.Time) {
+	s.relative = min(max(s.value-center, logMinSlowness), logMaxSlowness)
 	switch {
 	case s.weight() == 0:
 		s.relative, s.slowness, s.why = 0, 1, whyNoSamples
@@ -105,7 +106,7 @@
 	case math.Abs(s.relative) < logDeadZone:
 		s.slowness, s.why = 1, whyUsual
 		return
-	case s.blend > 0.5:
+	case s.blend > 0.5: // the samples of this process count more than those of all
 		s.why = whyOwn
 	case s.fading(now):
 		s.why = whyFading
@@ -126,8 +127,10 @@
 	return s.peers.at
 }
 
-// fading reports whether the samples have grown old.
-func (s *endpointSpeed) fading(now time.Time) bool { return now.Sub(s.latest()) > speedHold+s.delay }
+// fading reports whether the latest sample is so old that the estimate fades.
+func (s *endpointSpeed) fading(now time.Time) bool {
+	return now.Sub(s.latest()) > estimateHoldTime+s.retryDelay
+}
 
 // median returns the median of values, which it sorts, or 0.
 func median(values []float64) float64 {
@@ -139,11 +142,13 @@
 	return (values[(n-1)/2] + values[n/2]) / 2
 }
 
+// refreshInterval returns the interval between two computations for a service of so many endpoints.
 func refreshInterval(endpoints int) time.Duration {
 	return min(max(speedRefreshInterval, time.Duration(endpoints)*speedRefreshPerEndpoint), maxSpeedRefreshInterval)
 }
 
-// refreshSpeeds brings the slowness of a service's endpoints up to date.
+// refreshSpeeds computes the slowness of a service's endpoints if refreshInterval has passed since it
+// was last computed.
 func (t *Table) refreshSpeeds(name string, svc *service, now time.Time) {
 	if t.speed == nil {
 		return
--- a/cicadagateway/cicadaplace/speedshare.go
+++ b/cicadagateway/cicadaplace/speedshare.go
@@ -10,21 +10,22 @@
 const (
 	// maxSpeedSamples limits the samples in one message.
 	maxSpeedSamples = 16
-	// maxSpeedSampleRate limits the samples a second that a process gets from all its peers, so
-	// that their volume doesn't grow with the number of processes.
+	// maxSpeedSampleRate limits the samples per second that a process receives from all its peers, so
+	// that their volume does not grow with the number of processes.
 	maxSpeedSampleRate = 800.0
-	// minSpeedNews is how far from the usual the mean of one sample must be to be worth telling, as
-	// a logarithm; that of n samples may be nearer by the square root of n. This is about two
+	// minSampleScore is the score from which a sample is sent. The score is the deviation from the
+	// median, as a logarithm, times the square root of the number of samples. This value is about two
 	// standard errors.
-	minSpeedNews = 0.6
+	minSampleScore = 0.6
 	// maxSpeedWeight limits the weight of one sample of a peer.
 	maxSpeedWeight = 32
 	// speedRatioUnit is the unit of a SpeedSample's ratio, as a logarithm.
 	speedRatioUnit = 1.0 / 32
 )
 
-// A SpeedSample is what a process has lately measured at an endpoint and not told before.
+// A SpeedSample sums up the samples of an endpoint that a process has taken since its last one.
 type SpeedSample struct {
+	// Endpoint is the ID of the endpoint.
 	Endpoint string
 	// Ratio is the logarithm of the slowness relative to the median of the service, in
 	// units of 1/32.
@@ -39,7 +40,7 @@
 	filledAt time.Time
 }
 
-// refill adds the tokens of the time since the last call if processes share the maximum rate.
+// refill adds the tokens since the last call, at this process's share of maxSpeedSampleRate.
 func (b *speedBudget) refill(processes int, now time.Time) {
 	if b.filledAt.IsZero() {
 		b.tokens = maxSpeedSamples
@@ -49,9 +50,9 @@
 	b.filledAt = now
 }
 
-// LocalSpeed returns what peers are to be told about the speed of endpoints: at most 16 samples,
-// those first that say most. Each is returned once, to be sent to all peers in one message and not
-// to be relayed. If that is lost, peers miss these samples.
+// LocalSpeed returns the samples of endpoints that the caller sends to all peers in one message: at
+// most 16, in the order of their significance. Each is returned only once, so it must not be
+// relayed, and peers that miss the message miss its samples.
 func (t *Table) LocalSpeed(now time.Time) []SpeedSample {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -65,52 +66,53 @@
 	for name, svc := range t.services {
 		t.refreshSpeeds(name, svc, now)
 	}
-	news := t.speedNews(now)
-	news = news[:min(len(news), int(budget.tokens))]
-	budget.tokens -= float64(len(news))
-	out := make([]SpeedSample, len(news))
-	for i, n := range news {
-		out[i] = n.sample
-		n.speed.told, n.speed.news = n.speed.news.mean, speedEstimate{}
+	unsent := t.unsentSamples(now)
+	unsent = unsent[:min(len(unsent), int(budget.tokens))]
+	budget.tokens -= float64(len(unsent))
+	out := make([]SpeedSample, len(unsent))
+	for i, u := range unsent {
+		out[i] = u.sample
+		u.speed.sentMean, u.speed.unsent = u.speed.unsent.mean, speedEstimate{}
 	}
 	t.speed.metrics.sent.Inc(int64(len(out)))
 	return out
 }
 
-// speedNews is a sample that peers may be told, and how much it says.
-type speedNews struct {
+// An unsentSample is a sample that may be sent to peers, and its significance.
+type unsentSample struct {
 	speed  *endpointSpeed
 	sample SpeedSample
-	score  float64
+	score  float64 // see minSampleScore
 }
 
-// speedNews returns what is worth telling, that which says most first. An endpoint that is near
-// the median is not worth telling, unless it is taken for a slower or faster one, or was told to be.
-func (t *Table) speedNews(now time.Time) []speedNews {
-	var all []speedNews
+// unsentSamples returns the samples to be sent, the most significant first. Samples near the median
+// are left out, unless the endpoint counts as slow or fast here, or did when its last sample was
+// sent.
+func (t *Table) unsentSamples(now time.Time) []unsentSample {
+	var all []unsentSample
 	for id, e := range t.endpointsByID {
 		s := e.speed
-		if s.news.weight < 0.5 || s.news.fade(now) < 1 {
+		if math.Round(s.unsent.weight) < 1 || s.unsent.fade(now) < 1 {
 			continue
 		}
-		score := math.Sqrt(s.news.weight) * max(math.Abs(s.news.mean), math.Abs(s.relative), math.Abs(s.told))
-		if score < minSpeedNews {
+		score := math.Sqrt(s.unsent.weight) * max(math.Abs(s.unsent.mean), math.Abs(s.relative), math.Abs(s.sentMean))
+		if score < minSampleScore {
 			continue
 		}
-		sample := SpeedSample{Endpoint: id, Ratio: quantizeRatio(s.news.mean), Weight: uint8(min(math.Round(s.news.weight), maxSpeedWeight))}
-		all = append(all, speedNews{s, sample, score})
+		sample := SpeedSample{Endpoint: id, Ratio: quantizeRatio(s.unsent.mean), Weight: uint8(min(math.Round(s.unsent.weight), maxSpeedWeight))}
+		all = append(all, unsentSample{s, sample, score})
 	}
-	slices.SortFunc(all, func(a, b speedNews) int { return cmp.Compare(b.score, a.score) })
+	slices.SortFunc(all, func(a, b unsentSample) int { return cmp.Compare(b.score, a.score) })
 	return all
 }
 
-// quantizeRatio returns a ratio in units of speedRatioUnit.
+// quantizeRatio returns the logarithm of a ratio in units of speedRatioUnit.
 func quantizeRatio(ratio float64) int8 {
 	ratio = min(max(ratio, logMinSlowness), logMaxSlowness)
 	return int8(math.Round(ratio / speedRatioUnit))
 }
 
-// MergeSpeed takes in samples of a peer, each once.
+// MergeSpeed records samples received from a peer. Each must be passed only once.
 func (t *Table) MergeSpeed(samples []SpeedSample, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -119,7 +121,7 @@
 	}
 	for _, sample := range samples {
 		e := t.endpointsByID[sample.Endpoint]
-		if e == nil || sample.Weight == 0 || now.Before(e.speed.peersFrom) {
+		if e == nil || sample.Weight == 0 || now.Before(e.speed.ignorePeersUntil) {
 			continue
 		}
 		ratio := min(max(float64(sample.Ratio)*speedRatioUnit, logMinSlowness), logMaxSlowness)
--- a/cicadagateway/cicadaplace/speedview.go
+++ b/cicadagateway/cicadaplace/speedview.go
@@ -8,19 +8,19 @@
 
 // A Speed is how fast an endpoint is, as this process sees it.
 type Speed struct {
-	Endpoint string
+	Endpoint string // ID
 	Service  string
 	// Slowness is how many times as long as at a typical endpoint of the service a request takes.
 	Slowness float64
 	// Avoided reports whether online requests are sent to the endpoint only if no other has an
 	// idle slot.
 	Avoided bool
-	Weight  float64       // of the samples, in samples
+	Weight  float64       // number of samples, of which old ones count less
 	Age     time.Duration // of the latest sample
-	Limit   int           // how many requests the endpoint runs well, at most its slots
-	// Why is what Slowness follows from: "shared" samples of all processes, "own" samples that
-	// differ from those, "fading" ones that grow old, "no-samples", or "usual" for an endpoint
-	// that is near the median.
+	Limit   int           // number of requests that the endpoint runs well, at most its slots
+	// Why is the basis of Slowness: "shared" samples of all processes, "own" samples of this process
+	// that differ from those, "fading" old samples, "no-samples", or "usual" for an endpoint near the
+	// median.
 	Why string
 }
 
