State what the intervals and fields of the configuration tracker mean

Cause: several comments described intervals by effect or in a roundabout way, renewInterval was documented from the reply although it counts from the query, and rootLoad named an interval. Change: rewrite the comments, document exported fields, and rename rootLoad to rootQueryInterval. No behaviour, metrics or messages change.

--- a/cicadagateway/cicadafreshness/confirmation.go
+++ b/cicadagateway/cicadafreshness/confirmation.go
@@ -8,8 +8,8 @@
 // never is the time of a confirmation that does not exist.
 const never = time.Duration(math.MinInt64)
 
-// A confirmation says that no version newer than version was acknowledged by the store before a
-// time. It holds as well for any newer version and for any earlier time.
+// A confirmation states that the store acknowledged no version newer than version before the time
+// at. The statement then also holds for any newer version and for any earlier time.
 type confirmation struct {
 	version int64
 	at      time.Duration
@@ -29,8 +29,9 @@
 	return ok && age <= limit
 }
 
-// confirmations holds what a process knows of the newest version of the configuration.
+// confirmations holds the confirmations that a process has received.
 type confirmations struct {
+	// inForce is the confirmation of the version in force.
 	inForce confirmation
 	// pending is the confirmation of a version newer than the one in force, if one is known.
 	pending confirmation
@@ -60,8 +61,8 @@
 	}
 }
 
-// setVersion sets the version in force. What confirms an older version confirms a newer one as
-// well, and not the other way round.
+// setVersion sets the version in force. The confirmation of an older version also confirms a newer
+// one, but not the reverse.
 func (s *confirmations) setVersion(version int64) {
 	best := s.best()
 	switch {
--- a/cicadagateway/cicadafreshness/message.go
+++ b/cicadagateway/cicadafreshness/message.go
@@ -16,11 +16,12 @@
 // Empty reports whether a message is of another kind.
 func (m Message) Empty() bool { return m.Query == nil && m.Reply == nil }
 
-// A Query identifies itself to its sender. Nobody else interprets its fields.
+// A Query asks for a confirmation. Its fields are echoed in the reply and are interpreted only by
+// the process that sent the query.
 type Query struct {
 	_ struct{} `cbor:",toarray"`
-	// Incarnation is a random number of the sending process, as another process may have had its
-	// name.
+	// Incarnation is a random number of the sending process. It distinguishes the process from an
+	// earlier one of the same name.
 	Incarnation uint64
 	// Stamp is when the query was sent, by the sender's clock.
 	Stamp time.Duration
@@ -28,9 +29,11 @@
 
 // A Reply holds the sender's confirmation, and the query that it answers.
 type Reply struct {
-	_       struct{} `cbor:",toarray"`
-	Query   Query
-	Version int64 // 0: the sender has no confirmation
-	// Age is that of the confirmation when the reply was sent, by the sender's clock.
+	_ struct{} `cbor:",toarray"`
+	// Query is the query that the reply answers.
+	Query Query
+	// Version is the version that is confirmed, or 0 if the sender has no confirmation.
+	Version int64
+	// Age is the age of the confirmation when the reply was sent, by the sender's clock.
 	Age time.Duration
 }
--- a/cicadagateway/cicadafreshness/metrics.go
+++ b/cicadagateway/cicadafreshness/metrics.go
@@ -2,12 +2,13 @@
 
 import "github.com/uber-go/tally/v4"
 
+// metrics counts messages, reads and expired confirmations.
 type metrics struct {
 	queriesSent    tally.Counter
 	repliesSent    tally.Counter
-	repliesIgnored tally.Counter // those to no known query
+	repliesIgnored tally.Counter // replies to unknown queries
 	readsRequested tally.Counter
-	expired        tally.Counter // times at which the version in force was no longer confirmed
+	expired        tally.Counter // transitions from fresh to not fresh
 }
 
 func newMetrics(scope tally.Scope) metrics {
--- a/cicadagateway/cicadafreshness/query.go
+++ b/cicadagateway/cicadafreshness/query.go
@@ -8,36 +8,37 @@
 )
 
 const (
-	// renewInterval is the time from a reply with a newer confirmation to the next query. It is
-	// the time that the coordinator waits between two reads of the store, as the parent has no newer
-	// confirmation before.
+	// renewInterval is the time from a query whose reply had a newer confirmation to the next query.
+	// It equals the interval at which the coordinator reads the store, since the parent has no newer
+	// confirmation earlier.
 	renewInterval = 900 * time.Millisecond
-	// retryInterval is the time until the parent is queried again that had no newer confirmation.
-	// It doubles with every second such reply, up to maxRetryInterval.
+	// retryInterval is the time until a parent without a newer confirmation is queried again. It
+	// doubles with every second such reply, up to maxRetryInterval.
 	retryInterval    = 100 * time.Millisecond
 	maxRetryInterval = 300 * time.Millisecond
-	// roundInterval is the time between two rounds in which no member had a recent confirmation.
+	// roundInterval is the time from a round in which no member had a recent confirmation to the
+	// next round.
 	roundInterval = 500 * time.Millisecond
-	// treeInterval is the interval at which the root looks whether it still is the root.
+	// treeInterval is the interval at which the root checks whether it is still the root.
 	treeInterval = 300 * time.Millisecond
-	// replyTimeout is shorter than the interval of Tick, so that the next member is queried at the
-	// next call.
+	// replyTimeout is the time after which a query counts as unanswered. It is shorter than the
+	// interval of Tick, so that the next member is queried at the next call.
 	replyTimeout = 80 * time.Millisecond
-	// tickTolerance is how much early a call of Tick may be.
+	// tickTolerance is how early a call of Tick may be for a query that is due.
 	tickTolerance = 20 * time.Millisecond
-	// silentPeriod is how long a parent that did not reply is not queried first.
+	// silentPeriod is how long a parent that did not reply is skipped in favour of other members.
 	silentPeriod = 2 * time.Second
-	// rootLoad is the shortest average interval at which all processes together query the root as
-	// the last candidate, if its children are not counted.
-	rootLoad = 15 * time.Millisecond
-	// fullRounds is the number of rounds in vain after which only one in sparseRounds queries other
-	// members than the parent, as the store is probably down.
+	// rootQueryInterval is the shortest average interval between the queries that all processes
+	// other than its children send to the root as their last candidate.
+	rootQueryInterval = 15 * time.Millisecond
+	// fullRounds is the number of unsuccessful rounds after which only one round in sparseRounds
+	// queries members other than the parent, since the store is probably down.
 	fullRounds   = 4
 	sparseRounds = 4
-	// minAdvance is the difference between the times of two confirmations that come from different
-	// reads of the store. Smaller ones are due to the times that messages take.
+	// minAdvance is the smallest difference between the times of confirmations from different reads of
+	// the store. Smaller differences are caused by message delays.
 	minAdvance = 100 * time.Millisecond
-	// keptQueries is the number of queries whose replies are accepted.
+	// keptQueries is the number of latest queries whose replies are accepted.
 	keptQueries = 16
 )
 
@@ -50,20 +51,20 @@
 // queries decides when which member is queried.
 type queries struct {
 	next      time.Duration // time of the next query
-	attempt   int           // candidates of this round that were queried in vain
-	round     int           // rounds in succession in which all candidates were queried in vain
-	unchanged int           // replies in succession without a newer confirmation
-	awaiting  bool          // the last query was not answered yet
+	attempt   int           // index of the next candidate in this round
+	round     int           // consecutive rounds in which no candidate had a recent confirmation
+	unchanged int           // consecutive replies without a newer confirmation
+	awaiting  bool          // the last query has not been answered yet
 	last      sentQuery
 	sent      [keptQueries]sentQuery
 	sentCount int
-	// silent is the last parent that did not reply. It is not queried first until silentUntil.
+	// silent is the last parent that did not reply. It is skipped until silentUntil.
 	silent      string
 	silentUntil time.Duration
 }
 
-// due reports whether it is time for a query. One that has not been answered makes the next
-// candidate due.
+// due reports whether it is time for a query. If the last query has timed out, it moves on to the
+// next candidate.
 func (q *queries) due(now time.Duration) bool {
 	if !q.awaiting {
 		return now >= q.next-tickTolerance
@@ -80,7 +81,8 @@
 	return true
 }
 
-// choose returns the member that is to be queried now, if any.
+// choose returns the member to query now. If all candidates of the round have been queried, it ends
+// the round and returns none.
 func (q *queries) choose(t tree, now time.Duration) (member string, ok bool) {
 	candidates := t.candidates(q.round)
 	if len(candidates) == 0 {
@@ -108,20 +110,20 @@
 // mayQueryRoot reports whether the root is queried in a round, if it is not the parent. The more
 // processes there are, the fewer rounds of each do so.
 func (t tree) mayQueryRoot(round int) bool {
-	rounds := uint64(time.Duration(len(t.members)) * rootLoad / roundInterval)
+	rounds := uint64(time.Duration(len(t.members)) * rootQueryInterval / roundInterval)
 	hash := xxhash.Sum64String(t.members[t.self] + strconv.Itoa(round))
 	return rounds <= 1 || hash%rounds == 0
 }
 
-// record records that a member is queried.
+// record records a query that is sent to a member.
 func (q *queries) record(member string, now time.Duration) {
 	q.awaiting, q.last = true, sentQuery{stamp: now, to: member}
 	q.sent[q.sentCount%keptQueries] = q.last
 	q.sentCount++
 }
 
-// take reports whether a reply answers a query that was sent to this member and has not been
-// answered before.
+// take removes the query that a reply of a member answers. It reports false if there is none, or it
+// was answered before.
 func (q *queries) take(from string, stamp time.Duration) bool {
 	for i, s := range q.sent {
 		if s.to != "" && s.to == from && s.stamp == stamp {
@@ -132,8 +134,8 @@
 	return false
 }
 
-// answered sets the time of the next query after a reply. advanced is set if it brought a newer
-// confirmation, and sufficient if the best one is recent enough not to query other candidates.
+// answered sets the time of the next query after a reply. advanced is set if the reply had a newer
+// confirmation, and sufficient if the best one is so recent that no other candidate is queried.
 func (q *queries) answered(from string, stamp, now time.Duration, advanced, sufficient bool) {
 	isLast := q.last == sentQuery{stamp: stamp, to: from}
 	if isLast {
@@ -143,7 +145,7 @@
 	case advanced && sufficient:
 		q.attempt, q.round, q.unchanged = 0, 0, 0
 		q.next = stamp + renewInterval
-	case !isLast: // a later query is to be answered
+	case !isLast: // the reply to a later query sets the time
 	case sufficient:
 		q.next = stamp + min(retryInterval<<(min(q.unchanged, maxShift)/2), maxRetryInterval)
 		q.attempt, q.round = 0, 0
--- a/cicadagateway/cicadafreshness/read.go
+++ b/cicadagateway/cicadafreshness/read.go
@@ -8,7 +8,7 @@
 
 const (
 	// readInterval is the shortest interval at which a process without a recent confirmation reads
-	// the store. It doubles up to maxReadInterval while reads bring none.
+	// the store. It doubles up to maxReadInterval while reads do not confirm the configuration.
 	readInterval    = time.Second
 	maxReadInterval = 4 * time.Second
 	// readSpread is the time over which processes that lack a confirmation at the same time spread
@@ -16,7 +16,7 @@
 	readSpread         = 300 * time.Millisecond
 	readSpreadFraction = 12
 	// newerInterval is the shortest interval at which a newer version is reported. It doubles up
-	// to maxNewerInterval while the version does not come into force.
+	// to maxNewerInterval while the version is not in force.
 	newerInterval    = 300 * time.Millisecond
 	maxNewerInterval = 4 * time.Second
 )
@@ -28,8 +28,8 @@
 	interval     time.Duration
 }
 
-// due reports whether the store is to be read now. recent reports whether the confirmation is
-// recent, and delay is how long it must not have been.
+// due reports whether to read the store now. recent is set if the confirmation is recent, and delay
+// is how long it must have been outdated before a read.
 func (r *reads) due(recent bool, delay, now time.Duration) bool {
 	if recent {
 		r.overdueSince, r.interval = never, readInterval
@@ -46,8 +46,8 @@
 	return true
 }
 
-// readDelay returns how long a process waits before it reads the store. Those at lower levels
-// wait for what the processes above them read, so that few read at the same time.
+// readDelay returns how long a process waits before it reads the store. Processes further from the
+// root wait longer, so that a read by a process above them reaches them first.
 func readDelay(self string, level int, limit time.Duration) time.Duration {
 	spread := min(readSpread, limit/readSpreadFraction)
 	own := time.Duration(xxhash.Sum64String(self) % uint64(max(spread, 1)))
@@ -61,6 +61,7 @@
 	interval time.Duration
 }
 
+// due reports whether to report the version now.
 func (r *newerReport) due(version int64, now time.Duration) bool {
 	if version > r.version {
 		r.version, r.interval = version, newerInterval
--- a/cicadagateway/cicadafreshness/tracker.go
+++ b/cicadagateway/cicadafreshness/tracker.go
@@ -1,14 +1,14 @@
-// Package cicadafreshness tracks whether the configuration in force at this process was lately
+// Package cicadafreshness tracks whether the configuration in force at this process was recently
 // confirmed to be the newest one, so that a revoked key is not accepted for longer than a limit,
-// also by a process that is partitioned, was suspended, or is rejected by the store.
+// even by a process that is partitioned, was suspended, or is rejected by the store.
 //
 // The coordinator reads the store at intervals. The other processes learn its confirmation and
-// its age through a tree over the live members: each queries its parent, and sends the time of its
-// own clock along. The reply returns this time and adds the version that the parent's confirmation
-// is of and its age. The sender's confirmation dates from the time of its query minus this age.
-// Clocks of two processes are therefore never compared, and whatever delays a message or suspends
-// a process makes the confirmation look older, never younger. If a parent has no recent
-// confirmation, other members are queried, and in the end the store is read.
+// its age through a tree over the live members: each queries its parent and includes the time of its
+// own clock. The reply echoes this time and adds the version and the age of the parent's
+// confirmation. The sender's confirmation dates from the time of its query minus this age. Clocks of
+// two processes are therefore never compared, and any delay of a message or suspension of a process
+// makes the confirmation look older, never younger. If a parent has no recent confirmation, other
+// members are queried, and finally the store is read.
 //
 // # Usage
 //
@@ -37,9 +37,9 @@
 )
 
 const (
-	// queryFraction and readFraction are the fractions of the limit from which the age of a
-	// confirmation is a reason to query other candidates than the parent, and to read the store.
-	// The former is smaller, so that other members are queried before the store is read.
+	// queryFraction and readFraction are the ages of a confirmation, as fractions of the limit, from
+	// which candidates other than the parent are queried and the store is read. The former is
+	// smaller, so that other members are queried before the store is read.
 	queryFraction = 0.375
 	readFraction  = 0.5
 	// maxAge is the greatest age that a reply may state.
@@ -88,8 +88,8 @@
 	return func(t *Tracker) { t.coordinator = coordinator }
 }
 
-// WithRead sets the function that lets this process read the configuration from the store now. It
-// must not block. The result is reported by RecordRead.
+// WithRead sets the function that makes this process read the configuration from the store. It must
+// not block. The caller reports the result with RecordRead.
 func WithRead(read func()) Option { return func(t *Tracker) { t.read = read } }
 
 // WithOnNewer sets the function that is called when a peer has a version newer than the one in
@@ -191,7 +191,7 @@
 	return t.confirmations.best().within(time.Duration(fraction*float64(t.limit)), now)
 }
 
-// query sends a query if a member is to be queried.
+// query sends a query to the next candidate, if there is one.
 func (t *Tracker) query(tree tree) {
 	now := t.clock()
 	t.mu.Lock()
@@ -249,6 +249,7 @@
 	return r
 }
 
+// receiveReply records the confirmation of a reply and schedules the next query.
 func (t *Tracker) receiveReply(from string, r Reply) {
 	now := t.clock()
 	t.mu.Lock()
--- a/cicadagateway/cicadafreshness/tree.go
+++ b/cicadagateway/cicadafreshness/tree.go
@@ -10,21 +10,21 @@
 	// defaultFanOut is the number of processes that query one parent. With 16, 730 processes need
 	// three levels below the root.
 	defaultFanOut = 16
-	// alternatives is the number of other members that are queried in place of a parent in each
-	// round.
+	// alternatives is the number of members other than the parent and the root that are queried in
+	// each round.
 	alternatives = 2
 )
 
 // A tree is the order in which members pass on confirmations: the root, then the others by name.
-// The levels below the root hold fanOut members, fanOut times as many, and so on.
+// The first level below the root has fanOut members, and each further level fanOut times as many.
 type tree struct {
-	members []string
-	self    int // index of this process
+	members []string // the root first
+	self    int      // index of this process
 	fanOut  int
 }
 
-// newTree returns the tree over the live members, whose names are sorted, and self, which names
-// may leave out. The first by name is the root if the coordinator is unknown.
+// newTree returns the tree over self and the live members with the given sorted names, which need
+// not contain self. The first by name is the root if the coordinator is unknown.
 func newTree(self, coordinator string, names []string, fanOut int) tree {
 	members := slices.Clone(names)
 	if i, ok := slices.BinarySearch(members, self); !ok {
@@ -39,8 +39,8 @@
 	return tree{members: members, self: slices.Index(members, self), fanOut: fanOut}
 }
 
-// levelOf returns the level of an index, and the range of indexes at this level. The root is at
-// level 0.
+// levelOf returns the level n of an index, 0 for the root, and the range of indexes at this level,
+// from first up to but not including end.
 func (t tree) levelOf(index int) (n, first, end int) {
 	width := 1
 	for end = 1; index >= end; n++ {
@@ -50,15 +50,15 @@
 	return n, first, end
 }
 
-// level returns the number of members through which confirmations of the root pass until they
-// reach this process.
+// level returns the level of this process, which is the number of messages through which the
+// root's confirmations reach it.
 func (t tree) level() int {
 	n, _, _ := t.levelOf(t.self)
 	return n
 }
 
-// candidates returns the members that are queried in one round until one has a recent
-// confirmation: the parent, members that have another parent than this process does, and the root.
+// candidates returns the members that are queried in one round until one has a recent confirmation:
+// the parent, alternatives at its level (or siblings if the parent is the root), and the root.
 func (t tree) candidates(round int) []string {
 	if t.self == 0 {
 		return nil
