--- a/cicadagateway/cicadafreshness/failure_test.go
+++ b/cicadagateway/cicadafreshness/failure_test.go
@@ -18,9 +18,9 @@
 	return f
 }
 
-// Guards against a process that goes on with a withdrawn key while it is partitioned from the
+// Guards against a process that goes on with a revoked key while it is partitioned from the
 // store and from all others.
-func TestKeyWithdrawnDuringPartition(t *testing.T) {
+func TestKeyRevokedDuringPartition(t *testing.T) {
 	f := settled(t, 23)
 	n := f.nodes[20]
 	n.side = 1
@@ -37,7 +37,7 @@
 
 // Guards against a process that takes what has waited in its socket buffers while it was suspended
 // for a recent confirmation.
-func TestKeyWithdrawnDuringSuspension(t *testing.T) {
+func TestKeyRevokedDuringSuspension(t *testing.T) {
 	f := settled(t, 23)
 	n := f.nodes[20]
 	n.suspend()
--- a/cicadagateway/cicadaprocess/customers.go
+++ b/cicadagateway/cicadaprocess/customers.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"cicadalink.example/cicadagateway/cicadafollow"
 	"cicadalink.example/cicadagateway/cicadafreshness"
 	"cicadalink.example/cicadagateway/cicadapeer"
@@ -20,16 +18,16 @@
 const (
 	// customerTickInterval is the interval of the periodic work on confirmations and rate limits.
 	customerTickInterval = 100 * time.Millisecond
-	// revocationMargin is the time from the check of a key to the request's arrival at an endpoint,
-	// and the difference between the rates of two clocks over the revocation limit.
+	// revocationMargin covers the time from the check of a key to the arrival of the request at an
+	// endpoint, and the difference between the rates of two clocks over the revocation limit.
 	revocationMargin = 200 * time.Millisecond
-	// unlistedRetryAfter is the time after which a caller should try again while the entry has not
-	// received the list of the others, of which rate limits depend.
+	// unlistedRetryAfter is the time after which a caller should retry while the entry has not yet
+	// received the list of entries, on which rate limits depend.
 	unlistedRetryAfter = 200 * time.Millisecond
 )
 
-// startCustomers starts what the requests of customers need: the confirmation of the
-// configuration, if withdrawn keys must not be accepted for long, and the rate limits.
+// startCustomers starts the tracker of the configuration's confirmation, if there is a revocation
+// limit, and the rate limiter of an entry.
 func (n *Node) startCustomers(ctx context.Context) {
 	if limit := time.Duration(n.cfg.RevocationLimit); limit > 0 {
 		n.freshness = cicadafreshness.New(n.cfg.Name, limit-revocationMargin,
@@ -73,7 +71,7 @@
 // within the revocation limit.
 func (n *Node) configIsFresh() bool { return n.freshness == nil || n.freshness.Fresh() }
 
-// customersServed reports whether the process can serve requests with keys, if there are any.
+// customersServed reports whether the process can serve requests with keys, or needs no keys.
 func (n *Node) customersServed() bool {
 	config := n.config.Load()
 	return config == nil || !config.HasCustomers() || n.configIsFresh()
@@ -86,6 +84,7 @@
 	}
 }
 
+// refreshConfig makes the follower of the configuration list it now.
 func (n *Node) refreshConfig() {
 	if n.followersStarted.Load() {
 		n.configFollower.Refresh()
@@ -125,20 +124,20 @@
 	return cicadaratelimit.Limit(c.Rate), true
 }
 
-// customerPolicy returns what decides about the requests of customers.
+// customerPolicy returns the functions by which the relay decides on requests of customers.
 func (n *Node) customerPolicy() cicadarelay.CustomerPolicy {
 	return cicadarelay.CustomerPolicy{
 		Fresh: n.configIsFresh,
-		AcquireQuota: func(ctx context.Context, customer string, limit cicadaview.RateLimit) cicadarelay.Quota {
+		AcquireQuota: func(ctx context.Context, customer string, limit cicadaview.RateLimit) cicadarelay.QuotaDecision {
 			if !n.directory.listed.Load() {
-				return cicadarelay.Quota{RetryAfter: unlistedRetryAfter, Detail: "entries not known yet"}
+				return cicadarelay.QuotaDecision{RetryAfter: unlistedRetryAfter, Detail: "entries not known yet"}
 			}
 			at := cicadaclock.SinceBoot()
 			d := n.quotas.Acquire(ctx, customer, cicadaratelimit.Limit(limit))
-			return cicadarelay.Quota{
+			return cicadarelay.QuotaDecision{
 				Allowed: d.Allowed(), Known: d.Known(), RetryAfter: d.RetryAfter(), Detail: d.String(),
 				Return: func() {
-					if cicadaclock.SinceBoot()-at < cicadaratelimit.GrantLifetime { // later, it may have been granted again
+					if cicadaclock.SinceBoot()-at < cicadaratelimit.GrantLifetime { // an older token may have been granted again
 						n.quotas.Return(customer)
 					}
 				},
@@ -147,68 +146,6 @@
 	}
 }
 
-// The first key of a message to one member tells its kind.
-const (
-	firstFreshnessKey = 10
-	firstRateLimitKey = 20
-)
-
-// receiveMessage passes on a message that another member has sent to this one.
-func (n *Node) receiveMessage(b []byte) {
-	switch key := firstMapKey(b); {
-	case key >= firstFreshnessKey && !n.followersStarted.Load(): // what follows has not been set up yet
-	case key >= firstRateLimitKey:
-		receive(n, b, n.quotas != nil && n.directory.listed.Load(), func(m cicadaratelimit.Message) { n.quotas.Receive(m) })
-	case key >= firstFreshnessKey:
-		receive(n, b, n.freshness != nil, func(m cicadafreshness.Message) { n.freshness.Receive(m) })
-	default:
-		n.receiveOriginMessage(b)
-	}
-}
-
-// receive decodes a message and passes it on if this process takes in messages of its kind.
-func receive[M any](n *Node, b []byte, wanted bool, handle func(M)) {
-	if !wanted {
-		return
-	}
-	var m M
-	if err := cbor.Unmarshal(b, &m); err != nil {
-		n.log.Warn("invalid peer message ignored", "error", err)
-		return
-	}
-	handle(m)
-}
-
-// firstMapKey returns the first key of a CBOR map with small unsigned integers as keys, or 0 if there
-// is none.
-func firstMapKey(b []byte) int {
-	const (
-		maxShortKey = 23   // larger ones take another byte
-		oneByteKey  = 0x18 // precedes a key of one byte
-	)
-	switch {
-	case len(b) < 2:
-		return 0
-	case b[1] <= maxShortKey:
-		return int(b[1])
-	case b[1] == oneByteKey && len(b) > 2:
-		return int(b[2])
-	}
-	return 0
-}
-
-// sendMessage sends a message to one member.
-func (n *Node) sendMessage(member string, m any) {
-	message, err := cbor.Marshal(m)
-	if err != nil {
-		n.log.Error("failed to encode message", "to", member, "error", err)
-		return
-	}
-	if g := n.group; g != nil {
-		g.SendTo(member, message)
-	}
-}
-
 // decodeConfig decodes a configuration, or returns nil if it is invalid.
 func (n *Node) decodeConfig(value []byte, revision int64) *cicadaview.Config {
 	config, err := adapter.DecodeConfig(value)
--- a/cicadagateway/cicadaprocess/inflight.go
+++ b/cicadagateway/cicadaprocess/inflight.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"time"
 
 	"cicadalink.example/cicadagateway/cicadapeer"
 	"cicadalink.example/cicadagateway/cicadaplace"
@@ -37,7 +36,7 @@
 	return out
 }
 
-// updateSenders tells the table which processes send requests to endpoints.
+// updateSenders passes the live processes that send requests to endpoints to the table.
 func (n *Node) updateSenders() {
 	senders := cicadaplace.Senders{
 		Online: memberNames(n.group.Live(cicadapeer.RoleEntry)), Batch: memberNames(n.group.Live(cicadapeer.RoleOwner)),
@@ -57,50 +56,3 @@
 	}
 	return names
 }
-
-func encodeSpeeds(samples []cicadaplace.SpeedSample) []cicadapeer.SpeedSample {
-	out := make([]cicadapeer.SpeedSample, 0, len(samples))
-	for _, s := range samples {
-		out = append(out, cicadapeer.SpeedSample{Endpoint: s.Endpoint, Ratio: s.Ratio, Weight: s.Weight})
-	}
-	return out
-}
-
-func decodeSpeeds(samples []cicadapeer.SpeedSample) []cicadaplace.SpeedSample {
-	out := make([]cicadaplace.SpeedSample, 0, len(samples))
-	for _, s := range samples {
-		out = append(out, cicadaplace.SpeedSample{Endpoint: s.Endpoint, Ratio: s.Ratio, Weight: s.Weight})
-	}
-	return out
-}
-
-const (
-	// usageInterval is the interval between the messages that hold the work of customers. Shares are
-	// those of the last seconds, so that more messages would tell little more.
-	usageInterval = 500 * time.Millisecond
-	// maxSentUsage limits the customers in a message. The others' work hardly counts.
-	maxSentUsage = 8
-)
-
-// nextUsage returns the work of customers for the next message to peers, or nil if that holds none.
-func (n *Node) nextUsage(now time.Time) []cicadapeer.CustomerUsage {
-	if now.Sub(n.usageSentAt) < usageInterval {
-		return nil
-	}
-	var out []cicadapeer.CustomerUsage
-	for _, u := range n.table.LocalUsage(maxSentUsage) {
-		out = append(out, cicadapeer.CustomerUsage{Customer: u.Customer, Work: u.Work})
-	}
-	if out != nil {
-		n.usageSentAt = now
-	}
-	return out
-}
-
-func decodeUsage(usage []cicadapeer.CustomerUsage) []cicadaplace.CustomerUsage {
-	out := make([]cicadaplace.CustomerUsage, 0, len(usage))
-	for _, u := range usage {
-		out = append(out, cicadaplace.CustomerUsage{Customer: u.Customer, Work: u.Work})
-	}
-	return out
-}
--- a/cicadagateway/cicadaprocess/process.go
+++ b/cicadagateway/cicadaprocess/process.go
@@ -85,7 +85,7 @@
 	versions         *cicadaorigin.Versions
 	origins          *cicadaorigin.Tracker
 	history          *versionHistory
-	freshness        *cicadafreshness.Tracker // nil if withdrawn keys need not be refused in time
+	freshness        *cicadafreshness.Tracker // nil if revoked keys need not be refused in time
 	quotas           *cicadaratelimit.Limiter // nil at an owner
 	usageSentAt      time.Time                // accessed by the sender of states only
 	refusalsReported tally.Counter
--- a/cicadagateway/cicadaprocess/settings.go
+++ b/cicadagateway/cicadaprocess/settings.go
@@ -56,7 +56,7 @@
 	KeepJobs cicadasettings.Duration `yaml:"keep-jobs"`
 	// DrainLimit is the longest time of a graceful shutdown.
 	DrainLimit cicadasettings.Duration `yaml:"drain-limit"`
-	// RevocationLimit is the longest time for which a withdrawn key may still be accepted. Without
+	// RevocationLimit is the longest time for which a revoked key may still be accepted. Without
 	// it, the configuration in force is trusted however old it is.
 	RevocationLimit cicadasettings.Duration `yaml:"revocation-limit"`
 	// QuotaSlack is how many requests a customer may have above its rate limit in a window of
--- a/cicadagateway/cicadarelay/customer.go
+++ b/cicadagateway/cicadarelay/customer.go
@@ -18,31 +18,32 @@
 	reasonUnknownLimit       = "rate-limit-unknown"
 )
 
-// staleRetryAfter is the time after which a caller should try another entry, while this one does
-// not know whether its keys are still valid.
+// staleRetryAfter is the time after which a caller should retry while this entry cannot check keys. It
+// is short because another entry probably can.
 const staleRetryAfter = 50 * time.Millisecond
 
-// A Quota is one request's share of its customer's rate limit.
-type Quota struct {
-	// Allowed is set if the request is within the limit. Otherwise Known is set if it exceeds
-	// the limit, and not if the limit could not be checked.
+// A QuotaDecision is the decision on one request of a customer with a rate limit.
+type QuotaDecision struct {
+	// Allowed is set if the request is within the limit. If it is not set, Known distinguishes a
+	// request over the limit (true) from a limit that could not be checked (false).
 	Allowed, Known bool
 	// RetryAfter is the time after which a refused caller should retry.
 	RetryAfter time.Duration
-	// Detail describes for the log what decided.
+	// Detail describes the decision in log lines.
 	Detail string
-	// Return gives back the share of a request that was not sent to any endpoint.
+	// Return gives back the quota of an allowed request that was not sent to any endpoint.
 	Return func()
 }
 
-// CustomerPolicy holds what decides about the requests of customers. It has no effect in a
+// CustomerPolicy holds the functions that decide on requests of customers. It has no effect in a
 // deployment without customers.
 type CustomerPolicy struct {
 	// Fresh reports whether the configuration in force was confirmed so recently that no key that
-	// it holds may have been withdrawn too long ago.
+	// it holds may have been revoked too long ago.
 	Fresh func() bool
-	// AcquireQuota takes a request's share of the rate limit of a customer.
-	AcquireQuota func(ctx context.Context, customer string, limit cicadaview.RateLimit) Quota
+	// AcquireQuota decides whether a request is within the rate limit of its customer. It may block
+	// until ctx is done. If it is nil, rate limits are not enforced.
+	AcquireQuota func(ctx context.Context, customer string, limit cicadaview.RateLimit) QuotaDecision
 }
 
 // WithCustomers sets the policy for the requests of customers. The default trusts the
@@ -51,12 +52,12 @@
 	return func(r *Relay) { r.customers = policy }
 }
 
-// A caller is who sent a request: a customer, or nobody in particular if customer is nil.
+// A caller is the authenticated sender of a request. It is anonymous if customer is nil.
 type caller struct {
 	customer *cicadaview.Customer
 	key      cicadaview.KeyDigest
-	// customers is set if the deployment has customers, so that the headers of keys and customers
-	// are not the caller's to set.
+	// customers is set if the deployment has customers. The headers with the key and the customer are
+	// then not passed on from the request.
 	customers bool
 }
 
@@ -68,8 +69,8 @@
 	return c.customer.Name
 }
 
-// authenticate returns who sent a request. If the request must be refused, it returns the status
-// and the reason. A request that needs no key may have one.
+// authenticate returns the caller of a request. If the request must be refused, it returns the status
+// and the reason, and otherwise status 0. A request that needs no key may have one.
 func (rl *Relay) authenticate(config *cicadaview.Config, r *http.Request, needsKey bool) (c caller, status int, reason string) {
 	if !config.HasCustomers() {
 		return caller{}, 0, ""
@@ -90,8 +91,8 @@
 	return c, status, reason
 }
 
-// verify looks up the customer that holds the caller's key. While the configuration may be
-// outdated, it tells neither that a key is valid nor that it is not.
+// verify looks up the customer that holds the caller's key. While the configuration may be outdated,
+// it neither accepts nor rejects keys, and returns 503.
 func (rl *Relay) verify(config *cicadaview.Config, c *caller) (status int, reason string) {
 	if !rl.customers.Fresh() {
 		return http.StatusServiceUnavailable, reasonStaleConfiguration
@@ -104,8 +105,8 @@
 	return 0, ""
 }
 
-// refuseCaller refuses a request because of its key.
-func (rl *Relay) refuseCaller(w http.ResponseWriter, r *http.Request, status int, reason string) {
+// refuseKey refuses a request because of its key.
+func (rl *Relay) refuseKey(w http.ResponseWriter, r *http.Request, status int, reason string) {
 	retryAfter := time.Duration(0)
 	if status == http.StatusServiceUnavailable {
 		retryAfter = staleRetryAfter
@@ -113,12 +114,10 @@
 	rl.refuse(w, r, status, reason, retryAfter)
 }
 
-// needsKey reports whether a request on the route must have a key.
-func needsKey(route *cicadaview.Route) bool { return !route.Public }
-
-// stillValid reports whether the key of a request is valid just before it is sent to an endpoint,
-// as it may have been withdrawn while the request waited. If not, the request fails.
-func (x *exchange) stillValid(ctx context.Context) bool {
+// recheckKey checks the key again just before the request is sent to an endpoint, since it may have
+// been revoked while the request waited. If the key is not valid, recheckKey ends the request and
+// returns false.
+func (x *exchange) recheckKey(ctx context.Context) bool {
 	if x.caller.customer == nil {
 		return true
 	}
@@ -131,15 +130,15 @@
 		return true
 	}
 	if x.runs > 0 || x.headerSent {
-		x.fail(ctx, errKeyWithdrawn)
+		x.fail(ctx, errKeyRevoked)
 		return false
 	}
-	x.relay.refuseCaller(x.w, x.r, status, reason)
+	x.relay.refuseKey(x.w, x.r, status, reason)
 	return false
 }
 
-// acquireQuota takes the request's share of its customer's rate limit. It reports false if the
-// request was refused.
+// acquireQuota checks the request against its customer's rate limit. If the request is not within the
+// limit, acquireQuota refuses it and returns false.
 func (x *exchange) acquireQuota(ctx context.Context) bool {
 	customer := x.caller.customer
 	if customer == nil {
@@ -167,16 +166,16 @@
 	return false
 }
 
-// releaseQuota gives back the request's share of the rate limit if it was sent to no endpoint.
+// releaseQuota gives back the quota of a request that was not sent to any endpoint.
 func (x *exchange) releaseQuota() {
 	if x.runs == 0 && x.returnQuota != nil {
 		x.returnQuota()
 	}
 }
 
-// identify replaces the key in the header of a request to an endpoint by the name of the
+// setHeaders removes the key from the header of a request to an endpoint and sets the name of the
 // customer.
-func (c caller) identify(h http.Header) {
+func (c caller) setHeaders(h http.Header) {
 	if !c.customers {
 		return
 	}
--- a/cicadagateway/cicadarelay/customer_test.go
+++ b/cicadagateway/cicadarelay/customer_test.go
@@ -66,7 +66,7 @@
 	*recordingEndpoints
 	config   *cicadaview.Config
 	fresh    bool
-	quota    Quota
+	quota    QuotaDecision
 	acquired int
 	returned int
 }
@@ -92,11 +92,11 @@
 	c.config = customerConfig(1, cicadaview.Customer{
 		Name: "a", Keys: []cicadaview.KeyDigest{cicadaview.DigestKey(testKey)}, Rate: cicadaview.RateLimit{PerSecond: 10, Burst: 10},
 	})
-	c.quota = Quota{Allowed: true, Known: true, Return: func() { c.returned++ }}
+	c.quota = QuotaDecision{Allowed: true, Known: true, Return: func() { c.returned++ }}
 	c.Relay = New(func() *cicadaview.Config { return c.config }, table, cicadaexchange.NewClient(cicadaexchange.WithDial(c.dial)), hclog.NewNullLogger(),
 		WithCustomers(CustomerPolicy{
 			Fresh: func() bool { return c.fresh },
-			AcquireQuota: func(context.Context, string, cicadaview.RateLimit) Quota {
+			AcquireQuota: func(context.Context, string, cicadaview.RateLimit) QuotaDecision {
 				c.acquired++
 				return c.quota
 			},
@@ -158,7 +158,7 @@
 	})
 }
 
-// Guards against a request that is sent once more although its key has been withdrawn, or may have been,
+// Guards against a request that is sent once more although its key has been revoked, or may have been,
 // since the first attempt.
 func TestKeyIsCheckedBeforeEachAttempt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -185,11 +185,11 @@
 func TestRequestsAboveTheRateLimitAreRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCustomerRelay()
-		c.quota = Quota{Known: true, RetryAfter: 250 * time.Millisecond}
+		c.quota = QuotaDecision{Known: true, RetryAfter: 250 * time.Millisecond}
 		w := c.send("/p/1", testKey)
 		assert.Equal(t, w.Code, http.StatusTooManyRequests)
 		assert.Equal(t, w.Header().Get("Retry-After"), "0.250")
-		c.quota = Quota{RetryAfter: 50 * time.Millisecond}
+		c.quota = QuotaDecision{RetryAfter: 50 * time.Millisecond}
 		assert.Equal(t, c.send("/p/1", testKey).Code, http.StatusServiceUnavailable)
 		assert.Equal(t, len(c.headers), 0)
 	})
--- a/cicadagateway/cicadarelay/customermetrics.go
+++ b/cicadagateway/cicadarelay/customermetrics.go
@@ -26,14 +26,14 @@
 type customerCounter struct {
 	admitted tally.Counter // within the rate limit, or without one
 	refused  tally.Counter // above the rate limit
-	unknown  tally.Counter // refused since the rate limit could not be checked
+	unknown  tally.Counter // refused because the rate limit could not be checked
 }
 
 func newCustomerCounters(scope tally.Scope) *customerCounters {
 	return &customerCounters{scope: scope, byName: make(map[string]customerCounter)}
 }
 
-// of returns the counter of a customer.
+// of returns the counter of a customer, or that of all others beyond maxCustomerSeries.
 func (c *customerCounters) of(customer string) customerCounter {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/cicadagateway/cicadarelay/exchange.go
+++ b/cicadagateway/cicadarelay/exchange.go
@@ -25,7 +25,7 @@
 	r           *http.Request
 	route       *cicadaview.Route
 	caller      caller
-	returnQuota func() // nil if the request has no share of a rate limit
+	returnQuota func() // nil if no quota was acquired
 	body        []byte
 	id          string
 	fingerprint uint64
@@ -115,7 +115,7 @@
 		x.fail(ctx, errCrashesEndpoints)
 		return false
 	}
-	if !x.stillValid(ctx) {
+	if !x.recheckKey(ctx) {
 		return false
 	}
 	x.sends++
@@ -176,7 +176,7 @@
 func (x *exchange) endpointRequest(endpoint cicadaview.Endpoint) cicadaexchange.Request {
 	req := outgoing(x.r)
 	h := req.Header
-	x.caller.identify(h)
+	x.caller.setHeaders(h)
 	h.Set(adapter.HeaderExpectInstance, endpoint.ID)
 	deadline := x.deadline
 	if limit := x.start.Add(x.route.Timeout); x.route.Kind != cicadaview.Stream && x.route.Timeout > 0 && limit.Before(deadline) {
@@ -291,12 +291,11 @@
 	reasonTimeout            = "timeout"
 	reasonBusy               = "busy"
 	reasonNoEndpoint         = "no-endpoint"
-	reasonKeyWithdrawn       = "key-withdrawn"
+	reasonKeyRevoked         = "key-withdrawn"
 )
 
-// errKeyWithdrawn reports that the key of a request that had run was not valid any more when it was
-// to be sent once more.
-var errKeyWithdrawn = merry.Sentinel("cicadarelay: key withdrawn")
+// errKeyRevoked reports that the key of a request was revoked between two attempts.
+var errKeyRevoked = merry.Sentinel("cicadarelay: key withdrawn")
 
 // fail ends the request without a complete response. The status is 503 only if the
 // request certainly did not run. Otherwise it is 502 or 504, and the caller cannot
@@ -320,8 +319,8 @@
 		reason = reasonNoEndpoint
 	case errors.Is(err, errCrashesEndpoints):
 		reason = reasonCrashesEndpoints
-	case errors.Is(err, errKeyWithdrawn):
-		reason = reasonKeyWithdrawn
+	case errors.Is(err, errKeyRevoked):
+		reason = reasonKeyRevoked
 	}
 	status := x.failureStatus(reason)
 	x.relay.scope.Tagged(map[string]string{"reason": reason}).Counter("failed").Inc(1)
--- a/cicadagateway/cicadarelay/metrics.go
+++ b/cicadagateway/cicadarelay/metrics.go
@@ -42,7 +42,7 @@
 	for _, kind := range []cicadaview.Kind{cicadaview.Safe, cicadaview.Unsafe, cicadaview.Stream} {
 		m.responseTime[kind] = scope.Tagged(map[string]string{"kind": kind.String()}).Histogram("answer_time", latencyBuckets)
 	}
-	for _, reason := range []string{reasonFailed, reasonCallerDisconnected, reasonTimeout, reasonBusy, reasonNoEndpoint, reasonUnknownOrigin, reasonVersionGone, reasonKeyWithdrawn} {
+	for _, reason := range []string{reasonFailed, reasonCallerDisconnected, reasonTimeout, reasonBusy, reasonNoEndpoint, reasonUnknownOrigin, reasonVersionGone, reasonKeyRevoked} {
 		m.failureTime[reason] = scope.Tagged(map[string]string{"reason": reason}).Histogram("failure_time", latencyBuckets)
 	}
 	return m
--- a/cicadagateway/cicadarelay/relay.go
+++ b/cicadagateway/cicadarelay/relay.go
@@ -204,9 +204,9 @@
 		rl.refuse(w, r, http.StatusNotFound, "no-route", 0)
 		return
 	}
-	sender, status, reason := rl.authenticate(config, r, needsKey(route))
+	sender, status, reason := rl.authenticate(config, r, !route.Public)
 	if status != 0 {
-		rl.refuseCaller(w, r, status, reason)
+		rl.refuseKey(w, r, status, reason)
 		return
 	}
 	if err := outgoing(r).Validate(); err != nil {
@@ -373,7 +373,7 @@
 func (rl *Relay) callJob(w http.ResponseWriter, r *http.Request, config *cicadaview.Config, call adapter.JobCallKind, id string) {
 	sender, status, reason := rl.authenticate(config, r, !config.HasPublicBatch())
 	if status != 0 {
-		rl.refuseCaller(w, r, status, reason)
+		rl.refuseKey(w, r, status, reason)
 		return
 	}
 	if rl.jobs.Call == nil {
--- a/cicadagateway/cicadarelay/sampling.go
+++ b/cicadagateway/cicadarelay/sampling.go
@@ -8,8 +8,8 @@
 	adapter "cicadalink.example/platform"
 )
 
-// startSampling begins to measure how fast the endpoint of the grant serves the request. It
-// returns nil unless this is the first attempt from the start: a later one is not typical.
+// startSampling begins to measure how fast the endpoint of the grant serves the request. It returns
+// nil for a second attempt or a resumed stream, whose times are not typical.
 func (x *exchange) startSampling(grant *cicadaplace.Grant) *cicadaplace.Sampler {
 	if x.sends > 1 || x.continues || x.resumedByCaller() {
 		return nil
--- a/cicadasoak/customers.go
+++ b/cicadasoak/customers.go
@@ -38,7 +38,7 @@
 	othersInterval   = 200 * time.Millisecond
 	// customerStreams leaves slots for the requests of the other customers.
 	customerStreams = 20
-	// revocationMargin is how long callers go on with a withdrawn key after the limit.
+	// revocationMargin is how long callers go on with a revoked key after the limit.
 	revocationMargin = 2500 * time.Millisecond
 )
 
@@ -55,10 +55,10 @@
 	)
 }
 
-// A revocationFault is what keeps an entry from learning that a key is withdrawn.
+// A revocationFault is what keeps an entry from learning that a key is revoked.
 type revocationFault struct {
 	kind string
-	// inject comes before the withdrawal, and end after the limit and the margin.
+	// inject comes before the revocation, and end after the limit and the margin.
 	inject func(s *soak, p *process) (end func())
 }
 
@@ -107,7 +107,7 @@
 	}
 }
 
-// playCustomers keeps the callers of all customers busy while keys are withdrawn. At each time one entry
+// playCustomers keeps the callers of all customers busy while keys are revoked. At each time one entry
 // cannot learn of it as usual, for longer than the limit.
 func (s *soak) playCustomers(ctx context.Context) {
 	l := s.cfg.customers
@@ -125,7 +125,7 @@
 	l.checkKept(s.dir, s.store)
 }
 
-// rotateKey withdraws the key of one customer during a fault of one entry.
+// rotateKey revokes the key of one customer during a fault of one entry.
 func (s *soak) rotateKey(ctx context.Context, round int, f revocationFault) {
 	p := s.pick(s.entries)
 	s.log.Info("key withdrawn", "during", f.kind, "entry", p.name)
@@ -133,7 +133,7 @@
 	end := f.inject(s, p)
 	old := s.cfg.customers.replaceKeys(rotating, fmt.Sprint(keyMark, "rotating-", round+1))
 	s.setConfig(int(s.config.Add(1)))
-	s.cfg.customers.recordWithdrawn(old, time.Now())
+	s.cfg.customers.recordRevoked(old, time.Now())
 	s.oldKey.Store(&old[0])
 	cicadaretry.Sleep(ctx, revocationLimit+revocationMargin)
 	end()
@@ -181,8 +181,8 @@
 type plainRequest struct {
 	customer, key string
 	public        bool // on the public route
-	valid         bool // with a key that is never withdrawn, or public
-	old           bool // with the key that was withdrawn last
+	valid         bool // with a key that is never revoked, or public
+	old           bool // with the key that was revoked last
 }
 
 // kind names the request in counts.
--- a/cicadasoak/ledger.go
+++ b/cicadasoak/ledger.go
@@ -16,7 +16,7 @@
 const keyMark = "soak-key-"
 
 const (
-	// revocationLimit is the time after the store's acknowledgement from which a withdrawn key must
+	// revocationLimit is the time after the store's acknowledgement from which a revoked key must
 	// not be used.
 	revocationLimit = 5 * time.Second
 	// quotaWindow, quotaOverage and quotaSlack bound the requests of a customer in any window, beyond
@@ -70,7 +70,7 @@
 
 	mu        sync.Mutex
 	customers []*customer
-	withdrawn map[string]time.Time // by key, when the store acknowledged it
+	revoked   map[string]time.Time // by key, when the store acknowledged it
 	requests  map[string]sentRequest
 	run       map[string]bool         // by request, those that have reached an endpoint
 	limited   map[string][]limitedRun // by customer
@@ -78,7 +78,7 @@
 
 func newLedger(c *checks, jobs string, customers ...*customer) *ledger {
 	return &ledger{
-		checks: c, jobs: jobs, customers: customers, withdrawn: make(map[string]time.Time),
+		checks: c, jobs: jobs, customers: customers, revoked: make(map[string]time.Time),
 		requests: make(map[string]sentRequest), run: make(map[string]bool), limited: make(map[string][]limitedRun),
 	}
 }
@@ -109,12 +109,12 @@
 	return old
 }
 
-// recordWithdrawn notes that the store has acknowledged a configuration without some keys.
-func (l *ledger) recordWithdrawn(keys []string, at time.Time) {
+// recordRevoked notes that the store has acknowledged a configuration without some keys.
+func (l *ledger) recordRevoked(keys []string, at time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, key := range keys {
-		l.withdrawn[key] = at
+		l.revoked[key] = at
 	}
 }
 
@@ -154,7 +154,7 @@
 	if !known && strings.HasPrefix(r.URL.Path, batchPrefix) {
 		sent, known = sentRequest{customer: l.jobs}, true
 	}
-	withdrawn, isWithdrawn := l.withdrawn[sent.key]
+	revokedAt, isRevoked := l.revoked[sent.key]
 	if known && !l.run[id] && sent.customer != "" && l.customer(sent.customer).rate > 0 {
 		l.limited[sent.customer] = append(l.limited[sent.customer], limitedRun{sent.sent, now})
 	}
@@ -169,7 +169,7 @@
 	case told != sent.customer:
 		l.checks.violate(wrongCustomer, id, fmt.Sprintf("%q instead of %q", told, sent.customer))
 	}
-	if late := sent.sent.Sub(withdrawn); isWithdrawn && late > revocationLimit {
+	if late := sent.sent.Sub(revokedAt); isRevoked && late > revocationLimit {
 		l.checks.violate(runAfterLimit, id, fmt.Sprintf("sent %v after the key was withdrawn, run %v after it was sent", late, now.Sub(sent.sent)))
 	}
 }
--- a/cicadasoak/ledger_test.go
+++ b/cicadasoak/ledger_test.go
@@ -43,7 +43,7 @@
 		l := newCustomers(checks)
 		l.requests["r"] = c.request
 		if c.withdrawn > 0 {
-			l.recordWithdrawn([]string{c.request.key}, sent.Add(-c.withdrawn))
+			l.recordRevoked([]string{c.request.key}, sent.Add(-c.withdrawn))
 		}
 		r := httptest.NewRequest(http.MethodPost, plainPrefix+c.path, nil)
 		r.Header.Set("X-Request-Id", "r")
--- a/cicadasoak/scenario.go
+++ b/cicadasoak/scenario.go
@@ -37,7 +37,7 @@
 	noStreams atomic.Bool
 	// sign adds a key to the requests of callers of all kinds, if there are customers.
 	sign func(*http.Request)
-	// oldKey is the key that was withdrawn last.
+	// oldKey is the key that was revoked last.
 	oldKey atomic.Pointer[string]
 }
 
