Split the acceptance of jobs and name the responses to duplicates

Cause: accept was long, repeated and repeatResponse decided the same thing twice, and confirmRepeat stated a reason that its code does not establish. Change: extract decodeItems, newRecord and duplicateResponse, rename repeated and repeatResponse, and rewrite comments. No behaviour changes. Tests: go vet, revive and go test of cicadabatch pass.

--- a/cicadagateway/cicadabatch/job.go
+++ b/cicadagateway/cicadabatch/job.go
@@ -93,7 +93,7 @@
 type jobRecord struct {
 	Host        string         `json:"host"`
 	Path        string         `json:"path"`
-	Customer    string         `json:"customer,omitempty"` // to which the job belongs, and in whose name its items run
+	Customer    string         `json:"customer,omitempty"` // owner of the job, sent to endpoints with its items; empty without customers
 	AcceptedMs  int64          `json:"accepted-ms"`        // Unix time by the clock of the owner that accepted the job
 	DueMs       int64          `json:"due-ms"`
 	GiveUpMs    int64          `json:"give-up-ms"`
--- a/cicadagateway/cicadabatch/reading.go
+++ b/cicadagateway/cicadabatch/reading.go
@@ -22,10 +22,10 @@
 	readTimeout     = 2 * time.Second // limit on reading a job and its results
 )
 
-// readJob runs f in the event loop with the job of a call. It finds only jobs of the caller's
-// customer. The job is one whose results in memory include every result that
-// any owner may have returned to a reader before the call, and with the reason why they do. It
-// reads them from the store first if needed. If that fails, it returns an error response instead.
+// readJob runs f in the event loop with the job of a call, and with the source of its results. The
+// results in memory then include every result that any owner may have returned to a reader before the
+// call; readJob reads them from the store if needed. If the job cannot be read, or does not belong to
+// the customer of the call, readJob returns an error response instead.
 func (o *Owner) readJob(ctx context.Context, c *Call, f func(j *job, source resultSource)) *Response {
 	id, called := c.Job, time.Now()
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
--- a/cicadagateway/cicadabatch/run.go
+++ b/cicadagateway/cicadabatch/run.go
@@ -116,8 +116,8 @@
 	return r.classifyError(ctx, err)
 }
 
-// startSampling begins to measure how fast the endpoint runs the item. It returns nil if the run
-// resumes it.
+// startSampling begins to measure how fast the endpoint runs the item. It returns nil for a run that
+// resumes the item, whose times are not typical.
 func (r *run) startSampling(header http.Header) *cicadaplace.Sampler {
 	if r.grant == nil || r.firstEvent > 0 {
 		return nil
--- a/cicadagateway/cicadabatch/submit.go
+++ b/cicadagateway/cicadabatch/submit.go
@@ -38,16 +38,13 @@
 func (o *Owner) accept(ctx context.Context, c *Call) Response {
 	var known *Response
 	assignments := 0
-	if !o.runInLoop(ctx, func() { known, assignments = o.repeated(c), o.assignments }) {
+	if !o.runInLoop(ctx, func() { known, assignments = o.knownJobResponse(c), o.assignments }) {
 		return outcomeUnknown()
 	}
 	if known != nil {
 		return *known
 	}
-	items, err := adapter.DecodeJob(c.Body)
-	if err == nil {
-		err = validateItems(c.Host, items)
-	}
+	items, err := decodeItems(c)
 	if err != nil {
 		o.metrics.jobsInvalid.Inc(1)
 		o.log.Warn("submission rejected", "job", c.Job, "error", err)
@@ -58,7 +55,7 @@
 	}
 	if !o.runInLoop(ctx, func() {
 		if o.releaseDuplicate(c) {
-			known = o.repeated(c)
+			known = o.knownJobResponse(c)
 		}
 	}) {
 		return outcomeUnknown()
@@ -70,10 +67,7 @@
 		dropCredentials(items)
 	}
 	now := time.Now()
-	r := jobRecord{
-		Host: c.Host, Path: c.Path, Customer: c.Customer, AcceptedMs: now.UnixMilli(), DueMs: c.Due.Milliseconds(), GiveUpMs: c.GiveUp.Milliseconds(),
-		Total: len(items), SubmittedBy: o.name, Items: items,
-	}
+	r := o.newRecord(c, items, now)
 	obj, parts, err := storeJob(ctx, o.store, c.Job, r)
 	if err != nil && !errors.Is(err, cicadaplatform.ErrExists) {
 		return o.submitError(c, err)
@@ -94,30 +88,55 @@
 	return Response{Status: http.StatusAccepted}
 }
 
-// repeated returns the response to the submission of a job that is known already, or nil. It is
-// called in the event loop.
-func (o *Owner) repeated(c *Call) *Response {
+// decodeItems decodes and validates the items of a submission.
+func decodeItems(c *Call) ([]adapter.Item, error) {
+	items, err := adapter.DecodeJob(c.Body)
+	if err != nil {
+		return nil, err
+	}
+	return items, validateItems(c.Host, items)
+}
+
+// newRecord returns the record of a job that this owner accepts at a time.
+func (o *Owner) newRecord(c *Call, items []adapter.Item, now time.Time) jobRecord {
+	return jobRecord{
+		Host: c.Host, Path: c.Path, Customer: c.Customer, AcceptedMs: now.UnixMilli(), DueMs: c.Due.Milliseconds(), GiveUpMs: c.GiveUp.Milliseconds(),
+		Total: len(items), SubmittedBy: o.name, Items: items,
+	}
+}
+
+// duplicateResponse returns the response to the submission of a job that exists and belongs to a
+// customer: accepted for the same customer, and otherwise a conflict of IDs.
+func duplicateResponse(customer string, c *Call) Response {
+	if customer != c.Customer {
+		return Response{Status: http.StatusConflict}
+	}
+	return Response{Status: http.StatusAccepted}
+}
+
+// knownJobResponse returns the response to the submission of a job that this owner knows, or nil if it
+// does not know the job. It is called in the event loop.
+func (o *Owner) knownJobResponse(c *Call) *Response {
 	j := o.jobs[c.Job]
 	if j == nil {
 		return nil
 	}
-	resp := Response{Status: http.StatusAccepted}
-	if j.record.Customer != c.Customer {
-		resp.Status = http.StatusConflict
-	}
+	resp := duplicateResponse(j.record.Customer, c)
 	return &resp
 }
 
-// repeatResponse returns the response to the submission of a job that is in the store already.
-func repeatResponse(obj cicadaplatform.Object, c *Call) Response {
-	if r, err := decodeRecord(obj.Value()); err == nil && r.Customer != c.Customer {
-		return Response{Status: http.StatusConflict}
+// storedJobResponse returns the response to the submission of a job that is in the store. A record that
+// cannot be decoded counts as that of the same customer.
+func storedJobResponse(obj cicadaplatform.Object, c *Call) Response {
+	r, err := decodeRecord(obj.Value())
+	if err != nil {
+		return Response{Status: http.StatusAccepted}
 	}
-	return Response{Status: http.StatusAccepted}
+	return duplicateResponse(r.Customer, c)
 }
 
-// confirmRepeat returns the response to the submission of a job that another owner has stored. Without
-// customers, the job can only be the same one.
+// confirmRepeat returns the response to the submission of a job that another owner has stored. A call
+// without a customer is accepted without a read of the stored job.
 func (o *Owner) confirmRepeat(ctx context.Context, c *Call) Response {
 	if c.Customer == "" {
 		return Response{Status: http.StatusAccepted}
@@ -127,17 +146,17 @@
 		o.log.Warn("failed to look up repeated job", "job", c.Job, "error", err)
 		return outcomeUnknown()
 	}
-	return repeatResponse(obj, c)
+	return storedJobResponse(obj, c)
 }
 
-// dropsCredentials reports whether the headers of items must not name a key or a customer, as the
-// owner sets the customer itself.
+// dropsCredentials reports whether headers with a key or a customer must be removed from items: the
+// job belongs to a customer, or the deployment has customers.
 func (o *Owner) dropsCredentials(customer string) bool {
 	config := o.config()
 	return customer != "" || config != nil && config.HasCustomers()
 }
 
-// dropCredentials removes the headers of items that hold a key or name a customer.
+// dropCredentials removes the headers with a key or a customer from items.
 func dropCredentials(items []adapter.Item) {
 	for _, it := range items {
 		for name := range it.Headers {
@@ -197,7 +216,7 @@
 	switch {
 	case err == nil:
 		o.enqueue(func() { o.applyJob(obj, true) })
-		return repeatResponse(obj, c)
+		return storedJobResponse(obj, c)
 	case errors.Is(err, cicadaplatform.ErrNotFound):
 		return refusal
 	}
--- a/cicadagateway/cicadabatch/waiting.go
+++ b/cicadagateway/cicadabatch/waiting.go
@@ -58,8 +58,8 @@
 	return route, ok && route.MaxWaitingTokens > 0
 }
 
-// accountName returns the name under which the waiting tokens of a customer on a route are limited,
-// or those of all callers if customer is empty.
+// accountName returns the name of the limiter's account for the waiting tokens of a customer on a
+// route, or of all callers together if customer is empty.
 func accountName(route *cicadaview.Route, customer string) string {
 	if customer == "" {
 		return route.Name
