Compare lists of a configuration in one place

Change: add the generic compare and ValidHeaderValue, rename parameters and rewrite comments. Findings, changes and their codes stay the same.

--- a/cicadakernel/cicadacheck/check.go
+++ b/cicadakernel/cicadacheck/check.go
@@ -1,6 +1,6 @@
-// Package cicadacheck examines a configuration of the gateway before it is in force: what cannot
-// have the effect that was meant, and what a change does to callers. It holds no state and calls
-// nothing, so that a running process and a command get the same findings.
+// Package cicadacheck examines a configuration of the gateway before it is in force: it finds entries
+// that cannot have their intended effect, and lists what a change means for callers. Its results
+// depend only on its arguments, so that a running process and a command get the same findings.
 //
 // # Usage
 //
@@ -10,11 +10,11 @@
 //	}
 //	changes := cicadacheck.Compare(inForce, config)
 //
-// A finding is an error if the gateway can't do what an entry says, as with a route that never
-// matches, and a warning if it can and the entry is probably a mistake. Decoders add findings of
-// their own with NewFinding, as only they know what the file said.
+// A finding is an error if an entry cannot have the effect that it states, such as a route that never
+// matches, and a warning if it has the effect but is probably a mistake. Decoders add findings about
+// the file itself with NewFinding.
 //
-// No finding and no change contains a key: keys are named by the beginning of their digest.
+// No finding or change contains a key: keys are identified by the beginning of their digest.
 package cicadacheck
 
 import (
@@ -26,7 +26,7 @@
 	"cicadalink.example/cicadakernel/cicadaview"
 )
 
-// A Severity is the severity of a finding.
+// A Severity says whether a finding makes a check fail (Error) or not (Warning).
 type Severity string
 
 // Severities of findings.
@@ -51,7 +51,7 @@
 	return Finding{severity, field, code, fmt.Sprintf(format, args...)}
 }
 
-// Severity returns the severity.
+// Severity returns the severity of the finding.
 func (f Finding) Severity() Severity { return f.severity }
 
 // Field returns the path of the field.
@@ -73,7 +73,7 @@
 	}{f.severity, f.field, f.code, f.message})
 }
 
-// HasErrors reports whether a finding is an error.
+// HasErrors reports whether at least one of the findings is an error.
 func HasErrors(findings []Finding) bool {
 	return slices.ContainsFunc(findings, func(f Finding) bool { return f.severity == Error })
 }
@@ -90,8 +90,8 @@
 // WithPaths sets how places are written in findings and changes. The default is Place.String.
 func WithPaths(path func(Place) string) Option { return func(o *options) { o.path = path } }
 
-// WithLargestJob sets the largest number of items of a job, with which limits of batch routes are
-// compared. Without it they are not.
+// WithLargestJob sets the largest number of items of a job, against which the limits of batch routes
+// are checked. Without it they are not checked.
 func WithLargestJob(items int) Option { return func(o *options) { o.largestJob = items } }
 
 func newOptions(opts []Option) options {
@@ -127,9 +127,9 @@
 	c.findings = append(c.findings, NewFinding(severity, c.path(at), code, format, args...))
 }
 
-// checkNames reports entries of a list that have no name or that of an earlier one. used states
-// which of several entries with one name takes effect.
-func (c *checker) checkNames(list Field, names []string, used string) {
+// checkNames reports entries of a list that have no name or the name of an earlier entry. consequence
+// states in the finding what follows from several entries with one name.
+func (c *checker) checkNames(list Field, names []string, consequence string) {
 	first := make(map[string]int, len(names))
 	for i, name := range names {
 		at := Place{}.element(list, i)
@@ -137,16 +137,16 @@
 		case name == "":
 			c.add(Error, at.field(Name), "missing-name", "has no name")
 		case exists:
-			c.add(Error, at.field(Name), "duplicate-name", "%q is also the name of %s; %s", name, c.path(Place{}.element(list, earlier)), used)
+			c.add(Error, at.field(Name), "duplicate-name", "%q is also the name of %s; %s", name, c.path(Place{}.element(list, earlier)), consequence)
 		default:
 			first[name] = i
 		}
 	}
 }
 
-// keyDigestBytes is how much of a key's digest is shown.
-const keyDigestBytes = 4
+// keyNameBytes is the number of bytes of a key's digest that identify it in findings.
+const keyNameBytes = 4
 
-// KeyName returns what a key is called in findings and changes: the first 8 hexadecimal digits of
-// its SHA-256 digest.
-func KeyName(digest cicadaview.KeyDigest) string { return hex.EncodeToString(digest[:keyDigestBytes]) }
+// KeyName returns the name of a key in findings and changes: the first 8 hexadecimal digits of its
+// SHA-256 digest.
+func KeyName(digest cicadaview.KeyDigest) string { return hex.EncodeToString(digest[:keyNameBytes]) }
--- a/cicadakernel/cicadacheck/compare.go
+++ b/cicadakernel/cicadacheck/compare.go
@@ -14,12 +14,12 @@
 
 // Effects of changes, in the order in which Compare groups them.
 const (
-	VersionNotNewer   Effect = "version-not-newer"
-	AccessChanged     Effect = "access-changed"
+	VersionNotNewer   Effect = "version-not-newer" // gateways ignore the new configuration
+	AccessChanged     Effect = "access-changed"    // routes that need a key
 	RoutesRemoved     Effect = "routes-removed"
 	RoutesAdded       Effect = "routes-added"
-	RoutesMoved       Effect = "routes-moved"
-	RoutesChanged     Effect = "routes-changed"
+	RoutesMoved       Effect = "routes-moved"   // other services or weights
+	RoutesChanged     Effect = "routes-changed" // another kind, or resumable
 	TimeoutsChanged   Effect = "timeouts-changed"
 	LimitsLowered     Effect = "limits-lowered"
 	LimitsRaised      Effect = "limits-raised"
@@ -31,6 +31,7 @@
 	ServicesChanged   Effect = "services-changed"
 )
 
+// effects is the order of the groups.
 var effects = []Effect{
 	VersionNotNewer, AccessChanged, RoutesRemoved, RoutesAdded, RoutesMoved, RoutesChanged, TimeoutsChanged, LimitsLowered,
 	LimitsRaised, PrioritiesChanged, CustomersRemoved, CustomersAdded, KeysWithdrawn, KeysAdded, ServicesChanged,
@@ -62,15 +63,15 @@
 	}{c.effect, c.field, c.message})
 }
 
-// A comparison collects the changes from one configuration to another.
+// A comparison collects the changes between two configurations.
 type comparison struct {
 	options
 	before, after *cicadaview.Config
 	changes       []Change
 }
 
-// WithOldPaths sets how places of the old configuration are written in changes. The default is
-// that of the new one.
+// WithOldPaths sets how places of the old configuration are written in changes. The default is the
+// function set by WithPaths.
 func WithOldPaths(path func(Place) string) Option { return func(o *options) { o.oldPath = path } }
 
 // Compare returns the differences between two configurations, grouped by their effects. A route is
@@ -93,7 +94,7 @@
 	c.changes = append(c.changes, Change{effect, c.path(at), fmt.Sprintf(format, args...)})
 }
 
-// addRemoved adds a change of what stands in the old configuration only.
+// addRemoved adds a change about an entry that only the old configuration has.
 func (c *comparison) addRemoved(effect Effect, at Place, format string, args ...any) {
 	path := c.path
 	if c.oldPath != nil {
@@ -102,7 +103,7 @@
 	c.changes = append(c.changes, Change{effect, path(at), fmt.Sprintf(format, args...)})
 }
 
-// addLimit adds a change of a limit, of which 0 is none if zeroIsNone is set.
+// addLimit adds a change of a limit. If zeroIsNone is set, 0 means that there is no limit.
 func (c *comparison) addLimit(at Place, what string, before, after float64, zeroIsNone bool) {
 	if before == after {
 		return
@@ -129,43 +130,65 @@
 
 func routeName(r *cicadaview.Route) string { return fmt.Sprintf("%s%s (%s)", r.Host, r.Prefix, r.Name) }
 
-// entries returns the positions of those entries that take effect, by their names.
-func entries[K comparable, T any](list []T, name func(*T) (K, bool), lastCounts bool) map[K]int {
+// entries returns the positions of those entries of a list that take effect, by their keys. Of
+// several with one key, the last takes effect if lastCounts is set, and otherwise the first.
+func entries[K comparable, T any](list []T, key func(*T) (K, bool), lastCounts bool) map[K]int {
 	found := make(map[K]int, len(list))
 	for i := range list {
-		key, ok := name(&list[i])
-		if _, exists := found[key]; ok && (!exists || lastCounts) {
-			found[key] = i
+		k, ok := key(&list[i])
+		if _, exists := found[k]; ok && (!exists || lastCounts) {
+			found[k] = i
 		}
 	}
 	return found
 }
 
-func (c *comparison) compareRoutes() {
-	before, after := c.before.Routes(), c.after.Routes()
-	old, current := entries(before, matchOf, false), entries(after, matchOf, false)
+// A listComparison holds what is called for the entries of two lists that take effect.
+type listComparison[T any] struct {
+	changed func(i int, before, after *T) // in both lists, at i in the new one
+	added   func(i int, after *T)         // only in the new list
+	removed func(i int, before *T)        // only in the old list
+}
+
+// compare compares two lists whose entries are identified by key. See entries for lastCounts.
+func compare[K comparable, T any](before, after []T, key func(*T) (K, bool), lastCounts bool, l listComparison[T]) {
+	old, current := entries(before, key, lastCounts), entries(after, key, lastCounts)
 	for i := range after {
-		id, _ := matchOf(&after[i])
-		if at, ok := current[id]; !ok || at != i {
+		k, _ := key(&after[i])
+		if at, ok := current[k]; !ok || at != i {
 			continue
 		}
-		if j, exists := old[id]; exists {
-			c.compareRoute(Place{}.element(Routes, i), &before[j], &after[i])
+		if j, exists := old[k]; exists {
+			l.changed(i, &before[j], &after[i])
 		} else {
-			c.add(RoutesAdded, Place{}.element(Routes, i), "%s to %s", routeName(&after[i]), targetNames(&after[i]))
+			l.added(i, &after[i])
 		}
 	}
 	for i := range before {
-		id, _ := matchOf(&before[i])
-		if at, ok := old[id]; !ok || at != i {
+		k, _ := key(&before[i])
+		if at, ok := old[k]; !ok || at != i {
 			continue
 		}
-		if _, remains := current[id]; !remains {
-			c.addRemoved(RoutesRemoved, Place{}.element(Routes, i), "%s to %s", routeName(&before[i]), targetNames(&before[i]))
+		if _, remains := current[k]; !remains {
+			l.removed(i, &before[i])
 		}
 	}
 }
 
+func (c *comparison) compareRoutes() {
+	compare(c.before.Routes(), c.after.Routes(), matchOf, false, listComparison[cicadaview.Route]{
+		changed: func(i int, before, after *cicadaview.Route) {
+			c.compareRoute(Place{}.element(Routes, i), before, after)
+		},
+		added: func(i int, after *cicadaview.Route) {
+			c.add(RoutesAdded, Place{}.element(Routes, i), "%s to %s", routeName(after), targetNames(after))
+		},
+		removed: func(i int, before *cicadaview.Route) {
+			c.addRemoved(RoutesRemoved, Place{}.element(Routes, i), "%s to %s", routeName(before), targetNames(before))
+		},
+	})
+}
+
 func (c *comparison) compareRoute(at Place, before, after *cicadaview.Route) {
 	name := routeName(after)
 	addIfChanged(c, RoutesMoved, at.field(Targets), name, targetNames(before), targetNames(after))
@@ -218,24 +241,17 @@
 
 func (c *comparison) compareServices() {
 	nameOf := func(s *cicadaview.Service) (string, bool) { return s.Name, true }
-	before, after := c.before.Services(), c.after.Services()
-	old, current := entries(before, nameOf, true), entries(after, nameOf, true)
-	for i := range after {
-		s, at := &after[i], Place{}.element(Services, i)
-		if current[s.Name] != i {
-			continue
-		}
-		j, exists := old[s.Name]
-		if !exists {
-			c.add(ServicesChanged, at, "%s added", s.Name)
-			continue
-		}
-		addIfChanged(c, ServicesChanged, at.field(Slots), s.Name+" slots", before[j].Slots, s.Slots)
-		c.addLimit(at.field(Connections), s.Name+" connections", float64(before[j].MaxConnections), float64(s.MaxConnections), true)
-	}
-	for i := range before {
-		if _, remains := current[before[i].Name]; !remains && old[before[i].Name] == i {
-			c.addRemoved(ServicesChanged, Place{}.element(Services, i), "%s removed", before[i].Name)
-		}
-	}
+	compare(c.before.Services(), c.after.Services(), nameOf, true, listComparison[cicadaview.Service]{
+		changed: func(i int, before, after *cicadaview.Service) {
+			at := Place{}.element(Services, i)
+			addIfChanged(c, ServicesChanged, at.field(Slots), after.Name+" slots", before.Slots, after.Slots)
+			c.addLimit(at.field(Connections), after.Name+" connections", float64(before.MaxConnections), float64(after.MaxConnections), true)
+		},
+		added: func(i int, after *cicadaview.Service) {
+			c.add(ServicesChanged, Place{}.element(Services, i), "%s added", after.Name)
+		},
+		removed: func(i int, before *cicadaview.Service) {
+			c.addRemoved(ServicesChanged, Place{}.element(Services, i), "%s removed", before.Name)
+		},
+	})
 }
--- a/cicadakernel/cicadacheck/comparecustomers.go
+++ b/cicadakernel/cicadacheck/comparecustomers.go
@@ -13,24 +13,17 @@
 		c.add(AccessChanged, Place{}.field(Customers), "every route that is not public %s", access(!c.after.HasCustomers()))
 	}
 	nameOf := func(customer *cicadaview.Customer) (string, bool) { return customer.Name, true }
-	before, after := c.before.Customers(), c.after.Customers()
-	old, current := entries(before, nameOf, false), entries(after, nameOf, false)
-	for i := range after {
-		customer, at := &after[i], Place{}.element(Customers, i)
-		if current[customer.Name] != i {
-			continue
-		}
-		if j, exists := old[customer.Name]; exists {
-			c.compareCustomer(at, &before[j], customer)
-		} else {
-			c.add(CustomersAdded, at, "%s with %s", customer.Name, keyNames(customer))
-		}
-	}
-	for i := range before {
-		if _, remains := current[before[i].Name]; !remains && old[before[i].Name] == i {
-			c.addRemoved(CustomersRemoved, Place{}.element(Customers, i), "%s with %s", before[i].Name, keyNames(&before[i]))
-		}
-	}
+	compare(c.before.Customers(), c.after.Customers(), nameOf, false, listComparison[cicadaview.Customer]{
+		changed: func(i int, before, after *cicadaview.Customer) {
+			c.compareCustomer(Place{}.element(Customers, i), before, after)
+		},
+		added: func(i int, after *cicadaview.Customer) {
+			c.add(CustomersAdded, Place{}.element(Customers, i), "%s with %s", after.Name, keyNames(after))
+		},
+		removed: func(i int, before *cicadaview.Customer) {
+			c.addRemoved(CustomersRemoved, Place{}.element(Customers, i), "%s with %s", before.Name, keyNames(before))
+		},
+	})
 }
 
 func (c *comparison) compareCustomer(at Place, before, after *cicadaview.Customer) {
@@ -56,7 +49,7 @@
 	return fmt.Sprint(c.Priority)
 }
 
-// keyNames returns the number of a customer's keys and what they are called.
+// keyNames returns the number and the names of a customer's keys, see KeyName.
 func keyNames(c *cicadaview.Customer) string {
 	switch len(c.Keys) {
 	case 0:
--- a/cicadakernel/cicadacheck/customers.go
+++ b/cicadakernel/cicadacheck/customers.go
@@ -24,16 +24,22 @@
 	}
 }
 
+// ValidHeaderValue reports whether a string can be sent as the value of a header and arrives unchanged:
+// it has no control characters, and no space around it.
+func ValidHeaderValue(s string) bool {
+	isControl := func(r rune) bool { return r < ' ' || r == 0x7f }
+	return strings.TrimSpace(s) == s && !strings.ContainsFunc(s, isControl)
+}
+
 // checkName reports a name that cannot be sent to endpoints in a header.
 func (c *checker) checkName(i int, name string) {
-	isControl := func(r rune) bool { return r < ' ' || r == 0x7f }
-	if strings.ContainsFunc(name, isControl) || strings.TrimSpace(name) != name {
+	if !ValidHeaderValue(name) {
 		c.add(Error, Place{}.element(Customers, i).field(Name), "invalid-name", "%q cannot be sent in a header: it has control characters or space around it", name)
 	}
 }
 
-// checkKeys reports keys that identify no customer. holders holds the first customer of each key
-// before.
+// checkKeys reports a customer without keys, and keys that identify no customer. holders maps each key
+// seen so far to the position of its first customer.
 func (c *checker) checkKeys(i int, customer *cicadaview.Customer, holders map[cicadaview.KeyDigest]int) {
 	at := Place{}.element(Customers, i)
 	if len(customer.Keys) == 0 {
@@ -55,7 +61,7 @@
 	}
 }
 
-// checkRate reports a limit that admits nothing, or nothing after a while.
+// checkRate reports a limit that admits no request, or of which one half is missing.
 func (c *checker) checkRate(i int, rate cicadaview.RateLimit) {
 	at := Place{}.element(Customers, i)
 	switch {
--- a/cicadakernel/cicadacheck/place.go
+++ b/cicadakernel/cicadacheck/place.go
@@ -56,7 +56,7 @@
 // Index returns the position of the element. ok is false if the step is a whole field.
 func (s Step) Index() (i int, ok bool) { return s.index, s.element }
 
-// A Place is where something stands in a configuration: the steps from the whole to a field.
+// A Place is the position of a field or an element in a configuration, as the steps that lead to it.
 type Place struct{ steps []Step }
 
 // Steps returns the steps from the whole configuration to the place.
@@ -75,7 +75,7 @@
 // String returns the path of the place, such as routes[3].prefix.
 func (p Place) String() string { return p.Format(func(f Field) string { return string(f) }) }
 
-// Format returns the path of the place with the names of another form of the configuration.
+// Format returns the path of the place with the field names of another representation.
 func (p Place) Format(name func(Field) string) string {
 	parts := make([]string, 0, len(p.steps))
 	for _, s := range p.steps {
--- a/cicadakernel/cicadacheck/routes.go
+++ b/cicadakernel/cicadacheck/routes.go
@@ -27,10 +27,10 @@
 	}
 }
 
-// A match is which requests a route is for.
+// A match identifies the requests that a route matches.
 type match struct{ host, prefix string }
 
-// matchOf returns which requests a route is for. ok is false if the route is ignored.
+// matchOf returns the match of a route. ok is false if the route is ignored.
 func matchOf(r *cicadaview.Route) (m match, ok bool) {
 	m = match{r.Host, r.Prefix}
 	if m.prefix == "" {
@@ -39,8 +39,7 @@
 	return m, len(r.Targets) > 0
 }
 
-// checkMatch reports a route that no request can match. matched holds the routes before it by
-// their hosts and prefixes.
+// checkMatch reports a route that no request can match. matched holds the positions of earlier routes.
 func (c *checker) checkMatch(i int, r *cicadaview.Route, matched map[match]int) {
 	at := Place{}.element(Routes, i)
 	_, _, err := net.SplitHostPort(r.Host)
@@ -89,6 +88,7 @@
 	}
 }
 
+// checkTimes reports times of a route that contradict each other.
 func (c *checker) checkTimes(i int, r *cicadaview.Route) {
 	at := Place{}.element(Routes, i)
 	if r.Timeout > 0 && r.Timeout < r.Goal {
