Document units, zero values and windows of the supporting packages

Cause: comments such as those of Bucket.Take, recentSuccess, connectFraction and InContact left out what a caller needs, or named an effect. Change: rewrite comments, rename recentSuccess to successWindow, and let Lease.Unused use Left. No behaviour changes.

--- a/cicadagateway/cicadaexchange/client.go
+++ b/cicadagateway/cicadaexchange/client.go
@@ -79,8 +79,8 @@
 	// Deadline when the request is sent.
 	DeadlineHeader string
 	Deadline       time.Time
-	// ConnectTimeout limits the time to open a connection, if it is not 0 and shorter than that of the
-	// client.
+	// ConnectTimeout limits the time to open a connection. The client's own limit also applies. 0
+	// means no further limit.
 	ConnectTimeout time.Duration
 	// Identify makes Do find out which incarnation of the endpoint responds, see
 	// Response.StartedMs.
--- a/cicadagateway/cicadaexchange/pool.go
+++ b/cicadagateway/cicadaexchange/pool.go
@@ -188,7 +188,7 @@
 	return &conn{Conn: raw, limit: limit, r: bufio.NewReaderSize(limit, readBufferSize), address: address, replacesLost: lost}, nil
 }
 
-// dialWithin opens a connection within a time limit, if it is not 0.
+// dialWithin opens a connection within a time limit. A limit of 0 means none.
 func (c *Client) dialWithin(ctx context.Context, address string, limit time.Duration) (net.Conn, error) {
 	if limit <= 0 {
 		return c.dial(ctx, address)
--- a/cicadagateway/cicadafollow/follow.go
+++ b/cicadagateway/cicadafollow/follow.go
@@ -56,9 +56,9 @@
 // it does not contain does not exist.
 func (c Change) Full() bool { return c.full }
 
-// AskedAt returns when the first call of a full list began, by cicadaclock.SinceBoot. The list
-// reflects every write that was acknowledged before. Changes of a watch have no such time: the
-// store may deliver them late.
+// AskedAt returns the time at which the first call of a full list began, by cicadaclock.SinceBoot. The
+// list reflects every write that was acknowledged before that time. ok is false for changes of a
+// watch, which the store may deliver late.
 func (c Change) AskedAt() (at time.Duration, ok bool) { return c.askedAt, c.full }
 
 // A Follower keeps track of the objects under one prefix.
--- a/cicadagateway/cicadapeer/members.go
+++ b/cicadagateway/cicadapeer/members.go
@@ -39,9 +39,9 @@
 	return first
 }
 
-// InContact returns the names, sorted, of this member and of the live members of a role with which it
-// exchanges messages in both directions, and how many members of the role are known. A member that has
-// announced its end is not counted once it is silent.
+// InContact returns the sorted names of the live members of a role with which this member exchanges
+// messages in both directions, and the number of known members of the role. Both include this member
+// if it has the role. A member that has announced its shutdown is not counted once it is silent.
 func (g *Group) InContact(role Role) (names []string, known int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/cicadagateway/cicadapeer/state.go
+++ b/cicadagateway/cicadapeer/state.go
@@ -80,24 +80,24 @@
 	Unreachable []string
 	// Speeds holds new samples of how fast endpoints are.
 	Speeds []SpeedSample
-	// Usage lists the customers that the member has done the most work for lately. It is in some
-	// messages only.
+	// Usage lists the customers for which the member has recently done the most work. Only some
+	// messages contain it, and a message without it does not mean that there is none.
 	Usage []CustomerUsage
 }
 
-// A CustomerUsage is the work that a member has lately done for a customer.
+// A CustomerUsage is the recent work of a member for a customer.
 type CustomerUsage struct {
 	_        struct{} `cbor:",toarray"`
 	Customer uint64   // hash of the name
-	Work     uint64   // in tokens
+	Work     uint64   // decayed, in tokens
 }
 
-// A SpeedSample says how slow an endpoint was for a member, relative to its service.
+// A SpeedSample sums up a member's measurements of the speed of an endpoint, relative to its service.
 type SpeedSample struct {
 	_        struct{} `cbor:",toarray"`
 	Endpoint string
-	Ratio    int8 // logarithm of the ratio to the usual time, in units of 1/32
-	Weight   uint8
+	Ratio    int8  // logarithm of the ratio to the typical time of the service, in units of 1/32
+	Weight   uint8 // number of measurements
 }
 
 // A CrashReport reports a run of a request during which the endpoint's connection broke.
--- a/cicadagateway/cicadaplace/table.go
+++ b/cicadagateway/cicadaplace/table.go
@@ -12,8 +12,8 @@
 // the median of its service, and selects the endpoint where a request will be done soonest. Peers
 // exchange what they have measured.
 //
-// Waiting requests are ordered by priority and by fair shares of their customers: the customer
-// comes first that has had the least work done lately. Processes report the work of their busiest
+// Waiting requests are ordered by priority and then by fair shares among customers: the request of
+// the customer with the least recent work comes first. Processes report the work of their busiest
 // customers to each other.
 //
 // # Usage
@@ -31,7 +31,7 @@
 //	samples := table.LocalSpeed(time.Now())
 //	table.MergeSpeed(samplesOfPeer, time.Now())
 //
-// With customers, requests state them, and peers exchange their work with their counts:
+// With customers, each request states its customer, and peers exchange the work of customers:
 //
 //	req := cicadaplace.SlotRequest{Service: "assistants", Customer: "acme", Priority: 1, Work: 800, MaxWait: time.Second}
 //	grant, err := table.Acquire(ctx, req)
@@ -121,7 +121,7 @@
 	account      *customerAccount
 	weightedWork float64   // of the customer, see compareWaiters
 	deadline     time.Time // end of MaxWait
-	expectedAt   time.Time // when a slot was expected, considering later requests that came before
+	expectedAt   time.Time // when a slot is expected, updated as requests are inserted before it
 }
 
 type service struct {
--- a/cicadagateway/cicadaplace/unreachable.go
+++ b/cicadagateway/cicadaplace/unreachable.go
@@ -3,12 +3,12 @@
 import "time"
 
 const (
-	// unreachableWindow is the time within which two processes must have failed to connect to an
-	// endpoint, so that the others avoid it as well. One alone may be cut off itself.
+	// unreachableWindow is the time within which two peers must report an endpoint as unreachable
+	// before this process avoids it. A single peer may itself be cut off.
 	unreachableWindow = time.Second
-	// recentSuccess is the time after a response from an endpoint during which failures of other
-	// processes to connect to it are taken for faults of their links.
-	recentSuccess = 500 * time.Millisecond
+	// successWindow is the time after a response from an endpoint during which reports of peers are
+	// attributed to faults of their links.
+	successWindow = 500 * time.Millisecond
 )
 
 // An unreachableReport is the last report of a peer that could not connect to an endpoint.
@@ -17,15 +17,15 @@
 	at   time.Time
 }
 
-// WithOnUnreachable sets a function that is called with the ID of an endpoint that this process could not
-// connect to in time. It is to pass this on to peers, whose tables take it in by
+// WithOnUnreachable sets a function that is called with the ID of an endpoint to which this process
+// could not connect in time. The function reports this to peers, which pass it to
 // RecordPeerUnreachable.
 func WithOnUnreachable(onUnreachable func(id string)) Option {
 	return func(t *Table) { t.onUnreachable = onUnreachable }
 }
 
-// RecordUnreachable records that no connection to the endpoint could be opened in time. The endpoint is
-// put into backoff, and peers are to be told (see WithOnUnreachable).
+// RecordUnreachable records that no connection to the endpoint could be opened in time. It puts the
+// endpoint into backoff and reports it to peers, see WithOnUnreachable.
 func (g *Grant) RecordUnreachable() {
 	t := g.table
 	t.mu.Lock()
@@ -36,8 +36,9 @@
 	}
 }
 
-// RecordPeerUnreachable records that a peer could not connect to an endpoint. If another process could not
-// either, and this one has had no response lately, the endpoint is put into backoff.
+// RecordPeerUnreachable records that a peer could not connect to an endpoint. The endpoint is put into
+// backoff if another peer has reported the same within unreachableWindow and this process has had no
+// response from it within successWindow.
 func (t *Table) RecordPeerUnreachable(peer, id string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -48,7 +49,7 @@
 	now := time.Now()
 	confirmed := e.unreachable.peer != "" && e.unreachable.peer != peer && now.Sub(e.unreachable.at) <= unreachableWindow
 	e.unreachable = unreachableReport{peer: peer, at: now}
-	if confirmed && now.Sub(e.lastSuccess) > recentSuccess {
+	if confirmed && now.Sub(e.lastSuccess) > successWindow {
 		e.backOff(now)
 	}
 }
--- a/cicadagateway/cicadaprocess/refusals.go
+++ b/cicadagateway/cicadaprocess/refusals.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// refusals holds the endpoints that have refused connections of this process, or to which it could
-// not connect in time, until peers have been told. An endpoint that has crashed looks idle to all
-// of them.
+// refusals holds endpoints that must be reported to peers: those that have refused connections of this
+// process, or those to which it could not connect in time. An endpoint that has crashed looks idle to
+// all peers.
 type refusals struct {
 	mu     sync.Mutex
 	outbox outbox[string]
--- a/cicadagateway/cicadarelay/relay.go
+++ b/cicadagateway/cicadarelay/relay.go
@@ -138,14 +138,16 @@
 	return func(r *Relay) { r.origins = origins }
 }
 
-// connectFraction leaves time for several further attempts within the goal.
+// connectFraction is the fraction of a route's goal that a connection may take with
+// WithPromptFailover. It leaves time for several more attempts within the goal.
 const connectFraction = 0.25
 
-// minConnectTimeout is far above the time to open a connection to an endpoint that is not overloaded.
+// minConnectTimeout is the shortest time limit on a connection, far above the time that an endpoint
+// takes that is not overloaded.
 const minConnectTimeout = 40 * time.Millisecond
 
-// WithPromptFailover makes a request leave an endpoint that cannot be connected to while its route's
-// goal can still be reached elsewhere, and tells peers of such endpoints.
+// WithPromptFailover limits the time to connect to an endpoint to a fraction of the route's goal, so
+// that a request can still meet the goal at another endpoint, and reports such endpoints to peers.
 func WithPromptFailover() Option { return func(r *Relay) { r.connectFraction = connectFraction } }
 
 // connectTimeout returns the time limit on connecting to an endpoint, or 0 for the client's.
--- a/cicadakernel/cicadalimit/bucket.go
+++ b/cicadakernel/cicadalimit/bucket.go
@@ -5,20 +5,20 @@
 	"time"
 )
 
-// BucketLeaseDuration is the lifetime of a bucket's grants. Tokens that were granted before
-// a window and are used in it exceed the limit by at most the rate times this duration.
+// BucketLeaseDuration is the lifetime of a bucket's grants. Tokens that are granted before a window
+// and used within it exceed the limit by at most the rate times this duration, so it is short.
 const BucketLeaseDuration = 200 * time.Millisecond
 
-// maxWait is the longest time that Wait returns, also if the bucket does not refill.
+// maxWait is the longest time that Wait returns, for example if the rate is 0.
 const maxWait = time.Hour
 
-// A Bucket grants one customer's tokens from a token bucket. Time that does not advance
-// adds none. A Bucket is not safe for concurrent use.
+// A Bucket grants one customer's tokens from a token bucket. Calls with an earlier time than the
+// latest one add no tokens. A Bucket is not safe for concurrent use.
 type Bucket struct {
 	rate  float64 // tokens per second
 	burst float64 // capacity
 	level float64
-	at    time.Time // of level
+	at    time.Time // at which the bucket had level
 }
 
 // NewBucket returns a bucket with the given level, refilled at a rate of tokens per second
@@ -40,8 +40,8 @@
 	return b.level
 }
 
-// Grant leases up to want tokens. The caller returns the unused tokens of its earlier
-// grant.
+// Grant leases up to want tokens. unused is the number of unused tokens of an earlier grant, which
+// are first returned to the bucket.
 func (b *Bucket) Grant(now time.Time, want, unused int64) Grant {
 	b.advance(now)
 	b.level = min(b.level+float64(max(unused, 0)), b.burst)
@@ -56,8 +56,8 @@
 	}
 }
 
-// Take removes n tokens that were granted elsewhere. The bucket may lack tokens then, which
-// its refill first makes up for.
+// Take removes n tokens, such as tokens that were granted elsewhere, or adds tokens if n is negative.
+// The level may fall below 0, and the refill then has to make up for it before tokens are granted.
 func (b *Bucket) Take(now time.Time, n float64) {
 	b.advance(now)
 	b.level -= n
@@ -75,6 +75,7 @@
 	return time.Duration(math.Ceil(missing / b.rate * float64(time.Second)))
 }
 
+// advance refills the bucket up to a time.
 func (b *Bucket) advance(now time.Time) {
 	if elapsed := now.Sub(b.at); elapsed > 0 {
 		b.level = min(b.level+b.rate*elapsed.Seconds(), b.burst)
--- a/cicadakernel/cicadalimit/limit.go
+++ b/cicadakernel/cicadalimit/limit.go
@@ -151,17 +151,17 @@
 	if !now.Before(l.grant.Expires) {
 		return 0
 	}
-	return l.grant.Tokens - l.used
+	return l.Left()
 }
 
-// Return gives back a token that Take has used, unless the grant has expired since.
+// Return gives back a token that Take has used, unless the grant has expired.
 func (l *Lease) Return(now time.Time) {
 	if l.used > 0 && now.Before(l.grant.Expires) {
 		l.used--
 	}
 }
 
-// Left returns the number of unused tokens, whether or not the grant has expired.
+// Left returns the number of unused tokens, even if the grant has expired. See Unused.
 func (l *Lease) Left() int64 { return l.grant.Tokens - l.used }
 
 // Used returns the number of used tokens of the grant.
--- a/cicadakernel/cicadaview/customer.go
+++ b/cicadakernel/cicadaview/customer.go
@@ -11,20 +11,22 @@
 
 // A Customer is one customer of a deployment, whose requests carry one of its keys.
 type Customer struct {
+	// Name identifies the customer, also to endpoints.
 	Name string
 	// Keys holds the digests of the customer's keys.
 	Keys []KeyDigest
 	// Priority replaces that of the route if HasPriority is set; 0 is served first.
 	Priority    int
 	HasPriority bool
-	// Rate is the limit of online requests, which all entries enforce together.
+	// Rate limits the customer's online requests over all entries together.
 	Rate RateLimit
 }
 
 // A RateLimit limits the requests of a customer. The zero value is no limit.
 type RateLimit struct {
+	// PerSecond is the rate in requests per second.
 	PerSecond float64
-	// Burst is how many requests may exceed the rate at once.
+	// Burst is the number of requests that may exceed the rate at once.
 	Burst float64
 }
 
@@ -39,9 +41,9 @@
 	return r.Priority
 }
 
-// SetCustomers sets the customers of a new configuration. It must be called before the
-// configuration is shared. A key that two customers hold identifies neither of them, as a request
-// must not run in the name of the wrong one. Of two customers with the same name, the first counts.
+// SetCustomers sets the customers of a new configuration. It must be called before the configuration
+// is shared. A key that two customers hold identifies neither of them, since a request must not run
+// for the wrong one. Of two customers with the same name, the first takes effect.
 func (c *Config) SetCustomers(customers []Customer) {
 	c.configured.customers = customers
 	c.customers = make(map[string]*Customer, len(customers))
@@ -65,7 +67,7 @@
 // HasCustomers reports whether requests on routes that are not public need a key.
 func (c *Config) HasCustomers() bool { return c.customers != nil }
 
-// CustomerCount returns the number of customers.
+// CustomerCount returns the number of customers with different names.
 func (c *Config) CustomerCount() int { return len(c.customers) }
 
 // Customer returns the customer with the given name.
--- a/cicadakernel/cicadaview/view.go
+++ b/cicadakernel/cicadaview/view.go
@@ -130,7 +130,7 @@
 	// customers is nil if the deployment has no customers.
 	customers      map[string]*Customer
 	customersByKey map[KeyDigest]*Customer
-	// configured holds everything as configured, including what never takes effect.
+	// configured holds all entries as configured, including those that never take effect.
 	configured configured
 }
 
