--- a/cicadagateway/cicadaplace/customerload_test.go
+++ b/cicadagateway/cicadaplace/customerload_test.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	usageDelay     = 50 * time.Millisecond
-	customerWait   = 250 * time.Millisecond
+	usageDelay     = 50 * time.Millisecond  // until a table receives the usage of another
+	customerWait   = 250 * time.Millisecond // MaxWait of a request
 	customerStream = 800 * time.Millisecond // mean time that a request holds its slot
 	customerWork   = 400.0                  // mean tokens of a request
 )
--- a/cicadagateway/cicadaplace/speed_test.go
+++ b/cicadagateway/cicadaplace/speed_test.go
@@ -16,9 +16,9 @@
 	"cicadalink.example/cicadakernel/cicadaview"
 )
 
-// A speedDay is traffic before endpoints of different speeds. Each entry is in a data centre of
+// A speedScenario is traffic before endpoints of different speeds. Each entry is in a data centre of
 // its own.
-type speedDay struct {
+type speedScenario struct {
 	rate     float64 // requests a second, over all entries
 	duration time.Duration
 	// slowness is by how much longer an endpoint takes than a usual one, and load the factor on
@@ -97,7 +97,7 @@
 }
 
 // run plays the day with tables that learn speeds, or do not.
-func (d speedDay) run(t *testing.T, learn bool) *speedResult {
+func (d speedScenario) run(t *testing.T, learn bool) *speedResult {
 	r := &speedResult{sent: make(map[[3]int]int)}
 	synctest.Test(t, func(*testing.T) {
 		var tables []*Table
@@ -154,7 +154,7 @@
 }
 
 // send sends one request, which waits at the endpoint for one of its slots.
-func (d speedDay) send(table *Table, entry int, engines []chan struct{}, start time.Time, noise float64, r *speedResult) {
+func (d speedScenario) send(table *Table, entry int, engines []chan struct{}, start time.Time, noise float64, r *speedResult) {
 	arrived := time.Now()
 	at := arrived.Sub(start)
 	g, err := table.Acquire(context.Background(), SlotRequest{Service: "s", MaxWait: 5 * time.Second})
@@ -199,7 +199,7 @@
 }
 
 // compare plays the day without and with learning and logs both.
-func (d speedDay) compare(t *testing.T) (without, with *speedResult) {
+func (d speedScenario) compare(t *testing.T) (without, with *speedResult) {
 	without, with = d.run(t, false), d.run(t, true)
 	t.Logf("without learning: mean %v, p99 %v, failed %d of %d", without.mean(), without.p99(), without.failed, len(without.took))
 	t.Logf("with learning: mean %v, p99 %v, failed %d of %d", with.mean(), with.p99(), with.failed, len(with.took))
@@ -211,7 +211,7 @@
 
 // Guards against requests going evenly to endpoints of different speeds.
 func TestTwoSpeeds(t *testing.T) {
-	d := speedDay{rate: 45, duration: time.Minute, slowness: func(endpoint, _ int, _ time.Duration) float64 {
+	d := speedScenario{rate: 45, duration: time.Minute, slowness: func(endpoint, _ int, _ time.Duration) float64 {
 		if endpoint < 4 {
 			return 2.7
 		}
@@ -225,7 +225,7 @@
 
 // Guards against noise ordering endpoints of one speed.
 func TestOneSpeed(t *testing.T) {
-	d := speedDay{rate: 70, duration: 20 * time.Second, slowness: usualSpeed}
+	d := speedScenario{rate: 70, duration: 20 * time.Second, slowness: usualSpeed}
 	without, with := d.compare(t)
 	assert.Assert(t, with.mean() < without.mean()*103/100)
 	assert.Assert(t, with.p99() < without.p99()*108/100)
@@ -243,7 +243,7 @@
 
 // Guards against an endpoint that has become slow keeping its share.
 func TestOneEndpointBecomesSlow(t *testing.T) {
-	d := speedDay{rate: 60, duration: time.Minute, slowness: slowFrom(10*time.Second, time.Hour, 6)}
+	d := speedScenario{rate: 60, duration: time.Minute, slowness: slowFrom(10*time.Second, time.Hour, 6)}
 	without, with := d.compare(t)
 	assert.Assert(t, with.late(speedGoal) <= without.late(speedGoal)/2)
 	assert.Assert(t, with.mean() < without.mean())
@@ -255,7 +255,7 @@
 // Guards against an endpoint that responds to nothing attracting requests because none of them
 // ends in a sample.
 func TestEndpointStopsResponding(t *testing.T) {
-	d := speedDay{rate: 70, duration: 16 * time.Second, slowness: slowFrom(10*time.Second, 16*time.Second, 1000)}
+	d := speedScenario{rate: 70, duration: 16 * time.Second, slowness: slowFrom(10*time.Second, 16*time.Second, 1000)}
 	_, with := d.compare(t)
 	t.Logf("share: %.2f after 1 s", with.share(0, 11, 16, allEntries...))
 	assert.Assert(t, with.share(0, 11, 16, allEntries...) < 0.3)
@@ -263,7 +263,7 @@
 
 // Guards against endpoints that slow down long before they are full being filled.
 func TestEndpointsSlowDownBeforeTheyAreFull(t *testing.T) {
-	d := speedDay{rate: 60, duration: 90 * time.Second, slowness: usualSpeed, knee: func(endpoint int) int {
+	d := speedScenario{rate: 60, duration: 90 * time.Second, slowness: usualSpeed, knee: func(endpoint int) int {
 		if endpoint < 3 {
 			return 4
 		}
@@ -278,7 +278,7 @@
 // Guards against load being taken for the slowness of endpoints.
 func TestAllEndpointsBecomeSlow(t *testing.T) {
 	avoided := 0
-	d := speedDay{
+	d := speedScenario{
 		rate: 42, duration: 20 * time.Second,
 		slowness: func(_, _ int, at time.Duration) float64 {
 			if at > 10*time.Second {
@@ -303,7 +303,7 @@
 // Guards against an endpoint that only one data centre reaches slowly being used by that one, or
 // being lost to all others.
 func TestSlowForOneDataCentre(t *testing.T) {
-	d := speedDay{rate: 70, duration: time.Minute, slowness: func(endpoint, entry int, _ time.Duration) float64 {
+	d := speedScenario{rate: 70, duration: time.Minute, slowness: func(endpoint, entry int, _ time.Duration) float64 {
 		if endpoint == 0 && entry == 0 {
 			return 6
 		}
@@ -319,7 +319,7 @@
 
 // Guards against an endpoint that fails fast, and so looks idle, attracting requests.
 func TestFastFailure(t *testing.T) {
-	d := speedDay{
+	d := speedScenario{
 		rate: 70, duration: 20 * time.Second, slowness: usualSpeed,
 		fails: func(endpoint int, at time.Duration) bool { return endpoint == 0 && at > 10*time.Second },
 	}
@@ -329,7 +329,7 @@
 
 // Guards against the load of one data centre passing for the slowness of endpoints.
 func TestOneDataCentresLoadJumps(t *testing.T) {
-	d := speedDay{rate: 55, duration: 20 * time.Second, slowness: usualSpeed, load: func(entry int, at time.Duration) float64 {
+	d := speedScenario{rate: 55, duration: 20 * time.Second, slowness: usualSpeed, load: func(entry int, at time.Duration) float64 {
 		if entry == 0 && at > 8*time.Second && at < 14*time.Second {
 			return 4
 		}
@@ -342,7 +342,7 @@
 
 // Guards against an endpoint that is fast again staying without requests.
 func TestRecovery(t *testing.T) {
-	d := speedDay{rate: 70, duration: 30 * time.Second, slowness: slowFrom(5*time.Second, 12*time.Second, 6)}
+	d := speedScenario{rate: 70, duration: 30 * time.Second, slowness: slowFrom(5*time.Second, 12*time.Second, 6)}
 	_, with := d.compare(t)
 	t.Logf("share: %.2f while slow, %.2f after 4 s, %.2f after 8 s", with.share(0, 8, 12, allEntries...), with.share(0, 16, 20, allEntries...), with.share(0, 20, 30, allEntries...))
 	assert.Assert(t, with.share(0, 20, 30, allEntries...) > 0.8)
@@ -351,7 +351,7 @@
 // Guards against the successor of a slow process being avoided for what that process did.
 func TestRestart(t *testing.T) {
 	restarted := false
-	d := speedDay{rate: 70, duration: 16 * time.Second, slowness: slowFrom(3*time.Second, 10*time.Second, 6), at: func(tables []*Table, at time.Duration) {
+	d := speedScenario{rate: 70, duration: 16 * time.Second, slowness: slowFrom(3*time.Second, 10*time.Second, 6), at: func(tables []*Table, at time.Duration) {
 		if at < 10*time.Second || restarted {
 			return
 		}
--- a/cicadagateway/cicadaplace/speedbench_test.go
+++ b/cicadagateway/cicadaplace/speedbench_test.go
@@ -13,7 +13,7 @@
 	table := NewTable("me", WithSpeedLearning())
 	all := make([]cicadaview.Endpoint, 2400)
 	for i := range all {
-		all[i] = cicadaview.Endpoint{ID: fmt.Sprintf("ng-lagos-llm-%04d", i), Service: fmt.Sprint("s", i%10), Slots: 8}
+		all[i] = cicadaview.Endpoint{ID: fmt.Sprintf("dc-1-model-e-%04d", i), Service: fmt.Sprint("s", i%10), Slots: 8}
 	}
 	table.SetEndpoints(all)
 	now := time.Now()
@@ -24,6 +24,7 @@
 	return table
 }
 
+// BenchmarkLocalSpeed measures the samples for one message, including the slowness of all endpoints.
 func BenchmarkLocalSpeed(b *testing.B) {
 	table := newLargeTable()
 	now := time.Now()
@@ -33,11 +34,12 @@
 	}
 }
 
+// BenchmarkMergeSpeed measures the receipt of one full message.
 func BenchmarkMergeSpeed(b *testing.B) {
 	table := newLargeTable()
 	samples := make([]SpeedSample, maxSpeedSamples)
 	for i := range samples {
-		samples[i] = SpeedSample{Endpoint: fmt.Sprintf("ng-lagos-llm-%04d", i), Ratio: 5, Weight: 3}
+		samples[i] = SpeedSample{Endpoint: fmt.Sprintf("dc-1-model-e-%04d", i), Ratio: 5, Weight: 3}
 	}
 	now := time.Now()
 	for b.Loop() {
@@ -46,6 +48,7 @@
 	}
 }
 
+// BenchmarkRecordPace measures one sample of this process.
 func BenchmarkRecordPace(b *testing.B) {
 	table := newLargeTable()
 	g := table.AcquireBatch(SlotRequest{Service: "s1"}, true)
--- a/cicadagateway/cicadaratelimit/protection_test.go
+++ b/cicadagateway/cicadaratelimit/protection_test.go
@@ -111,7 +111,7 @@
 // lease's lifetime, by a clock that also counts that time.
 func TestLeaseExpiresDuringASuspension(t *testing.T) {
 	limit := Limit{200, 200}
-	f := calmFleet(1, map[string]Limit{"c": limit})
+	f := newStartedFleet(1, map[string]Limit{"c": limit})
 	home := f.homeOf("c")
 	e := f.entries[(home.index+1)%fleetSize]
 	c := newTestCustomer(f, "c", limit)
--- a/cicadagateway/cicadaratelimit/usage_test.go
+++ b/cicadagateway/cicadaratelimit/usage_test.go
@@ -10,7 +10,8 @@
 	"gotest.tools/v3/assert"
 )
 
-func calmFleet(seed uint64, limits map[string]Limit) *testFleet {
+// newStartedFleet returns a fleet whose entries have started and are in contact with each other.
+func newStartedFleet(seed uint64, limits map[string]Limit) *testFleet {
 	f := newTestFleet(seed, fleetSize, limits)
 	f.run(3 * time.Second)
 	return f
@@ -23,7 +24,7 @@
 	for _, perSecond := range []float64{0.5, 2, 20, 190} {
 		t.Run(fmt.Sprint(perSecond, " a second"), func(t *testing.T) {
 			const seconds = 20
-			f := calmFleet(1, map[string]Limit{"c": {perSecond, perSecond}})
+			f := newStartedFleet(1, map[string]Limit{"c": {perSecond, perSecond}})
 			c := newTestCustomer(f, "c", Limit{perSecond, perSecond})
 			start := f.now
 			c.rate, c.at = floodFactor*perSecond, []*testEntry{f.entries[3], f.entries[11], f.entries[19]}
@@ -83,7 +84,7 @@
 // Guards against requests within the limit that are refused after all entries were restarted.
 func TestRestartOfAllDoesNotRefuseSmallCustomers(t *testing.T) {
 	limit := Limit{1, 2}
-	f := calmFleet(1, map[string]Limit{"c": limit})
+	f := newStartedFleet(1, map[string]Limit{"c": limit})
 	for _, e := range f.entries {
 		e.kill()
 		e.start()
@@ -104,7 +105,7 @@
 	for i := range 40 {
 		limits[fmt.Sprint("small-", i)] = Limit{0.5 + float64(i%4)*0.5, 1}
 	}
-	f := calmFleet(1, limits)
+	f := newStartedFleet(1, limits)
 	var customers []*testCustomer
 	for _, name := range slices.Sorted(maps.Keys(limits)) {
 		c := newTestCustomer(f, name, limits[name])
@@ -130,7 +131,7 @@
 // requests at other entries get none.
 func TestHomeServesEntriesFairly(t *testing.T) {
 	for _, perSecond := range []float64{2, 60} {
-		f := calmFleet(1, map[string]Limit{"c": {perSecond, 1}})
+		f := newStartedFleet(1, map[string]Limit{"c": {perSecond, 1}})
 		flood, other := newTestCustomer(f, "c", Limit{perSecond, 1}), newTestCustomer(f, "c", Limit{perSecond, 1})
 		flood.rate, flood.at = 20*perSecond, []*testEntry{f.entries[3]}
 		other.rate, other.at = 4*perSecond, []*testEntry{f.entries[11]}
@@ -146,7 +147,7 @@
 func TestRetryAfterSaysWhenACallerIsAdmitted(t *testing.T) {
 	const callers = 40
 	limit := Limit{40, 1}
-	f := calmFleet(1, map[string]Limit{"c": limit})
+	f := newStartedFleet(1, map[string]Limit{"c": limit})
 	f.loss = 0
 	refused := make([]int, callers)
 	var request func(i int)
--- a/cicadakernel/cicadaview/customer_test.go
+++ b/cicadakernel/cicadaview/customer_test.go
@@ -22,6 +22,8 @@
 	assert.Equal(t, b.Name, "b")
 }
 
+// Guards against a customer's priority of 0 that counts as unset, and against requests without a customer
+// that lose the priority of their route.
 func TestPriorityOfACustomerReplacesThatOfTheRoute(t *testing.T) {
 	r := &Route{Priority: 2}
 	assert.Equal(t, (*Customer)(nil).PriorityOn(r), 2)
