Name the recorder of customers' requests in the soak after its job

Cause: ledger, arrive, answer and signAs did not say that the type records requests and checks rules, and the rates had no unit. Change: rename the type, its files and methods, and rewrite comments. Rules, counts and log lines stay the same.

--- a/cicadasoak/customers.go
+++ b/cicadasoak/customers.go
@@ -19,19 +19,19 @@
 
 // Customers of the scenario.
 const (
-	// workshop has no limit, and the streams and the jobs.
+	// workshop has no limit and sends all streams and jobs.
 	workshop = "workshop"
-	// modest stays far within its limit, and flooding sends eight times its rate, at two entries.
+	// modest stays far within its limit, and flooding sends eight times its rate to two entries.
 	modest   = "modest"
 	flooding = "flooding"
-	// rotating gets a new key again and again.
+	// rotating gets a new key at each revocation.
 	rotating = "rotating"
 )
 
 const (
-	modestRate   = 40
-	floodingRate = 20
-	// The callers of each kind send a request this often.
+	modestRate   = 40 // requests per second
+	floodingRate = 20 // requests per second
+	// Intervals between the requests of callers of each kind.
 	modestInterval   = 100 * time.Millisecond
 	floodingInterval = time.Second / (8 * floodingRate)
 	rotatingInterval = 15 * time.Millisecond
@@ -45,8 +45,8 @@
 // withCustomers are the scenarios whose configuration has customers.
 var withCustomers = map[string]bool{"customers": true}
 
-func newCustomers(c *checks) *ledger {
-	return newLedger(
+func newCustomerRecorder(c *checks) *recorder {
+	return newRecorder(
 		c, workshop,
 		&customer{name: workshop, keys: []string{keyMark + "workshop"}},
 		&customer{name: modest, rate: modestRate, burst: modestRate, keys: []string{keyMark + "modest-spare", keyMark + "modest"}},
@@ -107,11 +107,11 @@
 	}
 }
 
-// playCustomers keeps the callers of all customers busy while keys are revoked. At each time one entry
-// cannot learn of it as usual, for longer than the limit.
+// playCustomers lets the callers of all customers send requests while keys are revoked. During each
+// revocation, a fault keeps one entry from learning of it for longer than the limit.
 func (s *soak) playCustomers(ctx context.Context) {
-	l := s.cfg.customers
-	s.sign = l.signAs(workshop)
+	rec := s.cfg.customers
+	s.sign = rec.signer(workshop)
 	stop := s.startCallers(ctx, customerStreams)
 	stopCustomers := s.startCustomers(ctx)
 	first := s.random.IntN(len(revocationFaults))
@@ -121,8 +121,8 @@
 	s.faults.Wait()
 	stopCustomers()
 	s.endCallers(ctx, stop)
-	l.checkQuotas()
-	l.checkKept(s.dir, s.store)
+	rec.checkQuotas()
+	rec.checkStoredKeys(s.dir, s.store)
 }
 
 // rotateKey revokes the key of one customer during a fault of one entry.
@@ -140,11 +140,11 @@
 	s.checks.count("keys withdrawn, " + f.kind)
 }
 
-// startCustomers starts callers with keys of all customers, with others and with none. The returned
-// function stops them and waits for them.
+// startCustomers starts callers with keys of all customers, with revoked and unknown keys, and without
+// keys. The returned function stops them and waits for them.
 func (s *soak) startCustomers(ctx context.Context) (stop func()) {
 	ctx, cancel := context.WithCancel(ctx)
-	l := s.cfg.customers
+	rec := s.cfg.customers
 	first := keyMark + "never"
 	s.oldKey.Store(&first)
 	c := newCaller(s.entries, s.checks, newRandom(s.random.Uint64()))
@@ -157,20 +157,22 @@
 		})
 	}
 	for _, name := range []string{workshop, modest} {
-		every(modestInterval, func() { c.sendPlain(ctx, l, c.anyEntry(), plainRequest{customer: name, key: l.key(name), valid: true}) })
+		every(modestInterval, func() {
+			c.sendPlain(ctx, rec, c.anyEntry(), plainRequest{customer: name, key: rec.key(name), valid: true})
+		})
 	}
 	few := s.entries[:2]
 	every(floodingInterval, func() {
-		c.sendPlain(ctx, l, few[c.intN(len(few))], plainRequest{customer: flooding, key: l.key(flooding), valid: true})
+		c.sendPlain(ctx, rec, few[c.intN(len(few))], plainRequest{customer: flooding, key: rec.key(flooding), valid: true})
 	})
-	every(rotatingInterval, func() { c.sendPlain(ctx, l, c.anyEntry(), plainRequest{customer: rotating, key: l.key(rotating)}) })
+	every(rotatingInterval, func() { c.sendPlain(ctx, rec, c.anyEntry(), plainRequest{customer: rotating, key: rec.key(rotating)}) })
 	every(rotatingInterval, func() {
-		c.sendPlain(ctx, l, c.anyEntry(), plainRequest{customer: rotating, key: *s.oldKey.Load(), old: true})
+		c.sendPlain(ctx, rec, c.anyEntry(), plainRequest{customer: rotating, key: *s.oldKey.Load(), old: true})
 	})
-	every(othersInterval, func() { c.sendPlain(ctx, l, c.anyEntry(), plainRequest{key: keyMark + "unknown"}) })
-	every(othersInterval, func() { c.sendPlain(ctx, l, c.anyEntry(), plainRequest{}) })
-	every(othersInterval, func() { c.sendPlain(ctx, l, c.anyEntry(), plainRequest{public: true, valid: true}) })
-	every(othersInterval, func() { c.readForeignJob(ctx, l, s.accepted.all()) })
+	every(othersInterval, func() { c.sendPlain(ctx, rec, c.anyEntry(), plainRequest{key: keyMark + "unknown"}) })
+	every(othersInterval, func() { c.sendPlain(ctx, rec, c.anyEntry(), plainRequest{}) })
+	every(othersInterval, func() { c.sendPlain(ctx, rec, c.anyEntry(), plainRequest{public: true, valid: true}) })
+	every(othersInterval, func() { c.readForeignJob(ctx, rec, s.accepted.all()) })
 	return func() {
 		cancel()
 		callers.Wait()
@@ -201,7 +203,7 @@
 }
 
 // sendPlain sends a request to an entry, and checks and counts the status of the answer.
-func (c *caller) sendPlain(ctx context.Context, l *ledger, p *process, r plainRequest) {
+func (c *caller) sendPlain(ctx context.Context, rec *recorder, p *process, r plainRequest) {
 	ctx, cancel := context.WithTimeout(ctx, deadline)
 	defer cancel()
 	id, prefix := c.id(), plainPrefix
@@ -210,7 +212,7 @@
 	}
 	signed := newCaller(c.entries, c.checks, nil)
 	signed.client = c.client
-	signed.sign = func(req *http.Request) { l.sign(req, r.customer, r.key, r.public) }
+	signed.sign = func(req *http.Request) { rec.sign(req, r.customer, r.key, r.public) }
 	res, err := signed.do(ctx, p, http.MethodGet, prefix+id, map[string]string{"X-Request-Id": id, "X-Deadline-Ms": "5000"}, nil)
 	if err != nil {
 		c.checks.count(r.kind() + " without an answer")
@@ -219,19 +221,19 @@
 	_ = res.Body.Close()
 	c.checks.count(fmt.Sprintf("%s %d", r.kind(), res.StatusCode))
 	if r.valid {
-		l.answer(id, r.customer, res.StatusCode)
+		rec.checkAnswer(id, r.customer, res.StatusCode)
 	}
 }
 
 // readForeignJob reads a job with the key of a customer that it does not belong to.
-func (c *caller) readForeignJob(ctx context.Context, l *ledger, jobs []*jobReads) {
+func (c *caller) readForeignJob(ctx context.Context, rec *recorder, jobs []*jobReads) {
 	if len(jobs) == 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, deadline)
 	defer cancel()
 	other := newCaller(c.entries, c.checks, nil)
-	other.sign = l.signAs(modest)
+	other.sign = rec.signer(modest)
 	job := jobs[c.intN(len(jobs))].job
 	res, err := other.do(ctx, c.anyEntry(), http.MethodGet, "/cicadalink/lots/"+job+"?After=0", map[string]string{"X-Request-Id": c.id()}, nil)
 	if err != nil {
--- a/cicadasoak/main.go
+++ b/cicadasoak/main.go
@@ -83,9 +83,9 @@
 	}
 	log := hclog.New(&hclog.LoggerOptions{Name: "cicadasoak", Output: os.Stderr})
 	checks := newChecks(log)
-	var customers *ledger
+	var customers *recorder
 	if withCustomers[cmd.String("scenario")] {
-		customers = newCustomers(checks)
+		customers = newCustomerRecorder(checks)
 	}
 	d, err := startDeployment(ctx, deploymentConfig{
 		customers: customers, customerSettings: cmd.Bool("customer-settings"),
--- a/cicadasoak/process.go
+++ b/cicadasoak/process.go
@@ -91,11 +91,11 @@
 type deploymentConfig struct {
 	gateway, template, logs    string
 	entries, owners, endpoints int
-	statesStart                bool    // of the endpoints
-	proxied                    bool    // endpoints are reached through proxies
-	linked                     bool    // processes and the store are
-	customers                  *ledger // nil without customers
-	customerSettings           bool    // to be added to the template
+	statesStart                bool      // of the endpoints
+	proxied                    bool      // endpoints are reached through proxies
+	linked                     bool      // processes and the store are
+	customers                  *recorder // nil without customers
+	customerSettings           bool      // to be added to the template
 }
 
 // A deployment is the processes of the gateway and what surrounds them.
@@ -206,7 +206,7 @@
 	"Bounds.QuotaWindowS": fmt.Sprint(quotaWindow.Seconds()), "Bounds.QuotaOverage": fmt.Sprint(quotaOverage), "Bounds.QuotaSlack": fmt.Sprint(quotaSlack),
 }
 
-// customerSettings are settings that a template may not have.
+// customerSettings are appended to a template without the settings of customers.
 const customerSettings = `
 revocation-limit: {{Bounds.RevokeMs}}ms
 quota-window: {{Bounds.QuotaWindowS}}s
@@ -318,12 +318,12 @@
 	return res.StatusCode == http.StatusOK
 }
 
-// observers returns what sees the requests that endpoints run.
+// observers returns the functions that are called with each request that endpoints run.
 func (d *deployment) observers() []observer {
 	if d.cfg.customers == nil {
 		return nil
 	}
-	return []observer{d.cfg.customers.arrive}
+	return []observer{d.cfg.customers.recordArrival}
 }
 
 // release starts n endpoints of a version and registers them.
--- a/cicadasoak/ledger.go
+++ b/cicadasoak/recorder.go
@@ -12,7 +12,7 @@
 	"time"
 )
 
-// keyMark is part of each key, so that a key is found wherever it has got to.
+// keyMark is part of each key, so that a search finds a key in any place that must not contain one.
 const keyMark = "soak-key-"
 
 const (
@@ -26,7 +26,7 @@
 	quotaSlack   = 20
 )
 
-// Rules about customers.
+// Rules about customers, as named in violations.
 const (
 	keyLeaked        = "key sent to an endpoint"
 	keyKept          = "key in a log, a file or an object of the store"
@@ -61,12 +61,12 @@
 // A limitedRun is the first run of a request of a customer with a limit.
 type limitedRun struct{ sent, arrived time.Time }
 
-// A ledger holds the customers and their keys, what callers send, and what endpoints get. It is safe for
-// concurrent use.
-type ledger struct {
+// A recorder records the customers and their keys, the requests that callers send, and those that
+// endpoints receive, and checks the rules about customers. It is safe for concurrent use.
+type recorder struct {
 	checks *checks
-	// jobs is the customer to which all jobs belong.
-	jobs string
+	// jobOwner is the customer to which all jobs belong.
+	jobOwner string
 
 	mu        sync.Mutex
 	customers []*customer
@@ -76,141 +76,143 @@
 	limited   map[string][]limitedRun // by customer
 }
 
-func newLedger(c *checks, jobs string, customers ...*customer) *ledger {
-	return &ledger{
-		checks: c, jobs: jobs, customers: customers, revoked: make(map[string]time.Time),
+func newRecorder(c *checks, jobOwner string, customers ...*customer) *recorder {
+	return &recorder{
+		checks: c, jobOwner: jobOwner, customers: customers, revoked: make(map[string]time.Time),
 		requests: make(map[string]sentRequest), run: make(map[string]bool), limited: make(map[string][]limitedRun),
 	}
 }
 
 // customer returns the customer with a name.
-func (l *ledger) customer(name string) *customer {
-	i := slices.IndexFunc(l.customers, func(c *customer) bool { return c.name == name })
-	return l.customers[i]
+func (rec *recorder) customer(name string) *customer {
+	i := slices.IndexFunc(rec.customers, func(c *customer) bool { return c.name == name })
+	return rec.customers[i]
 }
 
 // entries returns the customers as a configuration has them.
-func (l *ledger) entries() []map[string]any {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	entries := make([]map[string]any, 0, len(l.customers))
-	for _, c := range l.customers {
+func (rec *recorder) entries() []map[string]any {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	entries := make([]map[string]any, 0, len(rec.customers))
+	for _, c := range rec.customers {
 		entries = append(entries, map[string]any{"Name": c.name, "ApiKeys": slices.Clone(c.keys), "RatePerS": c.rate, "Burst": c.burst})
 	}
 	return entries
 }
 
 // replaceKeys gives a customer one new key in place of all that it has. It returns those that it had.
-func (l *ledger) replaceKeys(name, key string) (old []string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	c := l.customer(name)
+func (rec *recorder) replaceKeys(name, key string) (old []string) {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	c := rec.customer(name)
 	old, c.keys = c.keys, []string{key}
 	return old
 }
 
-// recordRevoked notes that the store has acknowledged a configuration without some keys.
-func (l *ledger) recordRevoked(keys []string, at time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+// recordRevoked records when the store acknowledged a configuration without some keys.
+func (rec *recorder) recordRevoked(keys []string, at time.Time) {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
 	for _, key := range keys {
-		l.revoked[key] = at
+		rec.revoked[key] = at
 	}
 }
 
 // key returns the newest key of a customer.
-func (l *ledger) key(name string) string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	keys := l.customer(name).keys
+func (rec *recorder) key(name string) string {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	keys := rec.customer(name).keys
 	return keys[len(keys)-1]
 }
 
-// sign gives a request the key of a customer, or none, and records it. Callers also claim to be another
-// customer, which entries must not pass on.
-func (l *ledger) sign(r *http.Request, customer, key string, public bool) {
+// sign sets the key of a customer, if any, in a request, and records the request. It also sets a forged
+// name of a customer, which entries must not forward.
+func (rec *recorder) sign(r *http.Request, customer, key string, public bool) {
 	r.Header.Set("X-Tenant", "forged")
 	if key != "" {
 		r.Header.Set("Api-Key", key)
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.requests[r.Header.Get("X-Request-Id")] = sentRequest{customer: customer, key: key, public: public, sent: time.Now()}
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	rec.requests[r.Header.Get("X-Request-Id")] = sentRequest{customer: customer, key: key, public: public, sent: time.Now()}
 }
 
-// signAs returns a function that signs requests with the key of a customer.
-func (l *ledger) signAs(customer string) func(*http.Request) {
-	return func(r *http.Request) { l.sign(r, customer, l.key(customer), false) }
+// signer returns a function that signs requests with the key of a customer.
+func (rec *recorder) signer(customer string) func(*http.Request) {
+	return func(r *http.Request) { rec.sign(r, customer, rec.key(customer), false) }
 }
 
-// arrive checks a request that an endpoint got and is about to run.
-func (l *ledger) arrive(r *http.Request, body []byte) { l.arriveAt(r, body, time.Now()) }
+// recordArrival checks and records a request that an endpoint is about to run.
+func (rec *recorder) recordArrival(r *http.Request, body []byte) {
+	rec.recordArrivalAt(r, body, time.Now())
+}
 
-func (l *ledger) arriveAt(r *http.Request, body []byte, now time.Time) {
+func (rec *recorder) recordArrivalAt(r *http.Request, body []byte, now time.Time) {
 	id := r.Header.Get("X-Request-Id")
-	l.checkLeak(id, r, body)
-	l.mu.Lock()
-	sent, known := l.requests[id]
+	rec.checkLeak(id, r, body)
+	rec.mu.Lock()
+	sent, known := rec.requests[id]
 	if !known && strings.HasPrefix(r.URL.Path, batchPrefix) {
-		sent, known = sentRequest{customer: l.jobs}, true
+		sent, known = sentRequest{customer: rec.jobOwner}, true
 	}
-	revokedAt, isRevoked := l.revoked[sent.key]
-	if known && !l.run[id] && sent.customer != "" && l.customer(sent.customer).rate > 0 {
-		l.limited[sent.customer] = append(l.limited[sent.customer], limitedRun{sent.sent, now})
+	revokedAt, isRevoked := rec.revoked[sent.key]
+	if known && !rec.run[id] && sent.customer != "" && rec.customer(sent.customer).rate > 0 {
+		rec.limited[sent.customer] = append(rec.limited[sent.customer], limitedRun{sent.sent, now})
 	}
-	l.run[id] = true
-	l.mu.Unlock()
+	rec.run[id] = true
+	rec.mu.Unlock()
 	told := r.Header.Get("X-Tenant")
 	switch {
 	case !known:
-		l.checks.count("requests of unknown callers")
+		rec.checks.count("requests of unknown callers")
 	case sent.customer == "" && !sent.public:
-		l.checks.violate(runWithoutKey, id, r.URL.Path)
+		rec.checks.violate(runWithoutKey, id, r.URL.Path)
 	case told != sent.customer:
-		l.checks.violate(wrongCustomer, id, fmt.Sprintf("%q instead of %q", told, sent.customer))
+		rec.checks.violate(wrongCustomer, id, fmt.Sprintf("%q instead of %q", told, sent.customer))
 	}
 	if late := sent.sent.Sub(revokedAt); isRevoked && late > revocationLimit {
-		l.checks.violate(runAfterLimit, id, fmt.Sprintf("sent %v after the key was withdrawn, run %v after it was sent", late, now.Sub(sent.sent)))
+		rec.checks.violate(runAfterLimit, id, fmt.Sprintf("sent %v after the key was withdrawn, run %v after it was sent", late, now.Sub(sent.sent)))
 	}
 }
 
 // checkLeak looks for keys in all parts of a request.
-func (l *ledger) checkLeak(id string, r *http.Request, body []byte) {
+func (rec *recorder) checkLeak(id string, r *http.Request, body []byte) {
 	leaked := r.Header.Get("Api-Key") != "" || strings.Contains(string(body), keyMark) || strings.Contains(r.RequestURI, keyMark)
 	for name, values := range r.Header {
 		leaked = leaked || strings.Contains(name+strings.Join(values, ""), keyMark)
 	}
 	if leaked {
-		l.checks.violate(keyLeaked, id, r.URL.Path)
+		rec.checks.violate(keyLeaked, id, r.URL.Path)
 	}
 }
 
-// answer checks the status of the answer to a request with a customer's key that has not changed.
-func (l *ledger) answer(id, customer string, status int) {
-	l.mu.Lock()
-	limited := customer != "" && l.customer(customer).rate > 0
-	l.mu.Unlock()
+// checkAnswer checks the status of the answer to a request with a customer's key that has not changed.
+func (rec *recorder) checkAnswer(id, customer string, status int) {
+	rec.mu.Lock()
+	limited := customer != "" && rec.customer(customer).rate > 0
+	rec.mu.Unlock()
 	switch {
 	case status == http.StatusUnauthorized:
-		l.checks.violate(validKeyRefused, id, customer)
+		rec.checks.violate(validKeyRefused, id, customer)
 	case status == http.StatusTooManyRequests && !limited:
-		l.checks.violate(unlimitedRefused, id, customer)
+		rec.checks.violate(unlimitedRefused, id, customer)
 	}
 }
 
 // checkQuotas checks for each customer with a limit the window in which most of its requests were sent
 // and reached an endpoint.
-func (l *ledger) checkQuotas() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, c := range l.customers {
+func (rec *recorder) checkQuotas() {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	for _, c := range rec.customers {
 		if c.rate == 0 {
 			continue
 		}
-		most := mostInWindow(l.limited[c.name], quotaWindow)
-		l.checks.count(fmt.Sprintf("%s at most %d of %d in %v", c.name, most, c.allowed(quotaWindow), quotaWindow))
+		most := mostInWindow(rec.limited[c.name], quotaWindow)
+		rec.checks.count(fmt.Sprintf("%s at most %d of %d in %v", c.name, most, c.allowed(quotaWindow), quotaWindow))
 		if most > c.allowed(quotaWindow) {
-			l.checks.violate(quotaExceeded, c.name, fmt.Sprintf("%d in %v, %d are allowed", most, quotaWindow, c.allowed(quotaWindow)))
+			rec.checks.violate(quotaExceeded, c.name, fmt.Sprintf("%d in %v, %d are allowed", most, quotaWindow, c.allowed(quotaWindow)))
 		}
 	}
 }
@@ -234,15 +236,15 @@
 	return most
 }
 
-// checkKept looks for keys in what processes have written into files, and in the store beside the
+// checkStoredKeys looks for keys in what processes have written into files, and in the store beside the
 // configuration.
-func (l *ledger) checkKept(dir string, s *store) {
+func (rec *recorder) checkStoredKeys(dir string, s *store) {
 	_ = filepath.WalkDir(dir, func(path string, entry fs.DirEntry, err error) error {
 		if err != nil || entry.IsDir() {
 			return nil // removed meanwhile
 		}
 		if data, err := os.ReadFile(path); err == nil && strings.Contains(string(data), keyMark) {
-			l.checks.violate(keyKept, path, "")
+			rec.checks.violate(keyKept, path, "")
 		}
 		return nil
 	})
@@ -251,7 +253,7 @@
 	for kind, objects := range s.kinds {
 		for name, o := range objects {
 			if kind != "config" && strings.Contains(string(o.Spec)+string(o.Status), keyMark) {
-				l.checks.violate(keyKept, kind+"/"+name, "")
+				rec.checks.violate(keyKept, kind+"/"+name, "")
 			}
 		}
 	}
--- a/cicadasoak/ledger_test.go
+++ b/cicadasoak/recorder_test.go
@@ -14,17 +14,17 @@
 	"gotest.tools/v3/assert"
 )
 
-// TestLedgerFindsEachFault shows that each check of a request that an endpoint gets can fail.
-func TestLedgerFindsEachFault(t *testing.T) {
+// TestRecorderFindsEachFault guards against checks of requests at endpoints that never fail.
+func TestRecorderFindsEachFault(t *testing.T) {
 	sent := time.Now()
 	valid := sentRequest{customer: modest, key: keyMark + modest, sent: sent}
 	for name, c := range map[string]struct {
-		request   sentRequest
-		header    map[string]string
-		path      string
-		body      string
-		withdrawn time.Duration // before the request was sent, or 0
-		want      string
+		request sentRequest
+		header  map[string]string
+		path    string
+		body    string
+		revoked time.Duration // before the request was sent, or 0
+		want    string
 	}{
 		"valid":                 {request: valid, header: map[string]string{"X-Tenant": modest}},
 		"public":                {request: sentRequest{public: true, sent: sent}},
@@ -36,34 +36,34 @@
 		"another customer":      {request: valid, header: map[string]string{"X-Tenant": workshop}, want: wrongCustomer},
 		"forged":                {request: sentRequest{public: true, sent: sent}, header: map[string]string{"X-Tenant": "forged"}, want: wrongCustomer},
 		"unknown key":           {request: sentRequest{key: keyMark + "unknown", sent: sent}, want: runWithoutKey},
-		"withdrawn, in time":    {request: valid, header: map[string]string{"X-Tenant": modest}, withdrawn: revocationLimit},
-		"withdrawn, late":       {request: valid, header: map[string]string{"X-Tenant": modest}, withdrawn: revocationLimit + time.Millisecond, want: runAfterLimit},
+		"revoked, in time":      {request: valid, header: map[string]string{"X-Tenant": modest}, revoked: revocationLimit},
+		"revoked, late":         {request: valid, header: map[string]string{"X-Tenant": modest}, revoked: revocationLimit + time.Millisecond, want: runAfterLimit},
 	} {
 		checks := newChecks(hclog.NewNullLogger())
-		l := newCustomers(checks)
-		l.requests["r"] = c.request
-		if c.withdrawn > 0 {
-			l.recordRevoked([]string{c.request.key}, sent.Add(-c.withdrawn))
+		rec := newCustomerRecorder(checks)
+		rec.requests["r"] = c.request
+		if c.revoked > 0 {
+			rec.recordRevoked([]string{c.request.key}, sent.Add(-c.revoked))
 		}
 		r := httptest.NewRequest(http.MethodPost, plainPrefix+c.path, nil)
 		r.Header.Set("X-Request-Id", "r")
 		for name, value := range c.header {
 			r.Header.Set(name, value)
 		}
-		l.arriveAt(r, []byte(c.body), sent.Add(time.Second))
+		rec.recordArrivalAt(r, []byte(c.body), sent.Add(time.Second))
 		assert.Equal(t, checks.broken(), c.want != "", name)
 		assert.Equal(t, checks.violations[c.want] > 0, c.want != "", name)
 	}
 }
 
-// TestItemsBelongToTheCustomerOfTheirJob guards against items that the ledger does not check.
+// TestItemsBelongToTheCustomerOfTheirJob guards against items of jobs that are not checked.
 func TestItemsBelongToTheCustomerOfTheirJob(t *testing.T) {
 	for told, broken := range map[string]bool{workshop: false, modest: true} {
 		checks := newChecks(hclog.NewNullLogger())
 		r := httptest.NewRequest(http.MethodPost, batchPrefix+"i", nil)
 		r.Header.Set("X-Request-Id", "i")
 		r.Header.Set("X-Tenant", told)
-		newCustomers(checks).arrive(r, nil)
+		newCustomerRecorder(checks).recordArrival(r, nil)
 		assert.Equal(t, checks.broken(), broken, told)
 	}
 }
@@ -71,7 +71,7 @@
 // TestQuotaCountsAnyWindow guards against windows that begin only at fixed times, against requests that are
 // counted twice, and against those that were sent long before they ran.
 func TestQuotaCountsAnyWindow(t *testing.T) {
-	allowed := newCustomers(nil).customer(flooding).allowed(quotaWindow)
+	allowed := newCustomerRecorder(nil).customer(flooding).allowed(quotaWindow)
 	assert.Equal(t, allowed, 152)
 	for name, c := range map[string]struct {
 		n       int
@@ -88,26 +88,26 @@
 		"one more at once, waiting": {n: allowed + 1, waiting: time.Second, want: true},
 	} {
 		checks := newChecks(hclog.NewNullLogger())
-		l := newCustomers(checks)
+		rec := newCustomerRecorder(checks)
 		start := time.Now().Add(c.first)
 		for i := range c.n {
 			sent := start.Add(c.spread * time.Duration(i) / time.Duration(c.n-1))
 			id := fmt.Sprint(i)
-			l.requests[id] = sentRequest{customer: flooding, key: keyMark + flooding, sent: sent}
+			rec.requests[id] = sentRequest{customer: flooding, key: keyMark + flooding, sent: sent}
 			r := httptest.NewRequest(http.MethodGet, plainPrefix, nil)
 			r.Header.Set("X-Request-Id", id)
 			r.Header.Set("X-Tenant", flooding)
 			for range 2 { // a second attempt
-				l.arriveAt(r, nil, sent.Add(c.waiting))
+				rec.recordArrivalAt(r, nil, sent.Add(c.waiting))
 			}
 		}
-		l.checkQuotas()
+		rec.checkQuotas()
 		assert.Equal(t, checks.violations[quotaExceeded] > 0, c.want, name)
 		assert.Equal(t, checks.broken(), c.want, name)
 	}
 }
 
-// TestAnswersToValidKeys shows that the checks of answers can fail.
+// TestAnswersToValidKeys guards against checks of answers that never fail.
 func TestAnswersToValidKeys(t *testing.T) {
 	for _, c := range []struct {
 		customer string
@@ -123,7 +123,7 @@
 		{"", http.StatusUnauthorized, validKeyRefused},
 	} {
 		checks := newChecks(hclog.NewNullLogger())
-		newCustomers(checks).answer("r", c.customer, c.status)
+		newCustomerRecorder(checks).checkAnswer("r", c.customer, c.status)
 		assert.Equal(t, checks.broken(), c.want != "", "%+v", c)
 		assert.Equal(t, checks.violations[c.want] > 0, c.want != "", "%+v", c)
 	}
@@ -149,7 +149,7 @@
 		checks := newChecks(hclog.NewNullLogger())
 		dir, s := t.TempDir(), newStore()
 		assert.NilError(t, fill(dir, s))
-		newCustomers(checks).checkKept(dir, s)
+		newCustomerRecorder(checks).checkStoredKeys(dir, s)
 		assert.Equal(t, checks.violations[keyKept] > 0, name != "", name)
 	}
 }
@@ -160,7 +160,7 @@
 	p := &process{name: "entry-1", ip: "127.1.1.1", entry: true}
 	d := &deployment{template: "{{#Bounds.StrictRevoke}}limit: {{Bounds.RevokeMs}}ms{{/Bounds.StrictRevoke}}\n"}
 	assert.Equal(t, d.settings(p), "\n")
-	d.cfg.customers = newCustomers(nil)
+	d.cfg.customers = newCustomerRecorder(nil)
 	assert.Equal(t, d.settings(p), "limit: 5000ms\n")
 	d.cfg.customerSettings = true
 	assert.Assert(t, strings.Contains(d.settings(p), "\nrevocation-limit: 5000ms\nquota-window: 5s\nquota-slack: 20\n"))
