Split the limiter's files by concept, and the capacity from updateHome

Cause: entry.go and home.go each held several concepts, updateHome computed shares, rate and capacity in one function, and partitionHalf cuts off a third. No behaviour changes.

--- a/cicadagateway/cicadaplace/speed_test.go
+++ b/cicadagateway/cicadaplace/speed_test.go
@@ -96,7 +96,7 @@
 	return all
 }
 
-// run plays the day with tables that learn speeds, or do not.
+// run plays the scenario with tables that learn speeds, or do not.
 func (d speedScenario) run(t *testing.T, learn bool) *speedResult {
 	r := &speedResult{sent: make(map[[3]int]int)}
 	synctest.Test(t, func(*testing.T) {
@@ -198,7 +198,7 @@
 	r.took = append(r.took, time.Since(arrived))
 }
 
-// compare plays the day without and with learning and logs both.
+// compare plays the scenario without and with learning and logs both.
 func (d speedScenario) compare(t *testing.T) (without, with *speedResult) {
 	without, with = d.run(t, false), d.run(t, true)
 	t.Logf("without learning: mean %v, p99 %v, failed %d of %d", without.mean(), without.p99(), without.failed, len(without.took))
--- a/cicadagateway/cicadaratelimit/history_test.go
+++ b/cicadagateway/cicadaratelimit/history_test.go
@@ -48,7 +48,7 @@
 	}
 	h.faults = []func(){
 		h.killOne, h.killOne, h.suspendOne, h.suspendOne, h.joinOne, h.changeLimit,
-		h.partitionHalf, h.isolateOne, h.cutOneWay, h.cutPart, h.heal,
+		h.partitionThird, h.isolateOne, h.cutOneWay, h.cutPart, h.heal,
 	}
 	h.after(faultsFrom, h.fault)
 	return h
@@ -171,7 +171,8 @@
 	clear(h.cut)
 }
 
-func (h *history) partitionHalf() {
+// partitionThird cuts one third of the entries off from the others.
+func (h *history) partitionThird() {
 	third := h.random.IntN(3)
 	h.cutBetween(func(i int) bool { return i%3 == third }, func(i int) bool { return i%3 != third }, true)
 }
--- a/cicadagateway/cicadaratelimit/home.go
+++ b/cicadagateway/cicadaratelimit/home.go
@@ -68,12 +68,6 @@
 	reservations []reservation // entries that got no token, the first one first
 }
 
-// A reservation is a token kept for an entry that got none.
-type reservation struct {
-	entry string
-	at    time.Time
-}
-
 // serve serves a request for tokens at the home entry.
 func (l *Limiter) serve(from string, r Request, now time.Time) Reply {
 	reply := Reply{ID: r.ID, Customer: r.Customer}
@@ -127,16 +121,6 @@
 	return l.limitOf(r.Customer)
 }
 
-// capacity returns the capacity of a bucket.
-func (l *Limiter) capacity(limit Limit, share float64) float64 {
-	return max((limit.Burst+l.slack/2)*share, 1)
-}
-
-// initialLevel returns the level of a bucket of an entry that has just become the home.
-func (l *Limiter) initialLevel(limit Limit, share float64) float64 {
-	return (l.slack/2 + initialBurstFraction*limit.Burst) * share
-}
-
 // newHomeBucket returns a bucket for a customer without one. If this entry has been the home for
 // some time, the bucket contains the refill of that time.
 func (l *Limiter) newHomeBucket(r Request, limit Limit, now time.Time) *homeBucket {
@@ -158,93 +142,6 @@
 	return h
 }
 
-// updateHome brings a bucket up to date with the limit and with the share of this entry.
-func (l *Limiter) updateHome(name string, h *homeBucket, limit Limit, now time.Time) {
-	if now.After(h.standInUntil) {
-		h.insteadOf = ""
-	}
-	if h.computedVersion != l.view.version || h.computedInsteadOf != h.insteadOf || h.computedShare == 0 {
-		h.computedShare = l.view.share(name, h.insteadOf)
-		h.computedVersion, h.computedInsteadOf = l.view.version, h.insteadOf
-	}
-	h.limit = limit
-	before := h.share
-	h.setShare(h.computedShare, now)
-	switch {
-	case before > 0 && h.share == 0:
-		l.handOver(name, h, now)
-	case h.share < before:
-		h.burstShare, h.burstUntil = before, now.Add(settleTime)
-	case h.share > h.initialShare:
-		l.raiseInitial(h, now)
-	}
-	rate := limit.PerSecond * h.share
-	if now.Before(h.refillFrom) && h.insteadOf == "" {
-		rate = 0
-	}
-	burst := l.capacity(limit, h.share)
-	if now.Before(h.burstUntil) {
-		burst = max(burst, l.capacity(limit, h.burstShare))
-	}
-	if h.share == 0 {
-		// Requests of entries that have not yet learned of the new home use what is left.
-		burst = l.capacity(limit, 1)
-		if now.Sub(h.lostShareAt) > settleTime {
-			burst = l.initialLevel(limit, 1)
-		}
-	}
-	h.bucket.SetLimit(now, rate, burst)
-}
-
-// raiseInitial adds to the initial level of a new bucket whose share has risen since.
-func (l *Limiter) raiseInitial(h *homeBucket, now time.Time) {
-	added := l.initialLevel(h.limit, h.share-h.initialShare)
-	if h.insteadOf != "" {
-		added *= standInFraction
-	}
-	h.initialShare = h.share
-	if now.Sub(h.becameHomeAt) < Window {
-		h.bucket.Take(now, -added)
-	}
-}
-
-// setShare sets the share, at once if it falls, or if the bucket stands in for a home that is
-// not ready, and otherwise after settleTime.
-func (h *homeBucket) setShare(share float64, now time.Time) {
-	switch {
-	case share == h.share:
-		h.pendingShare = share
-	case share < h.share || h.insteadOf != "":
-		h.applyShare(share, now)
-	case share != h.pendingShare:
-		h.pendingShare, h.pendingAt = share, now.Add(settleTime)
-	case !now.Before(h.pendingAt):
-		h.applyShare(share, now)
-	}
-}
-
-// applyShare puts a share into effect.
-func (h *homeBucket) applyShare(share float64, now time.Time) {
-	switch {
-	case share == 0:
-		h.lostShareAt = now
-	case h.share == 0:
-		h.becameHomeAt, h.granted, h.initialUsed, h.charged = now, 0, 0, 0
-	}
-	h.share, h.pendingShare = share, share
-}
-
-// handOver tells the new home of a customer how many initial tokens this entry has granted, if it
-// became the home within the last window.
-func (l *Limiter) handOver(name string, h *homeBucket, now time.Time) {
-	home := l.view.home(name, "")
-	if now.Sub(h.becameHomeAt) >= Window || h.initialUsed == 0 || home == l.self {
-		return
-	}
-	l.log.Debug("customer handed over", "customer", name, "to", home, "initial-used", h.initialUsed)
-	l.queue(home, Message{Request: &Request{Customer: name, Bucket: h.id, Spent: h.initialUsed}})
-}
-
 // grant grants tokens, first for requests that wait and then in advance. One token is reserved for
 // each entry that got none, so that entries with many requests don't take them all.
 func (l *Limiter) grant(from string, h *homeBucket, r Request, reply *Reply, now time.Time) {
@@ -313,30 +210,6 @@
 	return max(left/2, 0)
 }
 
-// reservationsAhead returns the number of entries for which a token is reserved before one for the
-// given entry.
-func (h *homeBucket) reservationsAhead(entry string, now time.Time) int {
-	h.reservations = slices.DeleteFunc(h.reservations, func(r reservation) bool { return now.Sub(r.at) > reservationTime })
-	if i := slices.IndexFunc(h.reservations, func(r reservation) bool { return r.entry == entry }); i >= 0 {
-		return i
-	}
-	return len(h.reservations)
-}
-
-// updateReservations adds, renews or removes an entry's reservation after a grant of tokens.
-func (h *homeBucket) updateReservations(entry string, tokens int64, now time.Time) {
-	i := slices.IndexFunc(h.reservations, func(r reservation) bool { return r.entry == entry })
-	switch {
-	case tokens > 0 && i >= 0:
-		h.reservations = slices.Delete(h.reservations, i, i+1)
-	case tokens > 0:
-	case i >= 0:
-		h.reservations[i].at = now
-	case len(h.reservations) < maxReservations:
-		h.reservations = append(h.reservations, reservation{entry, now})
-	}
-}
-
 // scheduleRetries sets when refused callers should retry: one after the other, at the rate at
 // which tokens are added, and after callers that were refused before. elsewhere is the number of
 // callers that the entry has refused on its own since its last Request.
