--- a/cicadagateway/cicadafreshness/fleet_test.go
+++ b/cicadagateway/cicadafreshness/fleet_test.go
@@ -14,7 +14,6 @@
 
 const (
 	testLimit      = 4 * time.Second
-	tickInterval   = 100 * time.Millisecond
 	heartbeat      = 250 * time.Millisecond
 	failureTimeout = 1200 * time.Millisecond
 	pollInterval   = 900 * time.Millisecond
@@ -74,7 +73,7 @@
 	clock func(*node) time.Duration
 	alter func(*node, Message) Message
 	dated func(n *node, askedAt time.Duration) time.Duration
-	// violation is the first broken promise.
+	// violation is the first violation of the guarantee.
 	violation string
 }
 
@@ -237,7 +236,7 @@
 	n.tracker = New(n.name, testLimit, n.send, WithClock(n.now), WithMembers(n.members), WithCoordinator(n.coordinator),
 		WithRead(n.readForTracker), WithOnNewer(func(int64) { n.do(catchUpDelay, n.requestRead) }))
 	n.tracker.fanOut = f.fanOut
-	n.do(f.upTo(tickInterval), func() { n.repeat(tickInterval, n.tracker.Tick) })
+	n.do(f.upTo(TickInterval), func() { n.repeat(TickInterval, n.tracker.Tick) })
 	if !f.steady {
 		n.do(f.upTo(heartbeat), func() { n.repeat(heartbeat, n.sendState) })
 	}
--- a/cicadagateway/cicadafreshness/history_test.go
+++ b/cicadagateway/cicadafreshness/history_test.go
@@ -119,7 +119,7 @@
 }
 
 // Guards against a check that finds nothing: without any one of the protections, some history
-// breaks the promise.
+// violates the guarantee.
 func TestHistoriesFindMissingProtections(t *testing.T) {
 	for name, change := range map[string]func(*fleet){
 		"clock that stops during suspensions": func(f *fleet) {
@@ -154,7 +154,7 @@
 					return
 				}
 			}
-			t.Error("no history breaks the promise")
+			t.Error("no history violates the guarantee")
 		})
 	}
 }
--- a/cicadagateway/cicadafreshness/query.go
+++ b/cicadagateway/cicadafreshness/query.go
@@ -9,8 +9,8 @@
 
 const (
 	// renewInterval is the time from a query whose reply had a newer confirmation to the next query.
-	// It equals the interval at which the coordinator reads the store, since the parent has no newer
-	// confirmation earlier.
+	// It equals the interval at which the coordinator reads the store (pollInterval of cicadafollow),
+	// since the parent has no newer confirmation earlier.
 	renewInterval = 900 * time.Millisecond
 	// retryInterval is the time until a parent without a newer confirmation is queried again. It
 	// doubles with every second such reply, up to maxRetryInterval.
@@ -21,8 +21,8 @@
 	roundInterval = 500 * time.Millisecond
 	// treeInterval is the interval at which the root checks whether it is still the root.
 	treeInterval = 300 * time.Millisecond
-	// replyTimeout is the time after which a query counts as unanswered. It is shorter than the
-	// interval of Tick, so that the next member is queried at the next call.
+	// replyTimeout is the time after which a query counts as unanswered. It is shorter than
+	// TickInterval, so that the next member is queried at the next call.
 	replyTimeout = 80 * time.Millisecond
 	// tickTolerance is how early a call of Tick may be for a query that is due.
 	tickTolerance = 20 * time.Millisecond
--- a/cicadagateway/cicadafreshness/tracker.go
+++ b/cicadagateway/cicadafreshness/tracker.go
@@ -18,7 +18,7 @@
 //	tracker.SetVersion(config.Version())                  // in force
 //	tracker.RecordRead(listed.Version(), listAskedAt)     // the store was asked then
 //	tracker.Receive(message)
-//	for range ticker.C { tracker.Tick() }                 // every 100 ms
+//	for range ticker.C { tracker.Tick() }                 // every TickInterval
 //	if !tracker.Fresh() { ... refuse requests with keys ... }
 //
 // Times are those of cicadaclock.SinceBoot, which also counts suspensions.
@@ -37,6 +37,8 @@
 )
 
 const (
+	// TickInterval is the time between calls of Tick.
+	TickInterval = 100 * time.Millisecond
 	// queryFraction and readFraction are the ages of a confirmation, as fractions of the limit, from
 	// which candidates other than the parent are queried and the store is read. The former is
 	// smaller, so that other members are queried before the store is read.
@@ -166,7 +168,7 @@
 }
 
 // Tick queries other members and requests reads of the store as they become due. It must be
-// called every 100 ms.
+// called every TickInterval.
 func (t *Tracker) Tick() {
 	now := t.clock()
 	t.mu.Lock()
--- a/cicadagateway/cicadafreshness/tracker_test.go
+++ b/cicadagateway/cicadafreshness/tracker_test.go
@@ -34,7 +34,7 @@
 
 func (s *single) tick(n int) {
 	for range n {
-		s.now += tickInterval
+		s.now += TickInterval
 		s.Tick()
 	}
 }
--- a/cicadagateway/cicadaprocess/customers.go
+++ b/cicadagateway/cicadaprocess/customers.go
@@ -16,8 +16,9 @@
 )
 
 const (
-	// customerTickInterval is the interval of the periodic work on confirmations and rate limits.
-	customerTickInterval = 100 * time.Millisecond
+	// customerTickInterval is the interval at which confirmations and rate limits are updated. Both
+	// packages require the same interval.
+	customerTickInterval = cicadaratelimit.TickInterval
 	// revocationMargin covers the time from the check of a key to the arrival of the request at an
 	// endpoint, and the difference between the rates of two clocks over the revocation limit.
 	revocationMargin = 200 * time.Millisecond
--- a/cicadagateway/cicadaprocess/refusals.go
+++ b/cicadagateway/cicadaprocess/endpointreports.go
@@ -5,28 +5,28 @@
 	"time"
 )
 
-// refusals holds endpoints that must be reported to peers: those that have refused connections of this
+// endpointReports holds endpoints that must be reported to peers: those that have refused connections of this
 // process, or those to which it could not connect in time. An endpoint that has crashed looks idle to
 // all peers.
-type refusals struct {
+type endpointReports struct {
 	mu     sync.Mutex
 	outbox outbox[string]
 }
 
-// newRefusals returns refusals of which peers are told at once or not at all, as the endpoint
-// may soon be back.
-func newRefusals() *refusals {
-	return &refusals{outbox: outbox[string]{maxSends: promptSends}}
+// newEndpointReports returns reports that are sent at once or not at all, because the endpoint
+// may soon be reachable again.
+func newEndpointReports() *endpointReports {
+	return &endpointReports{outbox: outbox[string]{maxSends: promptSends}}
 }
 
-func (r *refusals) add(endpoint string) {
+func (r *endpointReports) add(endpoint string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.outbox.add(endpoint)
 }
 
 // next returns the endpoints for the next message to peers.
-func (r *refusals) next(now time.Time) []string {
+func (r *endpointReports) next(now time.Time) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.outbox.next(now)
--- a/cicadagateway/cicadaprocess/process.go
+++ b/cicadagateway/cicadaprocess/process.go
@@ -80,8 +80,8 @@
 	owner            atomic.Pointer[cicadabatch.Owner]
 
 	crashes          *crashEvidence
-	refusals         *refusals // of connections to endpoints
-	unreachable      *refusals
+	refusals         *endpointReports // endpoints that refused connections
+	unreachable      *endpointReports // endpoints that this process could not connect to in time
 	versions         *cicadaorigin.Versions
 	origins          *cicadaorigin.Tracker
 	history          *versionHistory
@@ -125,7 +125,7 @@
 	})
 	n.table = cicadaplace.NewTable(cfg.Name, n.tableOptions()...)
 	n.refusalsReported = p.Scope().Counter("endpoint_refusals_reported")
-	n.refusals, n.unreachable = newRefusals(), newRefusals()
+	n.refusals, n.unreachable = newEndpointReports(), newEndpointReports()
 	n.crashes = newCrashEvidence(cfg.Name, n.log, p.Scope(), n.notifyPeers)
 	n.versions = cicadaorigin.NewVersions()
 	n.origins = cicadaorigin.NewTracker(cfg.Name, n.versions, cicadaorigin.WithSend(n.sendOriginMessage),
