--- a/cicadactl/cicadacommand/check.go
+++ b/cicadactl/cicadacommand/check.go
@@ -48,11 +48,12 @@
 	}
 }
 
+// cannotCheck returns the error of a command that could not examine the file.
 func cannotCheck(err error) error {
 	return cli.Exit(fmt.Sprintf("cicadactl: check: %v", err), cicadakernel.ExitUsage)
 }
 
-// A checkReport is the result of a check. Its fields are exported for encoding/json.
+// A checkReport is the result of the command. Its fields are exported for encoding/json.
 type checkReport struct {
 	File     string                `json:"file"`
 	Version  int64                 `json:"version,omitempty"` // of a platform's configuration
@@ -92,8 +93,8 @@
 	return r, nil
 }
 
-// isJSON reports whether a file has the form of a platform's configuration. An empty file has, too,
-// as it is no resource either.
+// isJSON reports whether a file begins like a platform's configuration. An empty file counts as one, so
+// that it is reported as malformed and not as a file without resources.
 func isJSON(data []byte) bool {
 	data = bytes.TrimSpace(data)
 	return len(data) == 0 || bytes.IndexByte([]byte(`{["`), data[0]) >= 0
@@ -115,6 +116,7 @@
 	return nil
 }
 
+// write writes the report as JSON or as text for operators.
 func (r *checkReport) write(w io.Writer, asJSON bool) error {
 	if asJSON {
 		encoder := json.NewEncoder(w)
@@ -137,6 +139,7 @@
 	return nil
 }
 
+// writeChanges writes the changes as text, under a heading for each effect.
 func (r *checkReport) writeChanges(w io.Writer) {
 	fmt.Fprintf(w, "\nchanges from %s:\n", r.Against)
 	if len(r.Changes) == 0 {
