--- a/cicadagateway/cicadarelay/relay.go
+++ b/cicadagateway/cicadarelay/relay.go
@@ -138,14 +138,16 @@
 	return func(r *Relay) { r.origins = origins }
 }
 
-// connectFraction leaves time for several further attempts within the goal.
+// connectFraction is the fraction of a route's goal that a connection may take with
+// WithPromptFailover. It leaves time for several more attempts within the goal.
 const connectFraction = 0.25
 
-// minConnectTimeout is far above the time to open a connection to an endpoint that is not overloaded.
+// minConnectTimeout is the shortest time limit on a connection, far above the time that an endpoint
+// takes that is not overloaded.
 const minConnectTimeout = 40 * time.Millisecond
 
-// WithPromptFailover makes a request leave an endpoint that cannot be connected to while its route's
-// goal can still be reached elsewhere, and tells peers of such endpoints.
+// WithPromptFailover limits the time to connect to an endpoint to a fraction of the route's goal, so
+// that a request can still meet the goal at another endpoint, and reports such endpoints to peers.
 func WithPromptFailover() Option { return func(r *Relay) { r.connectFraction = connectFraction } }
 
 // connectTimeout returns the time limit on connecting to an endpoint, or 0 for the client's.
@@ -204,9 +206,9 @@
 		rl.refuse(w, r, http.StatusNotFound, "no-route", 0)
 		return
 	}
-	sender, status, reason := rl.authenticate(config, r, needsKey(route))
+	sender, status, reason := rl.authenticate(config, r, !route.Public)
 	if status != 0 {
-		rl.refuseCaller(w, r, status, reason)
+		rl.refuseKey(w, r, status, reason)
 		return
 	}
 	if err := outgoing(r).Validate(); err != nil {
@@ -376,7 +378,7 @@
 func (rl *Relay) callJob(w http.ResponseWriter, r *http.Request, config *cicadaview.Config, call adapter.JobCallKind, id string) {
 	sender, status, reason := rl.authenticate(config, r, !config.HasPublicBatch())
 	if status != 0 {
-		rl.refuseCaller(w, r, status, reason)
+		rl.refuseKey(w, r, status, reason)
 		return
 	}
 	if rl.refuseUnchecked(w, r, sender) {
--- a/cicadakernel/cicadacheck/customers.go
+++ b/cicadakernel/cicadacheck/customers.go
@@ -1,8 +1,6 @@
 package cicadacheck
 
 import (
-	"strings"
-
 	"cicadalink.example/cicadakernel/cicadaview"
 )
 
@@ -26,14 +24,13 @@
 
 // checkName reports a name that cannot be sent to endpoints in a header.
 func (c *checker) checkName(i int, name string) {
-	isControl := func(r rune) bool { return r < ' ' || r == 0x7f }
-	if strings.ContainsFunc(name, isControl) || strings.TrimSpace(name) != name {
+	if !cicadaview.ValidHeaderValue(name) {
 		c.add(Error, Place{}.element(Customers, i).field(Name), "invalid-name", "%q cannot be sent in a header: it has control characters or space around it", name)
 	}
 }
 
-// checkKeys reports keys that identify no customer. holders holds the first customer of each key
-// before.
+// checkKeys reports a customer without keys, and keys that identify no customer. holders maps each key
+// seen so far to the position of its first customer.
 func (c *checker) checkKeys(i int, customer *cicadaview.Customer, holders map[cicadaview.KeyDigest]int) {
 	at := Place{}.element(Customers, i)
 	if len(customer.Keys) == 0 {
@@ -55,7 +52,7 @@
 	}
 }
 
-// checkRate reports a limit that admits nothing, or nothing after a while.
+// checkRate reports a limit that admits no request, or of which one half is missing.
 func (c *checker) checkRate(i int, rate cicadaview.RateLimit) {
 	at := Place{}.element(Customers, i)
 	switch {
--- a/cicadakernel/cicadaview/customer_test.go
+++ b/cicadakernel/cicadaview/customer_test.go
@@ -22,6 +22,18 @@
 	assert.Equal(t, b.Name, "b")
 }
 
+// Guards against a customer's priority of 0 that counts as unset, and against requests without a customer
+// that lose the priority of their route.
+// Guards against a customer's name that ends the header of a request to an endpoint.
+func TestCustomerWithAnInvalidNameHasNoRequests(t *testing.T) {
+	for _, name := range []string{"", "a\r\nX-Tenant: b", " a"} {
+		c := NewConfig(1, nil, nil, Limits{})
+		c.SetCustomers([]Customer{{Name: name, Keys: []KeyDigest{DigestKey("k")}}})
+		_, ok := c.CustomerByKey(DigestKey("k"))
+		assert.Assert(t, !ok, "%q", name)
+	}
+}
+
 func TestPriorityOfACustomerReplacesThatOfTheRoute(t *testing.T) {
 	r := &Route{Priority: 2}
 	assert.Equal(t, (*Customer)(nil).PriorityOn(r), 2)
