--- a/cicadagateway/cicadaplace/reserve.go
+++ b/cicadagateway/cicadaplace/reserve.go
@@ -1,7 +1,9 @@
 package cicadaplace
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -32,6 +34,10 @@
 	customers  int
 	above      float64 // fraction of the work of customers above their fair share
 	computedAt time.Time
+	ascending  []*customerAccount // by work
+	// before is the fraction of the work that is done for customers with less work than the given one,
+	// which come before it.
+	before map[*customerAccount]float64
 }
 
 // competingWith returns the work of the customers that compete with the given priority.
@@ -41,7 +47,7 @@
 		return l
 	}
 	s.expire(now)
-	l = competingWork{computedAt: now}
+	l = competingWork{computedAt: now, before: make(map[*customerAccount]float64)}
 	scale := s.scale(now)
 	for _, a := range s.byID {
 		if a.priority > priority || a.unused(scale) {
@@ -49,11 +55,14 @@
 		}
 		l.sum += a.weightedWork()
 		l.customers++
+		l.ascending = append(l.ascending, a)
 	}
-	for _, a := range s.byID {
-		if a.priority <= priority && l.sum > 0 {
-			l.above += l.excessOf(a) * a.weightedWork() / l.sum
-		}
+	slices.SortFunc(l.ascending, func(a, b *customerAccount) int { return cmp.Compare(a.weightedWork(), b.weightedWork()) })
+	before := 0.0
+	for _, a := range l.ascending {
+		l.before[a] = before / l.sum
+		before += a.weightedWork()
+		l.above += l.excessOf(a) * a.weightedWork() / l.sum
 	}
 	s.competing[priority] = l
 	return l
@@ -71,11 +80,12 @@
 }
 
 // reserveFraction returns the fraction of the reserve that a customer must leave idle: how far it is
-// above its fair share, multiplied by the fraction of the work that is done for others.
+// above its fair share, multiplied by the fraction of the work that is done for customers which come
+// before it. A customer thus leaves no slots to one that has had more work done.
 func (s *workAccounts) reserveFraction(a *customerAccount, priority int, now time.Time) float64 {
 	l := s.competingWith(priority, now)
 	if above := l.excessOf(a); above > 0 {
-		return above * max(1-a.weightedWork()/l.sum, 0)
+		return above * l.before[a]
 	}
 	return 0
 }
--- a/cicadagateway/cicadaplace/reserve_test.go
+++ b/cicadagateway/cicadaplace/reserve_test.go
@@ -41,6 +41,18 @@
 	assert.Equal(t, reserveTest(t, 500000, b), 64, "another one does next to nothing")
 }
 
+// Guards against a large customer that leaves more slots idle than one which floods, and so loses them to
+// it.
+func TestFloodLeavesMoreSlotsIdleThanALargeCustomer(t *testing.T) {
+	small := make([]CustomerUsage, 30)
+	for i := range small {
+		small[i] = CustomerUsage{uint64(i + 1), 100}
+	}
+	large := reserveTest(t, 1200, append(small[:30:30], CustomerUsage{hashOf("flood"), 6000})...)
+	flood := reserveTest(t, 6000, append(small[:30:30], CustomerUsage{hashOf("large"), 1200})...)
+	assert.Assert(t, flood <= large, "slots granted to the flood: %d, to the large customer: %d", flood, large)
+}
+
 // Guards against requests that leave slots idle for those of a worse priority, and against streams
 // that break because their customer is above its share.
 func TestBetterPrioritiesAndContinuationsLeaveNoSlotsIdle(t *testing.T) {
