--- a/cicadagateway/cicadabatch/submit.go
+++ b/cicadagateway/cicadabatch/submit.go
@@ -72,9 +72,15 @@
 	if err != nil && !errors.Is(err, cicadaplatform.ErrExists) {
 		return o.submitError(c, err)
 	}
-	o.log.Info("job accepted", "job", c.Job, "customer", c.Customer, "items", len(items), "repeat", err != nil, "took", time.Since(now).String())
-	if err != nil {
-		return o.confirmRepeat(ctx, c)
+	repeat, resp := err != nil, Response{Status: http.StatusAccepted}
+	if repeat {
+		resp = o.confirmRepeat(ctx, c)
+	}
+	if resp.Status == http.StatusAccepted {
+		o.log.Info("job accepted", "job", c.Job, "customer", c.Customer, "items", len(items), "repeat", repeat, "took", time.Since(now).String())
+	}
+	if repeat {
+		return resp
 	}
 	o.enqueue(func() {
 		if o.jobs[c.Job] == nil {
--- a/cicadakernel/cicadaview/customer.go
+++ b/cicadakernel/cicadaview/customer.go
@@ -34,7 +34,7 @@
 }
 
 // Limited reports whether there is a limit.
-func (l RateLimit) Limited() bool { return l.PerSecond > 0 || l.Burst > 0 }
+func (l RateLimit) Limited() bool { return l.PerSecond > 0 }
 
 // PriorityOn returns the priority of the customer's requests on a route. The customer may be nil.
 func (c *Customer) PriorityOn(r *Route) int {
--- a/cicadasoak/process.go
+++ b/cicadasoak/process.go
@@ -209,7 +209,6 @@
 // customerSettings are appended to a template without the settings of customers.
 const customerSettings = `
 revocation-limit: {{Bounds.RevokeMs}}ms
-quota-window: {{Bounds.QuotaWindowS}}s
 quota-slack: {{Bounds.QuotaSlack}}
 `
 
