Ask whether the configuration is fresh before looking at it

Cause: an entry that had been cut off could load its old configuration, put a newer one in force and have that confirmed, and then accept a key of the old one, which the newer one had revoked. Found by reading. Change: freshness is asked first; a configuration that takes effect in between is newer than the one that was asked about. Result: TestKeyOfAnOldConfigurationIsNotAcceptedOnceANewerOneIsConfirmed fails before (401 instead of 503, as the check before the attempt finds the newer configuration) and passes now.

--- a/cicadagateway/cicadarelay/customer.go
+++ b/cicadagateway/cicadarelay/customer.go
@@ -52,6 +52,20 @@
 	return func(r *Relay) { r.customers = policy }
 }
 
+// A checkedConfig is a configuration and whether it was fresh, see CustomerPolicy.Fresh.
+type checkedConfig struct {
+	*cicadaview.Config
+	fresh bool
+}
+
+// checkedConfig returns the configuration in force. Whether it is fresh is asked first: a configuration
+// that takes effect in between is newer than the one that was, and the keys of an older one are never
+// accepted because a newer one has been confirmed.
+func (rl *Relay) checkedConfig() checkedConfig {
+	fresh := rl.customers.Fresh()
+	return checkedConfig{rl.config(), fresh}
+}
+
 // A caller is the authenticated sender of a request. It is anonymous if customer is nil.
 type caller struct {
 	customer *cicadaview.Customer
@@ -73,7 +87,7 @@
 
 // authenticate returns the caller of a request. If the request must be refused, it returns the status
 // and the reason, and otherwise status 0. A request that needs no key may have one.
-func (rl *Relay) authenticate(config *cicadaview.Config, r *http.Request, needsKey bool) (c caller, status int, reason string) {
+func (rl *Relay) authenticate(config checkedConfig, r *http.Request, needsKey bool) (c caller, status int, reason string) {
 	if !config.HasCustomers() {
 		return caller{}, 0, ""
 	}
@@ -96,8 +110,8 @@
 
 // verify looks up the customer that holds the caller's key. While the configuration may be outdated,
 // it neither accepts nor rejects keys, and returns 503.
-func (rl *Relay) verify(config *cicadaview.Config, c *caller) (status int, reason string) {
-	if !rl.customers.Fresh() {
+func (rl *Relay) verify(config checkedConfig, c *caller) (status int, reason string) {
+	if !config.fresh {
 		return http.StatusServiceUnavailable, reasonStaleConfiguration
 	}
 	customer, ok := config.CustomerByKey(c.key)
@@ -136,7 +150,7 @@
 	if x.caller.customer == nil && !x.customersIntroduced {
 		return true
 	}
-	config := x.relay.config()
+	config := x.relay.checkedConfig()
 	if !config.HasCustomers() {
 		return true
 	}
--- a/cicadagateway/cicadarelay/customer_test.go
+++ b/cicadagateway/cicadarelay/customer_test.go
@@ -192,6 +192,25 @@
 	})
 }
 
+// Guards against a revoked key that is accepted because a newer configuration, without the key, is
+// confirmed while the old one is being looked at.
+func TestKeyOfAnOldConfigurationIsNotAcceptedOnceANewerOneIsConfirmed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCustomerRelay()
+		old, calls := c.config, 0
+		c.fresh = false
+		c.Relay.config = func() *cicadaview.Config {
+			if calls++; calls > 1 {
+				return c.config
+			}
+			c.config, c.fresh = customerConfig(2), true
+			return old
+		}
+		assert.Equal(t, c.send("/p/1", testKey).Code, http.StatusServiceUnavailable)
+		assert.Equal(t, len(c.headers), 0)
+	})
+}
+
 // Guards against a request on a public route that is refused because of its key, which it does not need.
 func TestPublicRequestsAreServedWhenTheirKeyEnds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/cicadagateway/cicadarelay/relay.go
+++ b/cicadagateway/cicadarelay/relay.go
@@ -192,8 +192,8 @@
 		w.Header().Set("Keep-Alive", keepAliveHeader)
 	}
 	w.Header()["Date"] = nil
-	config := rl.config()
-	if config == nil {
+	config := rl.checkedConfig()
+	if config.Config == nil {
 		rl.refuse(w, r, http.StatusServiceUnavailable, "no-configuration", time.Second)
 		return
 	}
@@ -375,7 +375,7 @@
 	rl.writeJobResponse(w, r, id, rl.jobs.Submit(r.Context(), route, hostOf(r), sender.name(), id, body))
 }
 
-func (rl *Relay) callJob(w http.ResponseWriter, r *http.Request, config *cicadaview.Config, call adapter.JobCallKind, id string) {
+func (rl *Relay) callJob(w http.ResponseWriter, r *http.Request, config checkedConfig, call adapter.JobCallKind, id string) {
 	sender, status, reason := rl.authenticate(config, r, !config.HasPublicBatch())
 	if status != 0 {
 		rl.refuseKey(w, r, status, reason)
