--- a/review/rig-2/client.go
+++ b/review/rig-2/client.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -35,7 +34,6 @@
 	mu       sync.Mutex
 	attempts []attempt
 	wg       sync.WaitGroup
-	sent     atomic.Int64
 }
 
 func newClients(rec *recorder) *clients {
--- a/review/rig-2/deadly.go
+++ b/review/rig-2/deadly.go
@@ -23,7 +23,7 @@
 
 // startDeadly starts a deployment whose workers crash under the deadly request, before they answer.
 func startDeadly(rec *recorder, trouble bool) (*deployment, error) {
-	return startDeployment(rec, 3, 2, false, func(d *deployment) error {
+	return startDeployment(rec, 3, 2, func(d *deployment) error {
 		d.config(1, route("r-stream", "/s/", "stream", "assist", map[string]any{"GapAimMs": 400, "CanResume": false, "Sticky": true}))
 		d.fleet.onRequest = func(wk *worker, _ http.ResponseWriter, _ *http.Request, body []byte) bool {
 			if !trouble || !bytes.Equal(body, deadly) {
@@ -100,7 +100,7 @@
 // playDeadlyPart sends requests with a part of the prompt that crashes each worker that begins to
 // write an answer on it: the worker writes the first event and crashes. No two requests are alike.
 func playDeadlyPart(rec *recorder, trouble bool) (verdict, error) {
-	d, err := startDeployment(rec, 2, 2, false, func(d *deployment) error {
+	d, err := startDeployment(rec, 2, 2, func(d *deployment) error {
 		d.config(1, route("r-stream", "/s/", "stream", "assist", map[string]any{"GapAimMs": 400, "CanResume": false, "Sticky": true}))
 		d.fleet.onRequest = func(wk *worker, w http.ResponseWriter, r *http.Request, _ []byte) bool {
 			if !trouble || !strings.Contains(r.Header.Get("X-Prompt-Prefix"), deadlyPart+":") {
--- a/review/rig-2/drain.go
+++ b/review/rig-2/drain.go
@@ -27,7 +27,7 @@
 		}
 		return nil
 	}
-	d, err := startDeployment(rec, 2, 2, false, func(d *deployment) error {
+	d, err := startDeployment(rec, 2, 2, func(d *deployment) error {
 		d.config(1, route("r-stream", "/s/", "stream", "assist", map[string]any{"GapAimMs": 400, "CanResume": false, "Sticky": true}))
 		for _, zone := range zones {
 			if err := startZone(d, zone); err != nil {
@@ -90,55 +90,3 @@
 	text := fmt.Sprintf("%d requests reached workers later than %s after their removal was acknowledged (the last %.3f s after it); answers by status, 0 for cut: %v", late, drainTime, longest.Seconds(), n)
 	return verdict{late > 0, text}, nil
 }
-
-// playWatchesCut cuts the watches that wait at the store, and then removes a worker's entry.
-func playWatchesCut(rec *recorder, trouble bool) (verdict, error) {
-	var leaving *worker
-	d, err := startDeployment(rec, 2, 2, false, func(d *deployment) error {
-		d.config(1, route("r-stream", "/s/", "stream", "assist", map[string]any{"GapAimMs": 400, "CanResume": false, "Sticky": true}))
-		for i := range 6 {
-			wk, err := d.fleet.start("assist", "z-a", "", 5)
-			if err != nil {
-				return err
-			}
-			if i == 0 {
-				leaving = wk
-			}
-		}
-		return nil
-	})
-	if d != nil {
-		defer d.stop()
-	}
-	if err != nil {
-		return verdict{}, err
-	}
-	c := newClients(rec)
-	c.quiet = true
-	stop := make(chan struct{})
-	c.stream(d, 20*time.Millisecond, "POST", "/s/1", nil, []byte("draft"), stop)
-	time.Sleep(3 * time.Second)
-	if trouble {
-		d.store.cutWatches()
-		rec.note("the store cuts off the watches that wait")
-	}
-	time.Sleep(100 * time.Millisecond)
-	at := leaving.unregister()
-	rec.note("entry of %s is removed, acknowledged at %s", leaving.id, rec.at(at))
-	time.Sleep(drainTime + time.Second)
-	leaving.crash()
-	rec.note("worker %s ends", leaving.id)
-	time.Sleep(time.Second)
-	close(stop)
-	c.wg.Wait()
-	late, longest := 0, time.Duration(0)
-	for _, a := range d.fleet.snapshot() {
-		if after := a.at.Sub(at); a.worker == leaving.id && after > drainTime {
-			late++
-			longest = max(longest, after)
-			rec.note("request %s reaches %s at %s, %.3f s after the acknowledgement that it is gone", a.id, a.worker, rec.at(a.at), after.Seconds())
-		}
-	}
-	text := fmt.Sprintf("%d requests reached the worker later than %s after its removal was acknowledged (the last %.3f s after it); answers by status, 0 for cut: %v", late, drainTime, longest.Seconds(), counts(c.all()))
-	return verdict{late > 0, text}, nil
-}
--- a/review/rig-2/gateway.go
+++ b/review/rig-2/gateway.go
@@ -9,7 +9,6 @@
 	"path/filepath"
 	"regexp"
 	"strings"
-	"sync"
 	"syscall"
 	"time"
 )
@@ -24,11 +23,9 @@
 
 // Bounds of the deployment: those of the sheets in SYSTEM.md.
 const (
-	contactTime     = 3 * time.Second
-	drainTime       = 2 * time.Second
-	configApplyTime = 2 * time.Second
-	cancelTime      = 3 * time.Second
-	graceTime       = 8 * time.Second
+	contactTime = 3 * time.Second
+	drainTime   = 2 * time.Second
+	graceTime   = 8 * time.Second
 )
 
 // A process is a gateway process.
@@ -102,13 +99,11 @@
 	dir     string
 	entries []*process
 	owners  []*process
-	proxies []*proxy
-	mu      sync.Mutex
 }
 
 // startDeployment starts the store, and the processes once prepare has written the configuration and
-// started the workers. With proxied set, each process reaches the store through a proxy.
-func startDeployment(rec *recorder, entries, owners int, proxied bool, prepare func(d *deployment) error) (*deployment, error) {
+// started the workers.
+func startDeployment(rec *recorder, entries, owners int, prepare func(d *deployment) error) (*deployment, error) {
 	template, err := os.ReadFile("deploy/settings.yaml")
 	if err != nil {
 		return nil, err
@@ -137,14 +132,6 @@
 			p.name = fmt.Sprintf("store-z-a-%d", i+1-entries)
 			d.owners = append(d.owners, p)
 		}
-		if proxied {
-			x, err := startProxy(d.store.address())
-			if err != nil {
-				return d, err
-			}
-			d.proxies = append(d.proxies, x)
-			p.storeAt = x.address()
-		}
 		if err := d.startProcess(p, string(template)); err != nil {
 			return d, err
 		}
@@ -216,9 +203,6 @@
 	if d.fleet != nil {
 		d.fleet.stopAll()
 	}
-	for _, x := range d.proxies {
-		x.close()
-	}
 	if d.store != nil {
 		_ = d.store.srv.Close()
 	}
--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -29,8 +29,6 @@
 var scenarios = map[string]scenario{
 	"zone-reclaimed": playZoneReclaimed,
 	"deadly-again":   playDeadlyAgain,
-	"silent-store":   playSilentStore,
-	"watches-cut":    playWatchesCut,
 	"last-retired":   playLastRetired,
 	"deadly-part":    playDeadlyPart,
 }
--- a/review/rig-2/retire.go
+++ b/review/rig-2/retire.go
@@ -89,7 +89,7 @@
 // playLastRetired retires the store machines one after the other, with no job unfinished. What the
 // system does not call empty stays. A job that was accepted and read must stay readable.
 func playLastRetired(rec *recorder, trouble bool) (verdict, error) {
-	d, err := startDeployment(rec, 2, 2, false, func(d *deployment) error {
+	d, err := startDeployment(rec, 2, 2, func(d *deployment) error {
 		d.config(1, route("r-lot", "/b/", "batch", "assist", map[string]any{"TimeoutMs": 15000, "DueMs": 18000, "MaxWaitS": 60, "Attempts": 3, "CanResume": true}))
 		for range 4 {
 			if _, err := d.fleet.start("assist", "z-a", "", 8); err != nil {
--- a/review/rig-2/store.go
+++ b/review/rig-2/store.go
@@ -53,7 +53,6 @@
 	kinds   map[string]map[string]object
 	events  []storeEvent
 	changed chan struct{} // closed at each change
-	cut     chan struct{} // closed when waiting watches are cut off
 }
 
 func startStore() (*store, error) {
@@ -61,7 +60,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &store{ln: ln, asOf: 1, kinds: make(map[string]map[string]object), changed: make(chan struct{}), cut: make(chan struct{})}
+	s := &store{ln: ln, asOf: 1, kinds: make(map[string]map[string]object), changed: make(chan struct{})}
 	s.srv = &http.Server{Handler: s}
 	go func() { _ = s.srv.Serve(ln) }()
 	return s, nil
@@ -69,14 +68,6 @@
 
 func (s *store) address() string { return s.ln.Addr().String() }
 
-// cutWatches closes the connections of all watches that wait.
-func (s *store) cutWatches() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	close(s.cut)
-	s.cut = make(chan struct{})
-}
-
 // record applies a change. The caller holds mu.
 func (s *store) record(kind string, o object, deleted bool) object {
 	s.asOf++
@@ -143,10 +134,7 @@
 	case name != "":
 		status, body = s.get(kind, name)
 	case r.URL.Query().Has("Watch"):
-		var cut bool
-		if status, body, cut = s.watch(r, kind); cut {
-			panic(http.ErrAbortHandler)
-		}
+		status, body = s.watch(r, kind)
 	default:
 		status, body = s.list(kind, r.URL.Query().Get("After"))
 	}
@@ -186,7 +174,7 @@
 	return http.StatusOK, page
 }
 
-func (s *store) watch(r *http.Request, kind string) (status int, body any, cut bool) {
+func (s *store) watch(r *http.Request, kind string) (int, any) {
 	from, _ := strconv.ParseInt(r.URL.Query().Get("Watch"), 10, 64)
 	wait, _ := strconv.Atoi(r.URL.Query().Get("WaitMs"))
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
@@ -202,19 +190,17 @@
 			}
 		}
 		page.AsOf = s.asOf
-		changed, cutOff := s.changed, s.cut
+		changed := s.changed
 		s.mu.Unlock()
 		if len(page.Events) > 0 {
-			return http.StatusOK, page, false
+			return http.StatusOK, page
 		}
 		select {
 		case <-changed:
-		case <-cutOff:
-			return 0, nil, true
 		case <-timeout:
-			return http.StatusOK, page, false
+			return http.StatusOK, page
 		case <-r.Context().Done():
-			return http.StatusOK, page, false
+			return http.StatusOK, page
 		}
 	}
 }
