Add review case 10: streams longer than 30 s are cut

A time budget above 30 s is replaced by 30 s, so that streams that a slow worker has delayed are cut though their clients wait.

--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -30,6 +30,7 @@
 	"zone-reclaimed": playZoneReclaimed,
 	"deadly-again":   playDeadlyAgain,
 	"last-retired":   playLastRetired,
+	"slow-worker":    playSlowWorker,
 	"deadly-part":    playDeadlyPart,
 }
 
