--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -28,7 +28,6 @@
 
 var scenarios = map[string]scenario{
 	"zone-reclaimed": playZoneReclaimed,
-	"deadly-again":   playDeadlyAgain,
 	"last-retired":   playLastRetired,
 	"slow-worker":    playSlowWorker,
 	"deadly-part":    playDeadlyPart,
--- a/review/rig-2/slow.go
+++ b/review/rig-2/slow.go
@@ -84,7 +84,7 @@
 			defer wg.Done()
 			entry := d.entries[i%len(d.entries)].callers()
 			c.send(entry, "GET", "/plain/first", nil, nil, 5*time.Second) // opens the channel that is kept
-			streams[i] = c.send(entry, "POST", "/s/long", nil, sound, longBudget)
+			streams[i] = c.send(entry, "POST", "/s/long", nil, []byte("draft"), longBudget)
 		}()
 	}
 	wg.Wait()
