--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -4,4 +4,4 @@
 here="$(cd "$(dirname "$0")" && pwd)"
 cd "$here/../.." || exit 2
 [ -x target/cicadagateway ] && [ -x target/review-2-rig ] || exit 2
-exec target/review-2-rig slow-worker "$here/record.txt"
+exec target/review-2-rig deadly-part "$here/record.txt"
--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -29,7 +29,7 @@
 var scenarios = map[string]scenario{
 	"zone-reclaimed": playZoneReclaimed,
 	"last-retired":   playLastRetired,
-	"slow-worker":    playSlowWorker,
+	"deadly-again":   playDeadlyAgain,
 	"deadly-part":    playDeadlyPart,
 }
 
--- a/review/rig-2/retire.go
+++ b/review/rig-2/retire.go
@@ -11,6 +11,7 @@
 
 const (
 	retireLimit = 10 * time.Second // DurationS of a retirement
+	finishTime  = 18 * time.Second // FinishS
 	readLimit   = 15 * time.Second // how long the job is asked for at the end
 )
 
@@ -105,6 +106,7 @@
 		return verdict{}, err
 	}
 	c := newClients(rec)
+	c.client.Transport.(*http.Transport).DisableKeepAlives = true // calls of batch jobs come on new channels
 	id, err := submitJob(d, c, 4)
 	if err != nil {
 		return verdict{}, err
@@ -123,7 +125,7 @@
 			time.Sleep(contactTime)
 		}
 	}
-	time.Sleep(contactTime)
+	time.Sleep(finishTime)
 	after, ok := readJob(d, c, id, 4, readLimit)
 	switch {
 	case !ok:
--- a/review/rig-2/worker.go
+++ b/review/rig-2/worker.go
@@ -55,6 +55,7 @@
 	slots                      chan struct{}
 	stopped                    atomic.Bool
 	registered                 atomic.Bool
+	leaving                    atomic.Bool // its answers say so
 	stopBeat                   context.CancelFunc
 }
 
@@ -103,6 +104,7 @@
 // unregister removes the worker's entry without a report that it drains.
 func (wk *worker) unregister() time.Time {
 	wk.registered.Store(false)
+	wk.leaving.Store(true)
 	return wk.fleet.store.remove("servers", wk.id)
 }
 
@@ -178,6 +180,11 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	h.Set("X-Weight-Versions", "1")
+	if wk.leaving.Load() {
+		h.Set("Server-Leaving", "1")
+		h.Set("Connection", "close")
+	}
 	switch r.URL.Path {
 	case "/cicadalink/report":
 		h.Set("Content-Type", "application/json")
