Log whether a broken run counts as evidence of a crash

The logs of requests that crash endpoints could not tell a run that was not counted, because it had got an event, from one whose endpoint did not refuse connections. Both are logged now, with the id and the endpoint. No decision changes.

--- a/cicadagateway/cicadarelay/crash.go
+++ b/cicadagateway/cicadarelay/crash.go
@@ -61,9 +61,10 @@
 // memory is no evidence either.
 func (x *exchange) recordCrash(endpoint cicadaview.Endpoint, err error) {
 	if x.answered || errors.Is(err, cicadamemory.ErrExhausted) {
+		x.relay.log.Info("broken run is no evidence", "id", x.id, "endpoint", endpoint.ID, "answered", x.answered)
 		return
 	}
-	monitor, client := x.relay.monitor, x.relay.client
+	monitor, client, log, id := x.relay.monitor, x.relay.client, x.relay.log, x.id
 	run := endpoint.ID + " " + x.id
 	c := cicadasuspect.Crash{Request: x.fingerprint, Run: xxhash.Sum64String(run), Endpoint: xxhash.Sum64String(endpoint.ID)}
 	monitor.RecordCrash(c, time.Now())
@@ -73,7 +74,9 @@
 	c.Run = xxhash.Sum64String(run + " parts")
 	c.Parts = x.parts[max(len(x.parts)-maxReportedParts, 0):]
 	x.relay.tasks.Go(func() {
-		if client.Refused(context.Background(), endpoint.Address) {
+		refused := client.Refused(context.Background(), endpoint.Address)
+		log.Info("endpoint of a broken run checked", "id", id, "endpoint", endpoint.ID, "refuses-connections", refused)
+		if refused {
 			monitor.RecordCrash(c, time.Now())
 		}
 	})
