Take no response without a length for complete while its endpoint crashes

What callers would see: requests that crash endpoints go on to do so, where a response has neither a length nor chunks. Its connection ends with the crash as it would at the end of the answer, which acquitted the request and its prompt each time.

Cause: the end of such a response was a success. Now it acquits only if the endpoint has not ended, which is checked as after a broken run; if it has, the run is evidence. What the caller gets does not change, since the protocol cannot tell the two apart.

--- a/cicadagateway/cicadarelay/crash.go
+++ b/cicadagateway/cicadarelay/crash.go
@@ -56,15 +56,22 @@
 	}
 }
 
-// recordSuccess records that the endpoint has answered completely. The rest of a stream that
-// another endpoint began proves nothing of its beginning.
-func (x *exchange) recordSuccess() {
+// recordSuccess records that the endpoint has answered completely, as far as that can be told: a response
+// that ends with its connection is complete only if the endpoint has not crashed. The rest of a
+// stream that another endpoint began proves nothing of its beginning.
+func (x *exchange) recordSuccess(res *cicadaexchange.Response, grant *cicadaplace.Grant) {
 	x.recordAnswer()
 	if x.resumed {
 		x.relay.monitor.Requests().RecordSuccess(x.fingerprint)
 		return
 	}
-	x.relay.monitor.RecordSuccess(x.fingerprint, x.parts, x.sentAt, time.Now())
+	monitor, request, parts, sentAt, now := x.relay.monitor, x.fingerprint, x.parts, x.sentAt, time.Now()
+	record := func() { monitor.RecordSuccess(request, parts, sentAt, now) }
+	if !res.Framed() {
+		x.checkEndpoint(grant, record)
+		return
+	}
+	record()
 }
 
 // recordCrash records a run that ended without a valid response. If it had got no event, it is
@@ -86,7 +93,7 @@
 	if !c.Answered && len(x.parts) == 0 {
 		return // recorded above
 	}
-	x.checkEndpoint(grant)
+	x.checkEndpoint(grant, func() {})
 }
 
 // crash returns the report of a crash that ends the current run.
@@ -97,8 +104,9 @@
 	}
 }
 
-// checkEndpoint finds out whether the endpoint of the current run has ended, which is recorded as a crash.
-func (x *exchange) checkEndpoint(grant *cicadaplace.Grant) {
+// checkEndpoint finds out whether the endpoint of the current run has ended, which is recorded as a crash,
+// and otherwise calls alive.
+func (x *exchange) checkEndpoint(grant *cicadaplace.Grant, alive func()) {
 	endpoint, started := grant.Endpoint(), grant.Endpoint().StartedMs
 	if stated := grant.StatedStart(); stated > 0 {
 		started = stated
@@ -112,7 +120,9 @@
 		relay.log.Info("endpoint of a run checked", "id", id, "endpoint", endpoint.ID, "start", started, "answered", c.Answered, "ended", ended)
 		if ended {
 			relay.monitor.RecordCrash(c, time.Now())
+			return
 		}
+		alive()
 	})
 }
 
--- a/cicadagateway/cicadarelay/crash_test.go
+++ b/cicadagateway/cicadarelay/crash_test.go
@@ -244,6 +244,16 @@
 	}
 }
 
+// This guards against taking the end of a connection for the end of a complete answer, if the response has
+// no length, so that each crash acquits the part that causes it.
+func TestCrashIsNoEndOfUnframedResponse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		endpoints := &poisonedEndpoints{firstEvents: 2, soundEvents: 8, unframed: true}
+		assert.Equal(t, playPoison(t, newPoisonedRelay(endpoints)), 200, "sound requests answered")
+		assert.Assert(t, endpoints.lateCrashes() <= maxLateCrashes, "%d late of %d crashes", endpoints.lateCrashes(), endpoints.crashes)
+	})
+}
+
 // This guards against one request that crashes endpoint after endpoint midway whenever it is sent again.
 func TestRequestThatCrashesEndpointsMidwayIsQuarantined(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/cicadagateway/cicadarelay/exchange.go
+++ b/cicadagateway/cicadarelay/exchange.go
@@ -170,7 +170,7 @@
 		return x.handleInvalidResponse(ctx, grant, sent, err)
 	}
 	if res.StatusCode == http.StatusOK {
-		x.recordSuccess()
+		x.recordSuccess(res, grant)
 	}
 	x.recordCompleted(grant, res, sent)
 	return false
