Tell removed endpoints from expired ones by the state of the store

Cause: the loss of many registrations within 500 ms was taken for an outage that the process had not noticed, though the store was stable, and the endpoints were retained for 1.8 s. That time began when the process noticed, up to 0.9 s late, ended up to 0.25 s late, and the digest of the process that polls still held the endpoints, so that the others did not look earlier. The settings' limit was not known to the process.

Change: what decides is what the processes know of the store. If calls of one of them have succeeded all the time, the registrations were deleted and the endpoints are removed at once, however many. If one of them has lately failed to reach the store, or polls it and had no success for 2.5 s, they are retained until the store has been back for the time in which endpoints register again, also if this process has not noticed the outage and however few they are. If nobody knows, they are retained for what the limit on removals leaves after the delays of polling, telling peers and sending. That limit is the new setting endpoint-removal-limit (DrainMs of the platform, 2 s by default); the polling interval follows from it too. Processes tell each other whether their connection is settled. The digest leaves out retained endpoints. A list that succeeds is reported before its objects are applied.

--- a/cicadagateway/cicadafollow/follow.go
+++ b/cicadagateway/cicadafollow/follow.go
@@ -36,9 +36,9 @@
 	// listed again.
 	watchStaleAfter = 10 * time.Second
 	pageSize        = 500
-	// pollInterval is the interval at which a polling follower lists the objects. A
-	// store may delay watch events by seconds, and changes must be known sooner.
-	pollInterval = 900 * time.Millisecond
+	// MaxPollInterval is the interval at which a polling follower lists the objects, unless
+	// changes must be known sooner. A store may delay watch events by seconds.
+	MaxPollInterval = 900 * time.Millisecond
 )
 
 // A Change is either a full list of the objects under a prefix or a set of changed
@@ -70,6 +70,7 @@
 	apply         func(Change)
 	refresh       chan struct{}
 	shouldPoll    func() bool
+	pollInterval  time.Duration
 	clock         func() time.Duration
 	coalesceDelay time.Duration
 	asOf          atomic.Int64
@@ -84,6 +85,11 @@
 // its peers of changes.
 func WithPoll(shouldPoll func() bool) Option { return func(f *Follower) { f.shouldPoll = shouldPoll } }
 
+// WithPollInterval sets the interval of WithPoll, if it is shorter than the default.
+func WithPollInterval(d time.Duration) Option {
+	return func(f *Follower) { f.pollInterval = min(d, MaxPollInterval) }
+}
+
 // WithCoalesceDelay makes the follower wait for d after a change before the next watch, so
 // that changes in quick succession are read with one call.
 func WithCoalesceDelay(d time.Duration) Option { return func(f *Follower) { f.coalesceDelay = d } }
@@ -96,7 +102,7 @@
 func New(ctx context.Context, store *cicadaplatform.Client, prefix string, link *Link, log hclog.Logger, apply func(Change), opts ...Option) *Follower {
 	f := &Follower{
 		store: store, prefix: prefix, link: link, log: log, apply: apply, refresh: make(chan struct{}, 1),
-		shouldPoll: func() bool { return false }, clock: cicadaclock.SinceBoot,
+		shouldPoll: func() bool { return false }, pollInterval: MaxPollInterval, clock: cicadaclock.SinceBoot,
 	}
 	for _, opt := range opts {
 		opt(f)
@@ -132,16 +138,18 @@
 // listAndWatch lists the objects and watches for changes until the objects must be
 // listed again. It reports whether the list succeeded.
 func (f *Follower) listAndWatch(ctx context.Context) bool {
+	f.link.setPolling(f.shouldPoll())
 	version, err := f.list(ctx)
-	f.link.Report(err)
 	if err != nil {
+		f.link.Report(err)
 		f.log.Debug("failed to list objects", "prefix", f.prefix, "error", err)
 		return false
 	}
 	if f.shouldPoll() {
-		f.pause(ctx, pollInterval)
+		f.pause(ctx, f.pollInterval)
 		return true
 	}
+	f.link.setPolling(false)
 	f.watch(ctx, version)
 	return true
 }
@@ -176,6 +184,7 @@
 		}
 		after = page.Objects()[len(page.Objects())-1].Name()
 	}
+	f.link.Report(nil)
 	f.asOf.Store(version)
 	f.apply(Change{objects: all, full: true, askedAt: askedAt})
 	return version, nil
--- a/cicadagateway/cicadafollow/link.go
+++ b/cicadagateway/cicadafollow/link.go
@@ -25,6 +25,8 @@
 	since       time.Time // time of the last change of up
 	lastSuccess time.Time // time of the last successful call
 	stableSince time.Time // start of the current series of successful calls without a gap above maxStableGap
+	pollSince   time.Time // when this process began to poll the store, or the zero time if it does not
+	overdueAt   time.Time // time of the last success that came later than maxStableGap while polling
 	onChange    func(up bool)
 	log         hclog.Logger
 }
@@ -41,6 +43,9 @@
 	defer l.mu.Unlock()
 	up, now := err == nil, time.Now()
 	if up {
+		if l.overdue(now) {
+			l.overdueAt = now
+		}
 		if !l.up || now.Sub(l.lastSuccess) > maxStableGap {
 			l.stableSince = now
 		}
@@ -60,6 +65,24 @@
 	}
 }
 
+// setPolling records whether this process polls the store, so that its calls must succeed at short
+// intervals.
+func (l *Link) setPolling(polling bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case !polling:
+		l.pollSince = time.Time{}
+	case l.pollSince.IsZero():
+		l.pollSince = time.Now()
+	}
+}
+
+// overdue reports whether this process polls the store and has had no success for maxStableGap.
+func (l *Link) overdue(now time.Time) bool {
+	return !l.pollSince.IsZero() && now.Sub(l.pollSince) > maxStableGap && now.Sub(l.lastSuccess) > maxStableGap
+}
+
 // Up reports whether the last call succeeded.
 func (l *Link) Up() bool {
 	l.mu.Lock()
@@ -74,12 +97,14 @@
 	return time.Since(l.lastSuccess)
 }
 
-// Settled reports whether the link has been up for at least settleTime. An object that
-// is then missing from the store has been deleted.
+// Settled reports whether this process has seen no sign that the store was away within settleTime: no
+// call has failed, and none has been overdue while it polled the store. A process that only waits for
+// the events of a watch may not notice an outage.
 func (l *Link) Settled() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.up && time.Since(l.since) >= settleTime
+	now := time.Now()
+	return l.up && now.Sub(l.since) >= settleTime && !l.overdue(now) && now.Sub(l.overdueAt) >= settleTime
 }
 
 // Stable reports whether calls to the store have succeeded for at least settleTime
--- a/cicadagateway/cicadafollow/registry.go
+++ b/cicadagateway/cicadafollow/registry.go
@@ -19,39 +19,40 @@
 
 const (
 	// retainedCheckInterval is the interval at which retained endpoints are checked.
-	retainedCheckInterval = 250 * time.Millisecond
-	// The loss of at least massLossCount endpoints and massLossFraction of all
-	// endpoints within massLossWindow means that their registrations have expired in an
-	// outage of the store that this process did not detect. They are retained for
-	// massLossRetention, which ends before requests must stop going to endpoints that
-	// were actually deleted.
-	massLossCount     = 3
-	massLossFraction  = 1.0 / 3
-	massLossWindow    = 500 * time.Millisecond
-	massLossRetention = 1800 * time.Millisecond
+	retainedCheckInterval = 50 * time.Millisecond
+	// defaultRetention is how long an endpoint is retained if nobody knows whether the store was
+	// away when its registration disappeared.
+	defaultRetention = 250 * time.Millisecond
 )
 
-// A Registry is the set of registered endpoints. An endpoint whose registration
-// disappears while the store is settled is removed immediately. If it disappears during
-// an outage, the endpoint is retained until the store has settled. If many registrations
-// disappear at once, the endpoints are retained for a short time, as this process may
-// not have detected an outage.
+// A Registry is the set of registered endpoints. A registration disappears because it was
+// deleted, or because it has expired in an outage of the store, of which the endpoint knows nothing.
+// What tells one from the other is what this process and its peers know of the store, not how many
+// registrations disappear:
+//
+//   - If calls of one of them have succeeded all the time, it was deleted, and the endpoint is
+//     removed at once.
+//   - If one of them has lately failed to reach the store, the endpoint is retained until the store
+//     has been back for the time in which endpoints register again.
+//   - Otherwise the endpoint is retained for a short time, in which one of them may report either.
 type Registry struct {
-	mu           sync.Mutex
-	link         *Link
-	log          hclog.Logger
-	decode       func(id string, value []byte) (cicadaview.Endpoint, error)
-	publish      func([]cicadaview.Endpoint)
-	peerStable   func() bool // reports whether another process has a stable connection to the store
-	endpoints    map[string]cicadaview.Endpoint
-	retained     map[string]time.Time // endpoints without a registration, with the earliest time of their removal
-	recentLosses []time.Time          // times of the losses within massLossWindow
-	digest       atomic.Uint64
-	wg           cicadatask.Group
+	mu            sync.Mutex
+	link          *Link
+	log           hclog.Logger
+	decode        func(id string, value []byte) (cicadaview.Endpoint, error)
+	publish       func([]cicadaview.Endpoint)
+	peerStable    func() bool // reports whether another process has a stable connection to the store
+	peerUnsettled func() bool // reports whether another process has lately failed to reach the store
+	retention     time.Duration
+	endpoints     map[string]cicadaview.Endpoint
+	retained      map[string]time.Time // endpoints without a registration, with the time when it disappeared
+	digest        atomic.Uint64
+	wake          chan struct{} // signals that endpoints are retained
+	wg            cicadatask.Group
 }
 
-// Digest returns a hash of the endpoints that does not depend on the order in which
-// they became known.
+// Digest returns a hash of the endpoints that are registered, without those that are retained. It
+// does not depend on the order in which they became known.
 func (g *Registry) Digest() uint64 { return g.digest.Load() }
 
 // A RegistryOption configures a Registry.
@@ -64,16 +65,36 @@
 	return func(g *Registry) { g.peerStable = peerStable }
 }
 
+// WithPeerUnsettled sets the function that reports whether another process has lately failed to reach
+// the store, which this process may not have noticed.
+func WithPeerUnsettled(peerUnsettled func() bool) RegistryOption {
+	return func(g *Registry) { g.peerUnsettled = peerUnsettled }
+}
+
+// WithRetention sets how long an endpoint is retained if nobody knows whether the store was away when
+// its registration disappeared.
+func WithRetention(d time.Duration) RegistryOption { return func(g *Registry) { g.retention = d } }
+
 // NewRegistry returns an empty registry that calls publish with each new set of
 // endpoints.
 func NewRegistry(ctx context.Context, link *Link, log hclog.Logger, decode func(string, []byte) (cicadaview.Endpoint, error), publish func([]cicadaview.Endpoint), opts ...RegistryOption) *Registry {
-	g := &Registry{link: link, log: log, decode: decode, publish: publish, endpoints: make(map[string]cicadaview.Endpoint), retained: make(map[string]time.Time), peerStable: func() bool { return false }}
+	g := &Registry{
+		link: link, log: log, decode: decode, publish: publish, retention: defaultRetention,
+		endpoints: make(map[string]cicadaview.Endpoint), retained: make(map[string]time.Time), wake: make(chan struct{}, 1),
+		peerStable: func() bool { return false }, peerUnsettled: func() bool { return false },
+	}
 	for _, opt := range opts {
 		opt(g)
 	}
 	g.wg.Go(func() {
-		for cicadaretry.Sleep(ctx, retainedCheckInterval) {
-			g.removeRetained()
+		for {
+			select {
+			case <-g.wake:
+			case <-ctx.Done():
+				return
+			}
+			for g.removeRetained() && cicadaretry.Sleep(ctx, retainedCheckInterval) { //nolint:revive // the calls do it all
+			}
 		}
 	})
 	return g
@@ -123,56 +144,63 @@
 }
 
 func (g *Registry) removeMissing(missing []string) {
-	now := time.Now()
-	count := 0
-	for _, id := range missing {
-		if _, ok := g.endpoints[id]; ok && g.retained[id].IsZero() {
-			g.recentLosses = append(g.recentLosses, now)
-			count++
-		}
-	}
-	for len(g.recentLosses) > 0 && now.Sub(g.recentLosses[0]) > massLossWindow {
-		g.recentLosses = g.recentLosses[1:]
-	}
-	massLoss := len(g.recentLosses) >= massLossCount && float64(len(g.recentLosses)) >= massLossFraction*float64(len(g.endpoints))
+	state := g.storeState()
 	for _, id := range missing {
-		if _, ok := g.endpoints[id]; !ok || !g.retained[id].IsZero() {
-			continue
-		}
+		_, known := g.endpoints[id]
+		_, retained := g.retained[id]
 		switch {
-		case !g.missingMeansDeleted():
-			g.log.Info("endpoint registration missing, endpoint retained until the store connection has settled", "endpoint", id)
-			g.retained[id] = now
-		case massLoss:
-			g.log.Info("many endpoint registrations missing, endpoint retained", "endpoint", id, "vanished", count, "known", len(g.endpoints))
-			g.retained[id] = now.Add(massLossRetention)
-		default:
+		case !known || retained:
+		case state == storeStable:
 			g.log.Info("endpoint removed", "endpoint", id)
 			delete(g.endpoints, id)
+		default:
+			g.log.Info("endpoint registration missing, endpoint retained", "endpoint", id, "store", state.String())
+			g.retained[id] = time.Now()
+		}
+	}
+	if len(g.retained) > 0 {
+		select {
+		case g.wake <- struct{}{}:
+		default:
 		}
 	}
 }
 
-// missingMeansDeleted reports whether a registration that is missing from the store has
-// been deleted.
-func (g *Registry) missingMeansDeleted() bool {
-	return g.link.Settled() || g.link.Up() && g.peerStable()
+// A storeState is what is known of the store in the time before now.
+type storeState int
+
+const (
+	storeUnknown   storeState = iota
+	storeStable               // it has answered all the time
+	storeDisturbed            // it may have been away
+)
+
+var storeStateNames = [...]string{"unknown", "stable", "disturbed"}
+
+func (s storeState) String() string { return storeStateNames[s] }
+
+// storeState returns what this process and its peers know of the store.
+func (g *Registry) storeState() storeState {
+	switch {
+	case g.link.Stable() || g.link.Up() && g.peerStable():
+		return storeStable
+	case !g.link.Settled() || g.peerUnsettled():
+		return storeDisturbed
+	}
+	return storeUnknown
 }
 
-// removeRetained removes the retained endpoints that have not registered again in time.
-func (g *Registry) removeRetained() {
+// removeRetained removes the retained endpoints that have not registered again in time. It reports
+// whether others are left.
+func (g *Registry) removeRetained() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if len(g.retained) == 0 || !g.link.Up() {
-		return
-	}
-	now, missingMeansDeleted := time.Now(), g.missingMeansDeleted()
-	changed := false
-	for id, until := range g.retained {
-		if !missingMeansDeleted || now.Before(until) {
+	state, changed := g.storeState(), false
+	for id, since := range g.retained {
+		if state == storeDisturbed || state == storeUnknown && time.Since(since) < g.retention {
 			continue
 		}
-		g.log.Info("endpoint removed after outage", "endpoint", id)
+		g.log.Info("endpoint removed after its registration was missing", "endpoint", id, "for", time.Since(since).String(), "store", state.String())
 		delete(g.endpoints, id)
 		delete(g.retained, id)
 		changed = true
@@ -180,14 +208,17 @@
 	if changed {
 		g.publishLocked()
 	}
+	return len(g.retained) > 0
 }
 
 func (g *Registry) publishLocked() {
 	all := make([]cicadaview.Endpoint, 0, len(g.endpoints))
 	digest := uint64(0)
-	for _, e := range g.endpoints {
+	for id, e := range g.endpoints {
 		all = append(all, e)
-		digest ^= xxhash.Sum64String(fmt.Sprint(e))
+		if _, retained := g.retained[id]; !retained {
+			digest ^= xxhash.Sum64String(fmt.Sprint(e))
+		}
 	}
 	g.digest.Store(digest)
 	g.publish(all)
--- a/cicadagateway/cicadapeer/members.go
+++ b/cicadagateway/cicadapeer/members.go
@@ -75,6 +75,18 @@
 	return false
 }
 
+// StoreUnsettled reports whether some live member has lately failed to reach the store.
+func (g *Group) StoreUnsettled() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, s := range g.members {
+		if s.live && !s.state.StoreSettled {
+			return true
+		}
+	}
+	return false
+}
+
 // ReceivesDirectly reports whether this member receives the messages of the named member
 // directly.
 func (g *Group) ReceivesDirectly(name string) bool {
--- a/cicadagateway/cicadapeer/state.go
+++ b/cicadagateway/cicadapeer/state.go
@@ -40,6 +40,8 @@
 	// StoreStable reports whether the member's calls to the store have succeeded
 	// continuously for some seconds.
 	StoreStable bool
+	// StoreSettled reports whether the member has lately not failed to reach the store.
+	StoreSettled bool
 	// SendDelay is how long, in milliseconds, a change of the state waited for this message.
 	SendDelay uint16
 	// Leaving reports whether the member is shutting down or is to be retired.
--- a/cicadagateway/cicadaprocess/process.go
+++ b/cicadagateway/cicadaprocess/process.go
@@ -215,8 +215,9 @@
 
 func (n *Node) localState() cicadapeer.State {
 	s := cicadapeer.State{
-		StoreUp: n.storeUp.Load(), StoreStable: n.link.Stable(), StoreAge: uint32(min(n.link.Age().Milliseconds(), math.MaxUint32)),
-		Leaving: n.leaving.Load() || n.retiring.Load(), VersionsDigest: n.versions.Digest(),
+		StoreUp: n.storeUp.Load(), StoreStable: n.link.Stable(), StoreSettled: n.link.Settled(),
+		StoreAge: uint32(min(n.link.Age().Milliseconds(), math.MaxUint32)),
+		Leaving:  n.leaving.Load() || n.retiring.Load(), VersionsDigest: n.versions.Digest(),
 	}
 	if c := n.config.Load(); c != nil {
 		s.ConfigVersion = c.Version()
@@ -320,10 +321,11 @@
 func (n *Node) startFollowers(ctx context.Context) {
 	whenElected := cicadafollow.WithPoll(func() bool { return n.group.IsCoordinator(n.storeUp.Load()) })
 	n.registry = cicadafollow.NewRegistry(ctx, n.link, n.log, adapter.DecodeEndpoint, n.setEndpoints,
-		cicadafollow.WithPeerStable(n.group.StoreStable))
+		cicadafollow.WithPeerStable(n.group.StoreStable), cicadafollow.WithPeerUnsettled(n.group.StoreUnsettled),
+		cicadafollow.WithRetention(n.cfg.retention()))
 	n.configFollower = cicadafollow.New(ctx, n.store, adapter.ConfigPrefix, n.link, n.log, n.applyConfig, whenElected)
 	n.endpointFollower = cicadafollow.New(ctx, n.store, adapter.EndpointsPrefix, n.link, n.log, n.registry.Apply, whenElected,
-		cicadafollow.WithCoalesceDelay(endpointCoalesceDelay))
+		cicadafollow.WithPollInterval(n.cfg.pollInterval()), cicadafollow.WithCoalesceDelay(endpointCoalesceDelay))
 	n.followersStarted.Store(true)
 	n.updateStoreRates()
 	n.updateSenders()
--- a/cicadagateway/cicadaprocess/settings.go
+++ b/cicadagateway/cicadaprocess/settings.go
@@ -8,6 +8,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"cicadalink.example/cicadagateway/cicadafollow"
 	"cicadalink.example/cicadakernel"
 	"cicadalink.example/cicadakernel/cicadamemory"
 	"cicadalink.example/cicadakernel/cicadasettings"
@@ -56,6 +57,9 @@
 	KeepJobs cicadasettings.Duration `yaml:"keep-jobs"`
 	// DrainLimit is the longest time of a graceful shutdown.
 	DrainLimit cicadasettings.Duration `yaml:"drain-limit"`
+	// EndpointRemovalLimit is the longest time for which requests may still reach an endpoint after the
+	// store has acknowledged that it is draining or removed.
+	EndpointRemovalLimit cicadasettings.Duration `yaml:"endpoint-removal-limit"`
 	// RevocationLimit is the longest time for which a revoked key may still be accepted. Without
 	// it, the configuration in force is trusted however old it is.
 	RevocationLimit cicadasettings.Duration `yaml:"revocation-limit"`
@@ -67,10 +71,13 @@
 }
 
 const (
-	defaultDrainLimit  = 8 * time.Second
-	defaultKeepJobs    = 10 * time.Minute
-	defaultStoreWrites = 100
-	defaultStoreReads  = 500
+	defaultDrainLimit   = 8 * time.Second
+	defaultKeepJobs     = 10 * time.Minute
+	defaultStoreWrites  = 100
+	defaultStoreReads   = 500
+	defaultRemovalLimit = 2 * time.Second
+	// minRemovalLimit leaves time to learn of the removal, see pollInterval.
+	minRemovalLimit = time.Second
 	// minRevocationLimit leaves time to confirm the configuration several times.
 	minRevocationLimit = 2 * time.Second
 )
@@ -93,6 +100,30 @@
 	return cicadamemory.NewBudget(int64(fraction*float64(s.Memory)), cicadamemory.WithScope(scope, purpose))
 }
 
+const (
+	// spreadTime is how long it takes at most until the other processes have learned of the removal:
+	// the heartbeat of the process that polls, catchUpDelay, and a call to the store.
+	spreadTime = 500 * time.Millisecond
+	// sendTime is how long it takes at most until a request has been sent to the endpoint that was
+	// chosen for it.
+	sendTime = 350 * time.Millisecond
+)
+
+func (s *Settings) removalLimit() time.Duration {
+	return time.Duration(cmp.Or(s.EndpointRemovalLimit, cicadasettings.Duration(defaultRemovalLimit)))
+}
+
+// pollInterval returns the longest interval between two lists of the endpoints.
+func (s *Settings) pollInterval() time.Duration {
+	return min(s.removalLimit()-spreadTime-sendTime, cicadafollow.MaxPollInterval)
+}
+
+// retention returns how long an endpoint whose registration is missing may be retained, though it may
+// have been removed.
+func (s *Settings) retention() time.Duration {
+	return s.removalLimit() - s.pollInterval() - spreadTime - sendTime
+}
+
 func rateOrDefault(rate, fallback float64) float64 {
 	if rate <= 0 {
 		return fallback
@@ -124,6 +155,9 @@
 	if s.Role == RoleEntry && (s.Listen == "" || s.Ready == "") {
 		return cicadasettings.Expected("listen", "an address such as 10.1.0.35:8144, and another at ready")
 	}
+	if s.removalLimit() < minRemovalLimit {
+		return cicadasettings.Expected("endpoint-removal-limit", "a duration of at least "+minRemovalLimit.String())
+	}
 	if limit := time.Duration(s.RevocationLimit); limit != 0 && limit < minRevocationLimit {
 		return cicadasettings.Expected("revocation-limit", "a duration of at least "+minRevocationLimit.String())
 	}
