--- a/cicadagateway/cicadafollow/registry.go
+++ b/cicadagateway/cicadafollow/registry.go
@@ -93,7 +93,10 @@
 			case <-ctx.Done():
 				return
 			}
-			for g.removeRetained() && cicadaretry.Sleep(ctx, retainedCheckInterval) { //nolint:revive // the calls do it all
+			for g.removeRetained() {
+				if !cicadaretry.Sleep(ctx, retainedCheckInterval) {
+					return
+				}
 			}
 		}
 	})
--- a/cicadagateway/cicadarelay/crash_test.go
+++ b/cicadagateway/cicadarelay/crash_test.go
@@ -53,7 +53,9 @@
 	client, server := net.Pipe()
 	go func() {
 		defer server.Close()
-		for r := bufio.NewReader(server); e.serve(server, r, address); {
+		r, open := bufio.NewReader(server), true
+		for open {
+			open = e.serve(server, r, address)
 		}
 	}()
 	return client, nil
