Let tests of incarnations await the checks of endpoints

The check that follows a broken run dials the tests' endpoints in the background, while the tests changed and read their fields.

--- a/cicadagateway/cicadarelay/incarnation_test.go
+++ b/cicadagateway/cicadarelay/incarnation_test.go
@@ -138,8 +138,16 @@
 	return f
 }
 
+// awaitChecks waits until the checks of endpoints have ended that the Relay makes after broken runs, and
+// what they have opened is idle.
+func (f *restartedFleet) awaitChecks() {
+	f.relay.tasks.Wait()
+	synctest.Wait()
+}
+
 // stop closes all connections.
 func (f *restartedFleet) stop() {
+	f.awaitChecks()
 	for address := range f.conns {
 		f.restart(address, process{})
 	}
@@ -211,6 +219,7 @@
 		for i := range 20 {
 			assert.Equal(t, resume(t, f.relay, fmt.Sprint("again-", i), "id").StatusCode, http.StatusOK)
 		}
+		f.awaitChecks()
 		assert.Assert(t, f.reports <= 3, "%d reports", f.reports)
 	})
 }
--- a/cicadagateway/cicadarelay/rerouted_test.go
+++ b/cicadagateway/cicadarelay/rerouted_test.go
@@ -52,6 +52,7 @@
 		time.Sleep(time.Second) // the backoff ends
 		res := resume(t, f.relay, "again", "id")
 		assert.Equal(t, res.StatusCode, http.StatusOK) // its connection is pooled
+		f.awaitChecks()
 		f.leaving = 1000
 		register(process{"v2", 2000})
 		_, _, text, _ := postWithID(t.Context(), f.relay, "later", "/p/7", "body")
--- a/cicadagateway/cicadarelay/unidentified_test.go
+++ b/cicadagateway/cicadarelay/unidentified_test.go
@@ -24,6 +24,7 @@
 		assert.Equal(t, text, "id: 1\ndata: v1\n\n")
 		time.Sleep(10 * time.Second) // backoffs end
 	}
+	f.awaitChecks()
 	f.restartingEndpoints.report = report
 	f.restart("e0:1", process{"v2", 2000})
 	f.restart("e1:1", process{"v2", 2001})
@@ -127,6 +128,6 @@
 			assert.Check(t, over < 50*time.Millisecond, "the endpoint may work %v longer than the caller waits", over)
 		}
 		_, _, _, _ = postWithID(t.Context(), f.relay, "id", "/p/7", "body")
-		f.relay.tasks.Wait() // checks of the endpoint
+		f.awaitChecks()
 	})
 }
