--- a/cicadagateway/cicadaprocess/poison_test.go
+++ b/cicadagateway/cicadaprocess/poison_test.go
@@ -197,7 +197,6 @@
 	const (
 		maxLate        = 3
 		numPoisonSeeds = 4
-		numMidwaySeeds = 2
 		warmUp         = 5 * time.Second
 		length         = 150 * time.Second
 		randomLength   = 30 * time.Second // with crashes of other causes
@@ -224,11 +223,7 @@
 		{3, 9, 40, 0.0001, 30, true, 0.025},
 		{23, 49, 200, 0.0001, 30, true, 0.04},
 	} {
-		seeds := numPoisonSeeds
-		if test.midway {
-			seeds = numMidwaySeeds
-		}
-		for seed := range uint64(seeds) {
+		for seed := range uint64(numPoisonSeeds) {
 			name := fmt.Sprintf("%d processes, %v a second, loss %d, midway %v, random %v, seed %d",
 				test.processes, test.poisonPerSecond, test.lossPercent, test.midway, test.randomly, seed)
 			t.Run(name, func(t *testing.T) {
