Review: show items that run after their job's end was acknowledged

The follower of the jobs keeps a watch that the store has swallowed for up to 17 s after the store answers again, and an owner to which jobs return does not read them again, so that it runs the items of jobs that were ended elsewhere.

--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -25,6 +25,7 @@
 
 var cases = map[string]func(*rig) error{
 	"shorter-output": (*rig).shorterOutput,
+	"missed-end":     (*rig).missedEnd,
 }
 
 func main() {
--- a/review/rig-3/store.go
+++ b/review/rig-3/store.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"bytes"
+	"cmp"
 	"encoding/json"
 	"net"
 	"net/http"
@@ -56,7 +58,9 @@
 type front struct {
 	store *store
 	mu    sync.Mutex
-	fault func(w http.ResponseWriter, r *http.Request, serve func()) // nil: none
+	// silent is set while nothing is answered.
+	silent bool
+	fault  func(w http.ResponseWriter, r *http.Request, serve func()) // nil: none
 }
 
 func (f *front) setFault(fault func(http.ResponseWriter, *http.Request, func())) {
@@ -73,7 +77,54 @@
 		fault(w, r, func() { f.store.ServeHTTP(w, r) })
 		return
 	}
-	f.store.ServeHTTP(w, r)
+	answer := &answerBuffer{header: make(http.Header)}
+	f.store.ServeHTTP(answer, r)
+	if f.isSilent() { // since the request was sent
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
+	answer.send(w)
+}
+
+// setSilent makes the store answer nothing from now on, also what was sent before, or end that. What was not
+// answered is never answered.
+func (f *front) setSilent(silent bool) {
+	f.mu.Lock()
+	f.silent = silent
+	f.mu.Unlock()
+	if silent {
+		f.setFault(func(_ http.ResponseWriter, r *http.Request, _ func()) {
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		})
+		return
+	}
+	f.setFault(nil)
+}
+
+func (f *front) isSilent() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.silent
+}
+
+// An answerBuffer holds an answer until it is sent.
+type answerBuffer struct {
+	header http.Header
+	status int
+	body   bytes.Buffer
+}
+
+func (a *answerBuffer) Header() http.Header         { return a.header }
+func (a *answerBuffer) WriteHeader(status int)      { a.status = status }
+func (a *answerBuffer) Write(b []byte) (int, error) { return a.body.Write(b) }
+
+func (a *answerBuffer) send(w http.ResponseWriter) {
+	for name, values := range a.header {
+		w.Header()[name] = values
+	}
+	w.WriteHeader(cmp.Or(a.status, http.StatusOK))
+	_, _ = w.Write(a.body.Bytes())
 }
 
 // listen serves the store at a new address.
