--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -23,6 +23,11 @@
 	client  *client
 }
 
+const (
+	longestRun = 110 * time.Second
+	exitNotRun = 2
+)
+
 var cases = map[string]func(*rig) error{
 	"shorter-output": (*rig).shorterOutput,
 	"missed-end":     (*rig).missedEnd,
@@ -66,6 +71,15 @@
 	}
 	r := &rig{log: log, store: newStore(), dir: dir, binary: binary, trouble: os.Getenv("TROUBLE") != "0"}
 	defer r.stop()
+	watchdog := time.AfterFunc(longestRun, func() {
+		log.add("the case takes too long")
+		r.stop()
+		log.close()
+		_ = os.RemoveAll(dir)
+		fmt.Println("the case takes too long")
+		os.Exit(exitNotRun)
+	})
+	defer watchdog.Stop()
 	if err := play(r); err != nil {
 		fmt.Println("the case could not run:", err)
 		log.add("the case could not run: %v", err)
--- a/review/rig-3/missedend.go
+++ b/review/rig-3/missedend.go
@@ -34,10 +34,7 @@
 		if err != nil {
 			return err
 		}
-		w.hook = func(_ http.ResponseWriter, req *http.Request, _ []byte) bool {
-			started.add(req.Header.Get("X-Request-Id"), w.id)
-			return false
-		}
+		w.onRun = func(id string, reached time.Time) { started.add(id, w.id, reached) }
 		w.register(r.store, "ready")
 	}
 	if err := r.start(2, 2, ""); err != nil {
@@ -80,7 +77,7 @@
 			for _, s := range started.of(item) {
 				late := s.at.Sub(acked[i])
 				if late > cancelTime && s.at.Sub(back) > contactTime {
-					r.log.breaks("UNASKED", "job %s item %s runs at %s %v after the ack of the job's end and %v after the store was back",
+					r.log.breaks("UNASKED", "job %s item %s reached %s %v after the ack of the job's end and %v after the store was back, and runs",
 						j.id, item, s.worker, late.Round(time.Millisecond), s.at.Sub(back).Round(time.Millisecond))
 				}
 			}
@@ -89,7 +86,7 @@
 	return nil
 }
 
-// starts holds when items began to run.
+// starts holds when items that run had reached their workers.
 type starts struct {
 	mu   sync.Mutex
 	runs map[string][]start
@@ -100,13 +97,13 @@
 	worker string
 }
 
-func (s *starts) add(id, worker string) {
+func (s *starts) add(id, worker string, reached time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.runs == nil {
 		s.runs = make(map[string][]start)
 	}
-	s.runs[id] = append(s.runs[id], start{at: time.Now(), worker: worker})
+	s.runs[id] = append(s.runs[id], start{at: reached, worker: worker})
 }
 
 func (s *starts) of(id string) []start {
--- a/review/rig-3/worker.go
+++ b/review/rig-3/worker.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -28,7 +29,8 @@
 	mu                                  sync.Mutex
 	conns                               map[net.Conn]bool
 	onEvent                             func(version, id string, n int)
-	hook                                func(w http.ResponseWriter, r *http.Request, body []byte) bool // nil: none
+	leaving                             atomic.Bool
+	onRun                               func(id string, reached time.Time) // nil: none
 }
 
 type workerConfig struct {
@@ -88,6 +90,7 @@
 // leave drains the worker: it says so, serves for drain after the store has taken that in, and a little
 // longer, and ends.
 func (w *worker) leave(s *store, drain time.Duration) {
+	w.leaving.Store(true)
 	w.register(s, "draining")
 	time.Sleep(drain)
 	s.unset("servers", w.id)
@@ -109,13 +112,22 @@
 }
 
 func (w *worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	reached := time.Now()
 	rw.Header()["Date"] = nil
+	if w.leaving.Load() {
+		rw.Header().Set("Server-Leaving", "1")
+		rw.Header().Set("Connection", "close")
+	}
 	switch r.URL.Path {
 	case "/cicadalink/report":
 		writeJSON(rw, http.StatusOK, map[string]any{"Stage": "both", "Models": []any{}, "Busy": false, "Seq": 1, "Waiting": len(w.queued), "Running": len(w.slots), "KvUsed": 0, "KvTotal": 100000, "Handles": 0, "born": w.born})
 		return
 	case "/health":
 		rw.Header().Set("X-Instance", w.id)
+		if w.leaving.Load() {
+			rw.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		rw.WriteHeader(http.StatusOK)
 		return
 	}
@@ -142,8 +154,8 @@
 	defer func() { <-w.slots }()
 	w.log.add("run id=%s at=%s version=%s method=%s path=%s last-event=%s", id, w.id, w.version, r.Method, r.RequestURI, r.Header.Get("Last-Event-Id"))
 	rw.Header().Set("X-Server-Stamp", "stamp."+w.id+"."+id)
-	if w.hook != nil && w.hook(rw, r, body) {
-		return
+	if w.onRun != nil {
+		w.onRun(id, reached)
 	}
 	if w.events == nil {
 		w.plain(rw, r, id, body)
