Log results that are taken over from another owner

Owners now log "result taken over" with the source, the events known and sent, and the versions of both, for hand-overs, files, and replicas that do not continue the known output. A replica that only continues logs nothing, as that happens to each item.

--- a/cicadagateway/cicadabatch/checkpoint.go
+++ b/cicadagateway/cicadabatch/checkpoint.go
@@ -123,7 +123,7 @@
 		if it == nil || r.lastEvent == 0 && r.resultState == "" {
 			continue
 		}
-		j.resume(it, Progress{Item: id, Origin: r.origin, Last: r.lastEvent, Text: r.output.String(), Failures: r.failures, State: r.resultState})
+		o.resume(it, Progress{Item: id, Origin: r.origin, Last: r.lastEvent, Text: r.output.String(), Failures: r.failures, State: r.resultState}, sourceFile)
 		j.recoveredItems++
 	}
 	if j.recoveredItems > 0 {
@@ -263,7 +263,7 @@
 			case it == nil:
 			case p.Listed:
 				j.discardProgress(it)
-			case !j.resume(it, p):
+			case !o.resume(it, p, sourceCheckpoint):
 				status = http.StatusConflict
 			}
 		}
--- a/cicadagateway/cicadabatch/handover.go
+++ b/cicadagateway/cicadabatch/handover.go
@@ -84,7 +84,7 @@
 	p := it.handedOver
 	it.handedOver = nil
 	if p != nil {
-		it.job.resume(it, *p)
+		o.resume(it, *p, sourceHandOver)
 	}
 }
 
--- a/cicadagateway/cicadabatch/progress.go
+++ b/cicadagateway/cicadabatch/progress.go
@@ -57,6 +57,29 @@
 	return true
 }
 
+// resume applies a progress from a source to an item, see job.resume. It logs a result that was taken
+// over, unless it only continues the output known here, which happens to each item that is replicated.
+func (o *Owner) resume(it *item, p Progress, source string) bool {
+	state, known, origin := it.state, it.lastEvent, it.origin
+	continued := it.job.resume(it, p)
+	if state != itemWaiting || it.state != itemFinished {
+		return continued
+	}
+	if known > 0 && (p.Last < known || !sameOrigin(p.Origin, origin)) || source != sourceCheckpoint {
+		o.log.Info("result taken over", "item", it.ID, "job", it.job.id, "source", source, "outcome", it.resultState,
+			"known-event", known, "known-version", origin.Version, "from-event", p.From, "sent-event", p.Last, "sent-version", p.Origin.Version,
+			"event", it.lastEvent, "bytes", it.output.Len())
+	}
+	return continued
+}
+
+// Sources of progress, as they are logged.
+const (
+	sourceCheckpoint = "checkpoint" // replicated by the owner of the job
+	sourceHandOver   = "hand-over"
+	sourceFile       = "file" // the checkpoint file of a former process
+)
+
 // sameOrigin reports whether two progresses of the same output may have the origins a and b: the
 // version may be known to one only.
 func sameOrigin(a, b cicadaorigin.Origin) bool {
