Take over the output that a result belongs to

Cause: a progress whose last event was not beyond the known one counted as applied, whatever it held. An item that had begun anew at a version with a shorter output was replicated to the next owner as an increment (events 17 to 24 of version 2.0), which kept the 55 events of version 1.1 and took only the state "complete" with them. The number of events stood for what an output is.

Change: a progress belongs to an output by its generation, which counts how often the item began anew, its origin and its bytes. A result is taken only with its own output: in full, or as what continues the known output by hash; else the sender is asked for the full progress. A later generation replaces an earlier one whatever their lengths, late messages of an earlier one change nothing. Within one generation, a full progress that the known output begins with changes nothing, and a hand-over is taken if it goes further. A hand-over no longer overwrites a result that waits for a run to end.

TestNonContiguousCheckpointIsRejected sent a result that named no base, which no process sends, and asked for it to be taken. It now sends the base, and asks for a conflict where it is that of another run, which the code before took.

--- a/cicadagateway/cicadabatch/checkpoint.go
+++ b/cicadagateway/cicadabatch/checkpoint.go
@@ -87,7 +87,10 @@
 				it = &recoveredItem{}
 				items[p.Item] = it
 			}
-			if !p.Listed && it.apply(p) && p.State != "" {
+			if p.Listed {
+				continue
+			}
+			if applied, _ := it.apply(p); applied && p.State != "" {
 				it.resultState = p.State
 			}
 		}
@@ -123,7 +126,10 @@
 		if it == nil || r.lastEvent == 0 && r.resultState == "" {
 			continue
 		}
-		o.resume(it, Progress{Item: id, Origin: r.origin, Last: r.lastEvent, Text: r.output.String(), Failures: r.failures, State: r.resultState}, sourceFile)
+		o.resume(it, Progress{
+			Item: id, Origin: r.origin, Generation: r.generation, Last: r.lastEvent, Text: r.output.String(),
+			Failures: r.failures, State: r.resultState,
+		}, sourceFile)
 		j.recoveredItems++
 	}
 	if j.recoveredItems > 0 {
--- a/cicadagateway/cicadabatch/checkpoint_test.go
+++ b/cicadagateway/cicadabatch/checkpoint_test.go
@@ -200,7 +200,9 @@
 		assert.Equal(t, replicate(Progress{From: 2, Base: base, Last: 3, Text: "\nc"}), http.StatusOK)
 		assert.Equal(t, replicate(Progress{From: 4, Last: 5, Text: "\ne"}), http.StatusConflict)
 		assert.Equal(t, replicate(Progress{Last: 5, Text: "a\nb\nc\nd\ne"}), http.StatusOK)
-		assert.Equal(t, replicate(Progress{From: 5, Last: 5, State: adapter.StateComplete}), http.StatusOK)
+		base = xxhash.Sum64String("a\nb\nc\nd\ne")
+		assert.Equal(t, replicate(Progress{From: 5, Base: base + 1, Last: 5, State: adapter.StateComplete}), http.StatusConflict, "result of another run")
+		assert.Equal(t, replicate(Progress{From: 5, Base: base, Last: 5, State: adapter.StateComplete}), http.StatusOK)
 		var pending []adapter.Result
 		o2.enqueueAndWait(func() { pending = append(pending, o2.jobs["j"].pending...) })
 		assert.DeepEqual(t, pending, []adapter.Result{{ID: "j-0", State: adapter.StateComplete, Output: "a\nb\nc\nd\ne"}})
--- a/cicadagateway/cicadabatch/engine_test.go
+++ b/cicadagateway/cicadabatch/engine_test.go
@@ -37,21 +37,36 @@
 	runs         map[string]int   // started, by item
 	resumedAfter map[string][]int // by item: the event after which each run was to resume
 	active       int
-	dropAfter    int                    // the first run of each item is interrupted after this event, if above 0
-	stalled      bool                   // new runs send nothing
-	crashRuns    int                    // the first runs of each item that end before the first event
-	addresses    map[string][]string    // of the runs, by item
-	emptyRests   int                    // the first runs of each item that resume it and send nothing
-	leaving      string                 // address of an engine that states that it is leaving
-	runsAt       map[string]int         // by address
-	headers      map[string]http.Header // of the last run, by item
-	beforeDial   func()                 // called for each connection, if set
-	startedMs    map[string]int64       // start that an engine reports, by address
-	noReports    atomic.Bool            // connections on which the report is requested are closed
+	dropAfter    int                      // the first run of each item is interrupted after this event, if above 0
+	stalled      bool                     // new runs send nothing
+	crashRuns    int                      // the first runs of each item that end before the first event
+	addresses    map[string][]string      // of the runs, by item
+	emptyRests   int                      // the first runs of each item that resume it and send nothing
+	leaving      string                   // address of an engine that states that it is leaving
+	runsAt       map[string]int           // by address
+	headers      map[string]http.Header   // of the last run, by item
+	beforeDial   func()                   // called for each connection, if set
+	startedMs    map[string]int64         // start that an engine reports, by address
+	noReports    atomic.Bool              // connections on which the report is requested are closed
+	eventsAt     map[string]int           // of an item's output at an engine that does not send N, by address
+	dropped      map[string]chan struct{} // closed when the runs at an engine are interrupted, by address
 }
 
 func newFakeEngines() *fakeEngines {
-	return &fakeEngines{eventsSent: make(map[string]int), runs: make(map[string]int), resumedAfter: make(map[string][]int), runsAt: make(map[string]int), headers: make(map[string]http.Header), addresses: make(map[string][]string)}
+	return &fakeEngines{eventsSent: make(map[string]int), runs: make(map[string]int), resumedAfter: make(map[string][]int), runsAt: make(map[string]int), headers: make(map[string]http.Header), addresses: make(map[string][]string), dropped: make(map[string]chan struct{})}
+}
+
+// drop interrupts the runs at an engine, those that begin later as well.
+func (e *fakeEngines) drop(address string) { close(e.droppedAt(address)) }
+
+// droppedAt returns the channel that is closed when the runs at an engine are interrupted.
+func (e *fakeEngines) droppedAt(address string) chan struct{} {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.dropped[address] == nil {
+		e.dropped[address] = make(chan struct{})
+	}
+	return e.dropped[address]
 }
 
 // activeRuns returns the number of items that are running.
@@ -149,10 +164,16 @@
 		return
 	}
 	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+head+"Transfer-Encoding: chunked\r\n\r\n")
+	if n, ok := e.eventsAt[address]; ok {
+		param = n
+	}
+	dropped := e.droppedAt(address)
 	for i := lastEvent + 1; i <= param; i++ {
 		select {
 		case <-disconnected:
 			return
+		case <-dropped:
+			return
 		case <-time.After(eventInterval):
 		}
 		if drop && i > e.dropAfter {
--- a/cicadagateway/cicadabatch/handover.go
+++ b/cicadagateway/cicadabatch/handover.go
@@ -63,7 +63,7 @@
 	applied := 0
 	for _, p := range all {
 		it := j.itemsByID[p.Item]
-		if it == nil || it.state >= itemFinished || (p.State == "" && p.Last <= it.currentEvent()) {
+		if it == nil || !it.wants(p) {
 			continue
 		}
 		applied++
@@ -78,12 +78,35 @@
 	o.Wake()
 }
 
+// wants reports whether a progress that is handed over is of more use than what the item has, its current run
+// and what was handed over before included.
+func (it *item) wants(p Progress) bool {
+	generation, last := it.generation, it.currentEvent()
+	if h := it.handedOver; h != nil {
+		if h.State != "" {
+			return false
+		}
+		if h.Generation > generation || h.Generation == generation && h.Last > last {
+			generation, last = h.Generation, h.Last
+		}
+	}
+	switch {
+	case it.state >= itemFinished:
+		return false
+	case p.State != "":
+		return true
+	case p.Generation != generation:
+		return p.Generation > generation
+	}
+	return p.Last > last
+}
+
 // applyHandOver resumes an item that is not running from the progress handed over by
 // another owner.
 func (o *Owner) applyHandOver(it *item) {
 	p := it.handedOver
 	it.handedOver = nil
-	if p != nil {
+	if p != nil && it.wants(*p) {
 		o.resume(it, *p, sourceHandOver)
 	}
 }
--- a/cicadagateway/cicadabatch/job.go
+++ b/cicadagateway/cicadabatch/job.go
@@ -159,11 +159,11 @@
 	if it.state != itemWaiting {
 		return true
 	}
-	before := it.lastEvent
-	if !it.apply(p) {
+	applied, replaced := it.apply(p)
+	if !applied {
 		return false
 	}
-	if p.From == 0 && it.lastEvent > before {
+	if replaced {
 		it.savedMark, it.replicatedMark = progressMark{}, progressMark{} // they refer to the replaced output
 	}
 	switch p.State {
--- a/cicadagateway/cicadabatch/progress.go
+++ b/cicadagateway/cicadabatch/progress.go
@@ -20,11 +20,13 @@
 	// prevents the output of one from being appended to that of the other.
 	Base uint64
 	// Origin is where the output began. Only there it can be continued.
-	Origin   cicadaorigin.Origin
-	Last     int    // id of the last event in Text
-	Text     string // output
-	Failures int
-	State    string // the item's final state if its result is not listed yet
+	Origin cicadaorigin.Origin
+	// Generation is how often the item had begun anew before this output, as far as its owner knew.
+	Generation int
+	Last       int    // id of the last event in Text
+	Text       string // output
+	Failures   int
+	State      string // the item's final state if its result is not listed yet
 	// Listed is set if the item's result is listed and its progress no longer needed.
 	Listed bool
 }
@@ -35,26 +37,41 @@
 	origin    cicadaorigin.Origin // of output, if it has an event
 	lastEvent int                 // id of the last event in output
 	failures  int                 // responses that reported a failure of the item
+	// generation is how often the item has begun anew. An output of a later generation has replaced those
+	// before; outputs of one generation may differ, as two owners may have run the item.
+	generation int
 }
 
-// apply adds a received progress. It reports false if the progress does not continue
-// this output.
-func (ip *itemProgress) apply(p Progress) bool {
+// apply adds a received progress. Which output it belongs to follows from the generation and the bytes, never
+// from the number of events: the later output of an item may be the shorter one. A result takes its own output
+// with it. apply reports false if the progress does not continue this output, so that the full progress is needed,
+// and replaced if it replaces this output.
+func (ip *itemProgress) apply(p Progress) (applied, replaced bool) {
 	ip.failures = max(ip.failures, p.Failures)
 	switch {
-	case p.Last <= ip.lastEvent:
-		return true
+	case p.State == "" && (p.Generation < ip.generation || ip.contains(p)):
+		return true, false
 	case p.From == 0:
 		ip.output.Reset()
-		ip.origin = p.Origin
-	case p.From == ip.lastEvent && sameOrigin(p.Origin, ip.origin) && p.Base == xxhash.Sum64String(ip.output.String()):
-		ip.origin = p.Origin
-	default:
-		return false
+		replaced = true
+	case !ip.continuedBy(p):
+		return false, false
 	}
 	ip.output.WriteString(p.Text)
-	ip.lastEvent = p.Last
-	return true
+	ip.origin, ip.generation, ip.lastEvent = p.Origin, p.Generation, p.Last
+	return true, replaced
+}
+
+// contains reports whether a full progress is the beginning of this output, or all of it.
+func (ip *itemProgress) contains(p Progress) bool {
+	return p.From == 0 && p.Generation == ip.generation && p.Last <= ip.lastEvent &&
+		(p.Last == 0 || sameOrigin(p.Origin, ip.origin)) && strings.HasPrefix(ip.output.String(), p.Text)
+}
+
+// continuedBy reports whether a progress begins where this output ends.
+func (ip *itemProgress) continuedBy(p Progress) bool {
+	return p.From == ip.lastEvent && p.Generation == ip.generation && sameOrigin(p.Origin, ip.origin) &&
+		p.Base == xxhash.Sum64String(ip.output.String())
 }
 
 // resume applies a progress from a source to an item, see job.resume. It logs a result that was taken
@@ -89,7 +106,7 @@
 
 // progress returns the full progress of an item that is not running.
 func (it *item) progress() Progress {
-	return Progress{Item: it.ID, Origin: it.origin, Last: it.lastEvent, Text: it.output.String(), Failures: it.failures}
+	return Progress{Item: it.ID, Origin: it.origin, Generation: it.generation, Last: it.lastEvent, Text: it.output.String(), Failures: it.failures}
 }
 
 // currentEvent returns the id of an item's last event, including the events of a run in
@@ -135,7 +152,10 @@
 		text += runOutput
 		next.event, next.outputLen = last, len(text)
 	}
-	p = Progress{Item: it.ID, From: since.event, Origin: origin, Last: next.event, Text: text[since.outputLen:], Failures: it.failures}
+	p = Progress{
+		Item: it.ID, From: since.event, Origin: origin, Generation: it.generation, Last: next.event, Text: text[since.outputLen:],
+		Failures: it.failures,
+	}
 	if since.event > 0 {
 		p.Base = xxhash.Sum64String(text[:since.outputLen])
 	}
--- a/cicadagateway/cicadabatch/version.go
+++ b/cicadagateway/cicadabatch/version.go
@@ -81,8 +81,7 @@
 
 // restart discards the output of an item that is waiting.
 func (it *item) restart() {
-	failures := it.failures
-	it.itemProgress = itemProgress{failures: failures}
+	it.itemProgress = itemProgress{failures: it.failures, generation: it.generation + 1}
 	it.savedMark, it.replicatedMark = progressMark{}, progressMark{}
 	it.versionBusySince, it.emptyRests, it.otherIncarnations = time.Time{}, 0, 0
 }
