Log how long a failed watch has waited, and how many items of an ended job had begun

The logs could not tell a watch that was lost in the store's silence from one that answered late, an end that was overlooked at a move, or a read of results that overwrote it: a failed watch was logged only if it changed the state of the link.

Followers log "watch failed" with the prefix and the time waited; "job ended" says whether the job is this owner's and how many items it had begun.

--- a/cicadagateway/cicadabatch/owner.go
+++ b/cicadagateway/cicadabatch/owner.go
@@ -292,7 +292,13 @@
 }
 
 func (o *Owner) applyEnded(j *job) {
-	o.log.Info("job ended", "job", j.id, "listed", len(j.results), "items", j.record.Total)
+	started := 0
+	for _, it := range j.items {
+		if it.run != nil {
+			started++
+		}
+	}
+	o.log.Info("job ended", "job", j.id, "listed", len(j.results), "started", started, "items", j.record.Total, "mine", j.owned)
 	j.ended = true
 	o.stopRuns(j, "job ended")
 	for _, it := range j.items {
--- a/cicadagateway/cicadafollow/follow.go
+++ b/cicadagateway/cicadafollow/follow.go
@@ -201,12 +201,14 @@
 	backoff := minBackoff
 	lastSuccess := time.Now()
 	for ctx.Err() == nil {
+		askedAt := time.Now()
 		page, refreshed, err := f.watchOnce(ctx, version)
 		if refreshed || errors.Is(err, cicadaplatform.ErrCompacted) {
 			f.log.Info("watch ended", "prefix", f.prefix, "version", version, "poked", refreshed)
 			return
 		}
 		if err != nil {
+			f.log.Info("watch failed", "prefix", f.prefix, "version", version, "waited", time.Since(askedAt).String(), "error", err)
 			f.link.Report(err)
 			if time.Since(lastSuccess) > watchStaleAfter {
 				return
