Confirm that a job has not ended before its items start

Cause: an owner trusted its list of jobs however old it was. Its watch of the jobs, sent into a silence of the store, has no answer until it times out after 17 s, and looks like a watch in which nothing happens. Meanwhile another owner acknowledges ends, the jobs move back, and their items start.

Change: a follower catches up on demand: it reads the changes since what it knows, by a watch that does not wait, and knows as of when it is confirmed and when a call last failed. Before an item starts, the owner's knowledge of its job must have been confirmed within two thirds of job-end-limit (CancelMs in our template, 3 s); otherwise it catches up, one call at a time, for all jobs. A job that was accepted here is confirmed by its creation. While calls to the store fail, items start as before: the last failed call is not longer ago than four fifths of the limit, so that a store that is back is asked first. The list of jobs is not read again, and no job by itself. A quiet watch is no reason for a call if nothing is to start.

--- a/cicadadev/cicadahistory/world_test.go
+++ b/cicadadev/cicadahistory/world_test.go
@@ -335,6 +335,9 @@
 		Watch: func(ctx context.Context, prefix string, from int64) (cicadaplatform.Page, error) {
 			return callFrom(ctx, p, func() (cicadaplatform.Page, error) { return b.Watch(ctx, prefix, from) })
 		},
+		Changes: func(ctx context.Context, prefix string, from int64) (cicadaplatform.Page, error) {
+			return callFrom(ctx, p, func() (cicadaplatform.Page, error) { return b.Changes(ctx, prefix, from) })
+		},
 		VMs: b.VMs,
 	}
 }
--- a/cicadagateway/cicadabatch/engine_test.go
+++ b/cicadagateway/cicadabatch/engine_test.go
@@ -49,9 +49,16 @@
 	startedMs    map[string]int64         // start that an engine reports, by address
 	noReports    atomic.Bool              // connections on which the report is requested are closed
 	eventsAt     map[string]int           // of an item's output at an engine that does not send N, by address
+	starts       []engineStart            // of runs
 	dropped      map[string]chan struct{} // closed when the runs at an engine are interrupted, by address
 }
 
+// An engineStart is the start of a run.
+type engineStart struct {
+	item, address string
+	at            time.Time
+}
+
 func newFakeEngines() *fakeEngines {
 	return &fakeEngines{eventsSent: make(map[string]int), runs: make(map[string]int), resumedAfter: make(map[string][]int), runsAt: make(map[string]int), headers: make(map[string]http.Header), addresses: make(map[string][]string), dropped: make(map[string]chan struct{})}
 }
@@ -134,6 +141,7 @@
 	e.runsAt[address]++
 	e.headers[id] = req.Header
 	e.addresses[id] = append(e.addresses[id], address)
+	e.starts = append(e.starts, engineStart{item: id, address: address, at: time.Now()})
 	if e.leaving == address {
 		head += "Server-Leaving: 1\r\n"
 	}
@@ -271,6 +279,7 @@
 		cicadaexchange.WithIdentification(cicadaexchange.Identification{Target: adapter.ReportPath, Decode: adapter.DecodeReportedStart}))
 	owner = NewOwner(ctx, name, store, table, client, func() *cicadaview.Config { return d.config }, owners, log, opts...)
 	f := cicadafollow.New(ctx, store, JobsPrefix, cicadafollow.NewLink(log, nil), log, owner.Apply)
+	owner.Follow(f)
 	m := &testOwner{Owner: owner, table: table}
 	m.stop = func() {
 		cancel()
--- a/cicadagateway/cicadabatch/job.go
+++ b/cicadagateway/cicadabatch/job.go
@@ -73,6 +73,7 @@
 	ended          bool               // by a CallEndJob
 	owned          bool               // this process runs the job
 	ownedSince     time.Time          // when it moved here; zero if it was accepted here
+	confirmedAt    time.Time          // when its creation in the store was begun, if it was accepted here
 	loadStarted    time.Time          // when the latest read of results was begun
 	refreshedAt    time.Time          // every result stored before is in memory, by the latest read that succeeded
 	lastSource     resultSource       // of the latest answer to a reader
--- a/cicadagateway/cicadabatch/metrics.go
+++ b/cicadagateway/cicadabatch/metrics.go
@@ -30,6 +30,7 @@
 	reads              [len(resultSourceNames)]tally.Counter
 	pauses             tally.Counter // of the event loop
 	renewals           tally.Counter // of the ownership of all jobs, after others may have run them
+	catchUps           tally.Counter // with the jobs in the store, before items start
 	callsAbandoned     tally.Counter // calls whose sender left before they were answered
 	tooLarge           tally.Counter // items that failed because their result does not fit in an object
 }
@@ -42,6 +43,7 @@
 		jobsInvalid: scope.Counter("jobs_invalid"),
 		tooLarge:    scope.Counter("results_too_large"), pauses: scope.Counter("event_loop_pauses"),
 		renewals: scope.Counter("ownership_renewals"), callsAbandoned: scope.Counter("job_calls_abandoned"),
+		catchUps: scope.Counter("job_catch_ups"),
 	}
 	for source, name := range resultSourceNames {
 		m.reads[source] = scope.Tagged(map[string]string{"source": name}).Counter("result_reads")
--- a/cicadagateway/cicadabatch/owner.go
+++ b/cicadagateway/cicadabatch/owner.go
@@ -82,6 +82,7 @@
 	doubts         doubts
 	checkpointFile *CheckpointFile
 	retention      time.Duration
+	endTimes       endTimes
 	metrics        *metrics
 	log            hclog.Logger
 	tasks          chan func()
@@ -111,7 +112,13 @@
 	jobsReceived   bool                                 // the store's list of jobs has been received
 	recoveryDone   bool                                 // recovered progress has been assigned to jobs or dropped
 
-	loads             loadBreaker
+	loads         loadBreaker
+	view          JobsView  // nil if what Apply was called with is trusted
+	jobsAsOf      time.Time // see confirmJobs
+	catchingUp    bool      // a catch-up is in progress
+	catchUpFailed bool      // the last one
+	nextCatchUp   time.Time // earliest time of the next one, after one that failed
+
 	lastWaitingReport time.Time
 	lastWaitingRepeat time.Time // when reports of waiting tokens were last considered for repetition
 }
@@ -173,7 +180,7 @@
 		peers:          func() []cicadapeer.OwnerView { return nil },
 		onRoster:       func() {},
 		roster:         newRoster(name), tenure: tenure{terms: make(map[string]term)},
-		retention: defaultRetention, saveFull: true, metrics: newMetrics(tally.NoopScope),
+		retention: defaultRetention, endTimes: newEndTimes(defaultEndLimit), saveFull: true, metrics: newMetrics(tally.NoopScope),
 	}
 	for _, opt := range opts {
 		opt(o)
@@ -225,11 +232,12 @@
 
 // Apply applies a change of the job objects in the store.
 func (o *Owner) Apply(c cicadafollow.Change) {
-	objects, full := c.Objects(), c.Full()
+	objects, full, asOf := c.Objects(), c.Full(), c.AsOf()
 	o.enqueue(func() {
 		for _, obj := range objects {
 			o.applyJob(obj, full)
 		}
+		o.confirmJobs(asOf)
 		o.jobsReceived = o.jobsReceived || full
 		o.Wake()
 	})
--- a/cicadagateway/cicadabatch/schedule.go
+++ b/cicadagateway/cicadabatch/schedule.go
@@ -85,6 +85,9 @@
 		return 1
 	})
 	for _, it := range waiting {
+		if !o.mayStart(it.job, now) {
+			continue
+		}
 		o.checkVersion(it, service, now)
 		req := it.slotRequest(service, now)
 		grant := o.table.AcquireBatch(req, o.estimate.slack(it, now) < urgentSlack)
--- a/cicadagateway/cicadabatch/submit.go
+++ b/cicadagateway/cicadabatch/submit.go
@@ -203,7 +203,7 @@
 // the store's answer. Unless jobs may have moved since the given number of assignments, the job
 // has been here from the beginning, and its results in memory are complete.
 func (o *Owner) applyAccepted(j *job, items []adapter.Item, acceptedAt time.Time, assignments int) {
-	j.acceptedAt, j.clockSkew = acceptedAt, 0
+	j.acceptedAt, j.clockSkew, j.confirmedAt = acceptedAt, 0, acceptedAt
 	if o.assignments != assignments || j.bodiesMissing && j.setBodies(items) != nil {
 		return
 	}
--- a/cicadagateway/cicadafollow/follow.go
+++ b/cicadagateway/cicadafollow/follow.go
@@ -17,6 +17,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -47,6 +48,7 @@
 	objects []cicadaplatform.Object
 	full    bool
 	askedAt time.Duration // of a full list
+	asOf    time.Time
 }
 
 // Objects returns the objects. One with a nil value was deleted.
@@ -61,6 +63,10 @@
 // watch, which the store may deliver late.
 func (c Change) AskedAt() (at time.Duration, ok bool) { return c.askedAt, c.full }
 
+// AsOf returns the time at which the call of the change began, by the clock of this process. With it and those
+// before, every write that was acknowledged before that time has been passed on.
+func (c Change) AsOf() time.Time { return c.asOf }
+
 // A Follower keeps track of the objects under one prefix.
 type Follower struct {
 	store         *cicadaplatform.Client
@@ -75,6 +81,12 @@
 	coalesceDelay time.Duration
 	asOf          atomic.Int64
 	wg            cicadatask.Group
+
+	// reading is held during a list, a catch-up, and while the changes of a watch are applied.
+	reading     chan struct{}
+	mu          sync.Mutex
+	confirmedAt time.Time // see confirm
+	failedAt    time.Time // see LastFailure
 }
 
 // An Option configures a Follower.
@@ -97,11 +109,11 @@
 // WithClock sets the clock of Change.AskedAt, which is cicadaclock.SinceBoot otherwise.
 func WithClock(clock func() time.Duration) Option { return func(f *Follower) { f.clock = clock } }
 
-// New starts a Follower of a prefix, which runs until ctx is done. All calls of apply
-// are made by one goroutine.
+// New starts a Follower of a prefix, which runs until ctx is done. It makes one call of apply at a time.
 func New(ctx context.Context, store *cicadaplatform.Client, prefix string, link *Link, log hclog.Logger, apply func(Change), opts ...Option) *Follower {
 	f := &Follower{
 		store: store, prefix: prefix, link: link, log: log, apply: apply, refresh: make(chan struct{}, 1),
+		reading:    make(chan struct{}, 1),
 		shouldPoll: func() bool { return false }, pollInterval: MaxPollInterval, clock: cicadaclock.SinceBoot,
 	}
 	for _, opt := range opts {
@@ -139,8 +151,10 @@
 // listed again. It reports whether the list succeeded.
 func (f *Follower) listAndWatch(ctx context.Context) bool {
 	f.link.setPolling(f.shouldPoll())
+	askedAt := time.Now()
 	version, err := f.list(ctx)
 	if err != nil {
+		f.recordFailure(askedAt, err)
 		f.link.Report(err)
 		f.log.Debug("failed to list objects", "prefix", f.prefix, "error", err)
 		return false
@@ -166,9 +180,13 @@
 }
 
 func (f *Follower) list(ctx context.Context) (int64, error) {
+	if !f.acquire(ctx) {
+		return 0, ctx.Err()
+	}
+	defer f.release()
 	var all []cicadaplatform.Object
 	after, version := "", int64(0)
-	askedAt := f.clock()
+	askedAt, asOf := f.clock(), time.Now()
 	for {
 		page, err := f.store.List(ctx, f.prefix, after, pageSize)
 		if err != nil {
@@ -186,7 +204,8 @@
 	}
 	f.link.Report(nil)
 	f.asOf.Store(version)
-	f.apply(Change{objects: all, full: true, askedAt: askedAt})
+	f.apply(Change{objects: all, full: true, askedAt: askedAt, asOf: asOf})
+	f.confirm(asOf)
 	return version, nil
 }
 
@@ -207,7 +226,9 @@
 			f.log.Info("watch ended", "prefix", f.prefix, "version", version, "poked", refreshed)
 			return
 		}
+		version = max(version, f.asOf.Load())
 		if err != nil {
+			f.recordFailure(askedAt, err)
 			f.log.Info("watch failed", "prefix", f.prefix, "version", version, "waited", time.Since(askedAt).String(), "error", err)
 			f.link.Report(err)
 			if time.Since(lastSuccess) > watchStaleAfter {
@@ -219,11 +240,13 @@
 		}
 		f.link.Report(nil)
 		lastSuccess, backoff = time.Now(), minBackoff
-		version = max(version, page.Version())
-		f.asOf.Store(version)
-		f.reportUnreadable(page)
-		if len(page.Objects()) > 0 {
-			f.apply(Change{objects: page.Objects()})
+		if !f.acquire(ctx) {
+			return
+		}
+		changed := f.applyPage(page, askedAt)
+		f.release()
+		version = max(version, f.asOf.Load())
+		if changed {
 			cicadaretry.Sleep(ctx, f.coalesceDelay)
 		}
 		if f.shouldPoll() {
@@ -232,6 +255,21 @@
 	}
 }
 
+// applyPage applies the changes of a watch or a catch-up that began at a time, unless they are known, and
+// reports whether there were any.
+func (f *Follower) applyPage(page cicadaplatform.Page, askedAt time.Time) bool {
+	defer f.confirm(askedAt)
+	f.reportUnreadable(page)
+	if page.Version() <= f.asOf.Load() {
+		return false
+	}
+	f.asOf.Store(page.Version())
+	if len(page.Objects()) > 0 {
+		f.apply(Change{objects: page.Objects(), asOf: askedAt})
+	}
+	return len(page.Objects()) > 0
+}
+
 // watchOnce waits for changes after the given version. refreshed reports whether a
 // requested refresh has interrupted the call.
 func (f *Follower) watchOnce(ctx context.Context, version int64) (page cicadaplatform.Page, refreshed bool, err error) {
--- a/cicadagateway/cicadaprocess/jobs.go
+++ b/cicadagateway/cicadaprocess/jobs.go
@@ -139,13 +139,13 @@
 	limiter := cicadareservation.New(n.cfg.Name, n.store, n.log, cicadareservation.WithShrink(peers.Shrink))
 	opts := append(n.openCheckpoints(), cicadabatch.WithLimiter(limiter, peers.ReportWaiting), cicadabatch.WithHandOver(peers.HandOver), cicadabatch.WithReplication(peers.Replicate),
 		cicadabatch.WithPeers(n.group.OwnerViews, n.notifyPeers), cicadabatch.WithScope(n.process.Scope()),
-		cicadabatch.WithRetention(n.cfg.KeepJobs.Or(defaultKeepJobs)+jobRetentionMargin))
+		cicadabatch.WithEndLimit(n.cfg.jobEndLimit()), cicadabatch.WithRetention(n.cfg.KeepJobs.Or(defaultKeepJobs)+jobRetentionMargin))
 	owner := cicadabatch.NewOwner(workCtx, n.cfg.Name, n.store, n.table, n.client, n.config.Load, n.eligibleOwners, n.log, opts...)
 	n.owner.Store(owner)
 	n.wg.Go(func() { n.watchStore(workCtx) })
 	retirements := newRetirementHandler(workCtx, n, owner.Idle)
 	cicadafollow.New(workCtx, n.store, adapter.RetirementsPrefix, n.link, n.log, retirements.apply)
-	cicadafollow.New(workCtx, n.store, cicadabatch.JobsPrefix, n.link, n.log, owner.Apply, cicadafollow.WithCoalesceDelay(coalesceDelay))
+	owner.Follow(cicadafollow.New(workCtx, n.store, cicadabatch.JobsPrefix, n.link, n.log, owner.Apply, cicadafollow.WithCoalesceDelay(coalesceDelay)))
 	if err := n.servePeers(workCtx, owner.Register); err != nil {
 		return err
 	}
--- a/cicadagateway/cicadaprocess/settings.go
+++ b/cicadagateway/cicadaprocess/settings.go
@@ -60,6 +60,9 @@
 	// EndpointRemovalLimit is the longest time for which requests may still reach an endpoint after the
 	// store has acknowledged that it is draining or removed.
 	EndpointRemovalLimit cicadasettings.Duration `yaml:"endpoint-removal-limit"`
+	// JobEndLimit is the longest time for which items of a job may still reach endpoints after its end was
+	// acknowledged.
+	JobEndLimit cicadasettings.Duration `yaml:"job-end-limit"`
 	// RevocationLimit is the longest time for which a revoked key may still be accepted. Without
 	// it, the configuration in force is trusted however old it is.
 	RevocationLimit cicadasettings.Duration `yaml:"revocation-limit"`
@@ -76,6 +79,9 @@
 	defaultStoreWrites  = 100
 	defaultStoreReads   = 500
 	defaultRemovalLimit = 2 * time.Second
+	defaultJobEndLimit  = 3 * time.Second
+	// minJobEndLimit leaves time for a call to the store and for one more after that.
+	minJobEndLimit = time.Second
 	// minRemovalLimit leaves time to learn of the removal, see pollInterval.
 	minRemovalLimit = time.Second
 	// minRevocationLimit leaves time to confirm the configuration several times.
@@ -113,6 +119,10 @@
 	return time.Duration(cmp.Or(s.EndpointRemovalLimit, cicadasettings.Duration(defaultRemovalLimit)))
 }
 
+func (s *Settings) jobEndLimit() time.Duration {
+	return time.Duration(cmp.Or(s.JobEndLimit, cicadasettings.Duration(defaultJobEndLimit)))
+}
+
 // pollInterval returns the longest interval between two lists of the endpoints.
 func (s *Settings) pollInterval() time.Duration {
 	return min(s.removalLimit()-spreadTime-sendTime, cicadafollow.MaxPollInterval)
@@ -158,6 +168,9 @@
 	if s.removalLimit() < minRemovalLimit {
 		return cicadasettings.Expected("endpoint-removal-limit", "a duration of at least "+minRemovalLimit.String())
 	}
+	if s.jobEndLimit() < minJobEndLimit {
+		return cicadasettings.Expected("job-end-limit", "a duration of at least "+minJobEndLimit.String())
+	}
 	if limit := time.Duration(s.RevocationLimit); limit != 0 && limit < minRevocationLimit {
 		return cicadasettings.Expected("revocation-limit", "a duration of at least "+minRevocationLimit.String())
 	}
--- a/cicadagateway/cicadaprocess/settings_test.go
+++ b/cicadagateway/cicadaprocess/settings_test.go
@@ -15,7 +15,7 @@
 var templateValues = map[string]string{
 	"Node": "front-1", "Ip": "10.1.0.35", "Zone": "z-a", "Listen.Front": "10.1.0.35:8144", "Listen.Ready": "10.1.0.35:8140",
 	"PortRange.0": "7660", "Platform.Addr": "10.200.1.7:8142", "Platform.WritesPerS": "400", "Platform.ReadsPerS": "2000",
-	"Limits.MemoryMb": "284", "Bounds.GraceS": "8", "Bounds.StatusS": "120", "Bounds.DrainMs": "3000",
+	"Limits.MemoryMb": "284", "Bounds.GraceS": "8", "Bounds.StatusS": "120", "Bounds.DrainMs": "3000", "Bounds.CancelMs": "3000",
 }
 
 var (
@@ -69,6 +69,7 @@
 		{"ip: 10.1.0.35", "ip: 10.1.0.35\nadvertise-ip: 2001:db8::7", "key advertise-ip: expected an IPv4 address"},
 		{"drain-limit: 8s", "drain-limit: 8", "duration with unit"},
 		{"endpoint-removal-limit: 3000ms", "endpoint-removal-limit: 200ms", "key endpoint-removal-limit: expected a duration of at least 1s"},
+		{"job-end-limit: 3000ms", "job-end-limit: 500ms", "key job-end-limit: expected a duration of at least 1s"},
 		{"vm: front-1", "vmm: front-1", "settings.yaml:"},
 	} {
 		text := strings.Replace(valid, c.from, c.to, 1)
--- a/cicadakernel/cicadaplatform/client.go
+++ b/cicadakernel/cicadaplatform/client.go
@@ -158,7 +158,7 @@
 // acquireRead waits for the read budget and counts the call.
 func (c *Client) acquireRead(ctx context.Context, kind string) error {
 	if err := c.readLimit.Wait(ctx); err != nil {
-		return merry.Errorf("wait for read rate limit: %w: %w", ErrUnavailable, err)
+		return merry.Errorf("wait for read rate limit: %w: %w: %w", ErrUnavailable, ErrRateLimited, err)
 	}
 	c.reads.Add(1)
 	c.scope.Tagged(map[string]string{"call": kind}).Counter("platform_calls").Inc(1)
@@ -227,6 +227,22 @@
 	return page, nil
 }
 
+// Changes returns the changes after store version from to objects whose names have the prefix, without
+// waiting for one. The page reflects every write that was complete when Changes was called.
+func (c *Client) Changes(ctx context.Context, prefix string, from int64) (Page, error) {
+	if err := c.acquireRead(ctx, "changes"); err != nil {
+		return Page{}, err
+	}
+	defer c.recordLatency("changes", time.Now())
+	ctx, cancel := context.WithTimeout(ctx, c.deadline)
+	defer cancel()
+	page, err := c.backend.Changes(ctx, prefix, from)
+	if err != nil {
+		return Page{}, merry.Errorf("read changes: %w", err)
+	}
+	return page, nil
+}
+
 // VMs returns the platform's list of VMs.
 func (c *Client) VMs(ctx context.Context) ([]VM, error) {
 	if err := c.acquireRead(ctx, "vms"); err != nil {
--- a/cicadakernel/cicadaplatform/http.go
+++ b/cicadakernel/cicadaplatform/http.go
@@ -27,6 +27,8 @@
 	httpWatchMargin = 2 * time.Second
 	// httpCheckPath names no object. It is read by health checks.
 	httpCheckPath = "/objects/probe"
+	// noWait is the value of the parameter wait of a watch that does not wait for a change.
+	noWait = "0"
 )
 
 func init() {
@@ -110,7 +112,11 @@
 		q := r.URL.Query()
 		if q.Has("watch") {
 			from, _ := strconv.ParseInt(q.Get("watch"), 10, 64)
-			page, err := b.Watch(r.Context(), q.Get("prefix"), from)
+			read := b.Watch
+			if q.Get("wait") == noWait {
+				read = b.Changes
+			}
+			page, err := read(r.Context(), q.Get("prefix"), from)
 			writeResponse(w, newPageBody(page), err)
 			return
 		}
@@ -216,7 +222,8 @@
 		Watch:  b.watch,
 		VMs:    b.vms,
 
-		OnDead: b.onDead,
+		Changes: b.changes,
+		OnDead:  b.onDead,
 	}
 }
 
@@ -275,6 +282,11 @@
 	return b.getPage(ctx, b.watches, q)
 }
 
+func (b *httpBackend) changes(ctx context.Context, prefix string, from int64) (Page, error) {
+	q := url.Values{"prefix": {prefix}, "watch": {strconv.FormatInt(from, 10)}, "wait": {noWait}}
+	return b.getPage(ctx, b.client, q)
+}
+
 func (b *httpBackend) getPage(ctx context.Context, client *http.Client, q url.Values) (Page, error) {
 	var body pageBody
 	if err := b.do(ctx, client, http.MethodGet, "/objects?"+q.Encode(), "", nil, &body); err != nil {
--- a/cicadakernel/cicadaplatform/memory.go
+++ b/cicadakernel/cicadaplatform/memory.go
@@ -83,13 +83,14 @@
 // Backend returns a backend that calls the store.
 func (m *Memory) Backend() Backend {
 	return Backend{
-		Get:    m.get,
-		List:   m.list,
-		Create: m.create,
-		Update: m.update,
-		Delete: m.remove,
-		Watch:  m.watch,
-		VMs:    m.listVMs,
+		Get:     m.get,
+		List:    m.list,
+		Create:  m.create,
+		Update:  m.update,
+		Delete:  m.remove,
+		Watch:   m.watch,
+		Changes: m.readChanges,
+		VMs:     m.listVMs,
 	}
 }
 
@@ -259,6 +260,18 @@
 
 // changesSince returns the changes after a version to objects with the prefix, the
 // store's version, and a channel that is closed at the next change.
+func (m *Memory) readChanges(ctx context.Context, prefix string, from int64) (Page, error) {
+	after, err := m.beginCall(ctx, "changes", prefix)
+	if err != nil {
+		return Page{}, err
+	}
+	changes, version, _ := m.changesSince(prefix, from)
+	if after != nil {
+		return Page{}, merry.Errorf("changes of %s: %w", prefix, after)
+	}
+	return NewPage(changes, version, false), nil
+}
+
 func (m *Memory) changesSince(prefix string, from int64) ([]Object, int64, <-chan struct{}) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/cicadakernel/cicadaplatform/store.go
+++ b/cicadakernel/cicadaplatform/store.go
@@ -42,6 +42,9 @@
 	ErrUnavailable = merry.Sentinel("cicadaplatform: store unavailable, call did not take effect")
 	ErrInDoubt     = merry.Sentinel("cicadaplatform: response lost, call may have taken effect")
 	ErrTooLarge    = merry.Sentinel("cicadaplatform: value is larger than 1 MiB")
+	// ErrRateLimited is returned with ErrUnavailable for a call that the client has not made, because of
+	// its own limit.
+	ErrRateLimited = merry.Sentinel("cicadaplatform: limit on the rate of calls reached")
 	ErrCompacted   = merry.Sentinel("cicadaplatform: changes after this version have been compacted")
 )
 
@@ -141,6 +144,8 @@
 	// prefix. It returns the changes in version order, or an empty page if the
 	// store's watch timeout has passed without a change.
 	Watch func(ctx context.Context, prefix string, from int64) (Page, error)
+	// Changes returns what Watch would return now, without waiting for a change.
+	Changes func(ctx context.Context, prefix string, from int64) (Page, error)
 	// VMs returns the platform's list of VMs.
 	VMs func(ctx context.Context) ([]VM, error)
 	// ValueSize returns the size of an object's value as the store keeps it, in bytes. If
