Repeat watches that waited for the store once it is back

Only the configuration and the endpoints were listed again when the store was back.

Cause: each follower judged its own call only. Change: a follower subscribes to the link of its process; when any call has succeeded after one that failed, each watch that waits is repeated from the version that is known, which costs one call a follower and no list. A watch that was sent after that is left alone. A silence that no call of the process notices changes nothing here; starts of items do not depend on that.

TestWatchIsRepeatedWhenTheStoreIsBack failed before (the first value, where the second was written a second ago).

--- a/cicadagateway/cicadafollow/confirm.go
+++ b/cicadagateway/cicadafollow/confirm.go
@@ -93,3 +93,11 @@
 }
 
 func (f *Follower) release() { <-f.reading }
+
+// Resume makes the follower repeat a watch that waits, which may have been lost.
+func (f *Follower) Resume() {
+	select {
+	case f.resume <- struct{}{}:
+	default:
+	}
+}
--- a/cicadagateway/cicadafollow/confirm_test.go
+++ b/cicadagateway/cicadafollow/confirm_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -60,3 +61,38 @@
 		f.Wait()
 	})
 }
+
+// Guards against followers that hear of nothing for as long as a watch lasts, because it was lost in a silence
+// of the store that another call has shown to be over.
+func TestWatchIsRepeatedWhenTheStoreIsBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ft := newFollowerTest()
+		backend := ft.memory.Backend()
+		var silent atomic.Bool
+		var watches atomic.Int64
+		silent.Store(true)
+		watch := backend.Watch
+		backend.Watch = func(ctx context.Context, prefix string, from int64) (cicadaplatform.Page, error) {
+			watches.Add(1)
+			if silent.Load() {
+				<-ctx.Done()
+				return cicadaplatform.Page{}, cicadaplatform.ErrInDoubt
+			}
+			return watch(ctx, prefix, from)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		f := New(ctx, cicadaplatform.NewClient(backend), "config/", ft.link, hclog.NewNullLogger(), ft.apply)
+		ft.put(t, "config/main", "first")
+		time.Sleep(time.Second)
+		ft.link.Report(cicadaplatform.ErrInDoubt)
+		time.Sleep(time.Second)
+		ft.put(t, "config/main", "second")
+		silent.Store(false)
+		ft.link.Report(nil)
+		time.Sleep(time.Second)
+		assert.Equal(t, ft.value(), "second")
+		assert.Equal(t, watches.Load(), int64(3), "one that was lost, one that brought the change, and the next")
+		cancel()
+		f.Wait()
+	})
+}
--- a/cicadagateway/cicadafollow/follow.go
+++ b/cicadagateway/cicadafollow/follow.go
@@ -84,6 +84,7 @@
 
 	// reading is held during a list, a catch-up, and while the changes of a watch are applied.
 	reading     chan struct{}
+	resume      chan struct{} // signals that a watch may have been lost, see Resume
 	mu          sync.Mutex
 	confirmedAt time.Time // see confirm
 	failedAt    time.Time // see LastFailure
@@ -112,13 +113,14 @@
 // New starts a Follower of a prefix, which runs until ctx is done. It makes one call of apply at a time.
 func New(ctx context.Context, store *cicadaplatform.Client, prefix string, link *Link, log hclog.Logger, apply func(Change), opts ...Option) *Follower {
 	f := &Follower{
-		store: store, prefix: prefix, link: link, log: log, apply: apply, refresh: make(chan struct{}, 1),
+		store: store, prefix: prefix, link: link, log: log, apply: apply, refresh: make(chan struct{}, 1), resume: make(chan struct{}, 1),
 		reading:    make(chan struct{}, 1),
 		shouldPoll: func() bool { return false }, pollInterval: MaxPollInterval, clock: cicadaclock.SinceBoot,
 	}
 	for _, opt := range opts {
 		opt(f)
 	}
+	link.subscribe(f.Resume)
 	f.wg.Go(func() {
 		backoff := minBackoff
 		for ctx.Err() == nil {
@@ -221,12 +223,16 @@
 	lastSuccess := time.Now()
 	for ctx.Err() == nil {
 		askedAt := time.Now()
-		page, refreshed, err := f.watchOnce(ctx, version)
-		if refreshed || errors.Is(err, cicadaplatform.ErrCompacted) {
-			f.log.Info("watch ended", "prefix", f.prefix, "version", version, "poked", refreshed)
+		page, interrupted, err := f.watchOnce(ctx, version)
+		if interrupted == interruptedByRefresh || errors.Is(err, cicadaplatform.ErrCompacted) {
+			f.log.Info("watch ended", "prefix", f.prefix, "version", version, "poked", interrupted == interruptedByRefresh)
 			return
 		}
 		version = max(version, f.asOf.Load())
+		if interrupted == interruptedByResume {
+			f.log.Info("watch repeated", "prefix", f.prefix, "version", version, "waited", time.Since(askedAt).String())
+			continue
+		}
 		if err != nil {
 			f.recordFailure(askedAt, err)
 			f.log.Info("watch failed", "prefix", f.prefix, "version", version, "waited", time.Since(askedAt).String(), "error", err)
@@ -270,26 +276,44 @@
 	return len(page.Objects()) > 0
 }
 
-// watchOnce waits for changes after the given version. refreshed reports whether a
-// requested refresh has interrupted the call.
-func (f *Follower) watchOnce(ctx context.Context, version int64) (page cicadaplatform.Page, refreshed bool, err error) {
+// An interruption is why a watch ended without an answer.
+type interruption int
+
+const (
+	notInterrupted interruption = iota
+	interruptedByRefresh
+	interruptedByResume
+)
+
+// watchOnce waits for changes after the given version. interrupted is why the call ended before its
+// answer, if that was requested.
+func (f *Follower) watchOnce(ctx context.Context, version int64) (page cicadaplatform.Page, interrupted interruption, err error) {
+	select {
+	case <-f.resume: // requested before this call
+	default:
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var wg conc.WaitGroup
 	done := make(chan struct{})
-	refreshRequested := make(chan bool, 1)
+	requested := make(chan interruption, 1)
 	wg.Go(func() {
 		select {
 		case <-f.refresh:
+			requested <- interruptedByRefresh
+			cancel()
+		case <-f.resume:
+			requested <- interruptedByResume
 			cancel()
-			refreshRequested <- true
 		case <-done:
-			refreshRequested <- false
+			requested <- notInterrupted
 		}
 	})
 	page, err = f.store.Watch(ctx, f.prefix, version)
 	close(done)
 	wg.Wait()
-	refreshed = <-refreshRequested
-	return page, refreshed && err != nil, err
+	if interrupted = <-requested; err == nil {
+		interrupted = notInterrupted
+	}
+	return page, interrupted, err
 }
--- a/cicadagateway/cicadafollow/link.go
+++ b/cicadagateway/cicadafollow/link.go
@@ -28,6 +28,7 @@
 	pollSince   time.Time // when this process began to poll the store, or the zero time if it does not
 	overdueAt   time.Time // time of the last success that came later than maxStableGap while polling
 	onChange    func(up bool)
+	onUp        []func() // see subscribe
 	log         hclog.Logger
 }
 
@@ -37,6 +38,14 @@
 	return &Link{log: log, since: time.Now(), onChange: onChange}
 }
 
+// subscribe adds a function that is called when the link goes up, which must not block. What waited for
+// the store before may have been lost.
+func (l *Link) subscribe(f func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.onUp = append(l.onUp, f)
+}
+
 // Report records the outcome of a call to the store.
 func (l *Link) Report(err error) {
 	l.mu.Lock()
@@ -63,6 +72,11 @@
 	if l.onChange != nil {
 		l.onChange(up)
 	}
+	if up {
+		for _, f := range l.onUp {
+			f()
+		}
+	}
 }
 
 // setPolling records whether this process polls the store, so that its calls must succeed at short
