Count the time of a catch-up from when it may be made

Change: the limit counts for the call to the store only, and as of when it confirms, after the wait. A catch-up that is not made says nothing of the store, so that the error that told the two cases apart is gone again.

TestFailuresOfTheStoreAreRecorded covers a client without a budget; the tests of the package pass.

--- a/cicadagateway/cicadabatch/ends.go
+++ b/cicadagateway/cicadabatch/ends.go
@@ -37,8 +37,8 @@
 // A JobsView is the follower of the jobs in the store, which calls Owner.Apply.
 type JobsView interface {
 	// CatchUp calls Owner.Apply with the changes up to now. When it returns, Apply has been called with every
-	// change that was acknowledged before asOf.
-	CatchUp(ctx context.Context) (asOf time.Time, err error)
+	// change that was acknowledged before asOf. timeout limits its call to the store.
+	CatchUp(ctx context.Context, timeout time.Duration) (asOf time.Time, err error)
 	// LastFailure returns the time at which the last call that the store has not answered was made.
 	LastFailure() time.Time
 }
@@ -74,9 +74,7 @@
 	o.catchingUp = true
 	o.metrics.catchUps.Inc(1)
 	o.wg.Go(func() {
-		ctx, cancel := context.WithTimeout(o.ctx, o.endTimes.timeout)
-		defer cancel()
-		asOf, err := o.view.CatchUp(ctx)
+		asOf, err := o.view.CatchUp(o.ctx, o.endTimes.timeout)
 		o.enqueue(func() { o.caughtUp(now, asOf, err) })
 	})
 }
--- a/cicadagateway/cicadafollow/confirm.go
+++ b/cicadagateway/cicadafollow/confirm.go
@@ -17,8 +17,9 @@
 var ErrNotListed = merry.Sentinel("cicadafollow: objects not listed yet")
 
 // CatchUp passes on the changes up to now, without waiting for the watch. Every write that was acknowledged
-// before asOf has been passed on when it returns. It makes no call if a list that began meanwhile has done so.
-func (f *Follower) CatchUp(ctx context.Context) (asOf time.Time, err error) {
+// before asOf has been passed on when it returns. timeout limits its call to the store, not the wait until it may be
+// made. It makes none if a list that began meanwhile has done so.
+func (f *Follower) CatchUp(ctx context.Context, timeout time.Duration) (asOf time.Time, err error) {
 	calledAt := time.Now()
 	if !f.acquire(ctx) {
 		return time.Time{}, merry.Errorf("wait for a list: %w", ctx.Err())
@@ -30,8 +31,7 @@
 	case !asOf.Before(calledAt):
 		return asOf, nil
 	}
-	askedAt := time.Now()
-	page, err := f.store.Changes(ctx, f.prefix, f.asOf.Load())
+	page, askedAt, err := f.store.ChangesAsOf(ctx, f.prefix, f.asOf.Load(), timeout)
 	if err != nil {
 		f.recordFailure(askedAt, err)
 		if errors.Is(err, cicadaplatform.ErrCompacted) {
@@ -51,10 +51,10 @@
 	return f.failedAt
 }
 
-// recordFailure records that a call that was made at a time has failed. One that was not made, because of this
-// process's own limit, or that ended with its caller, shows nothing of the store.
+// recordFailure records that a call that was made at a time has failed. One that was not made, whose time is zero,
+// or that ended with its caller, shows nothing of the store.
 func (f *Follower) recordFailure(askedAt time.Time, err error) {
-	if errors.Is(err, cicadaplatform.ErrRateLimited) || errors.Is(err, cicadaplatform.ErrCompacted) || errors.Is(err, context.Canceled) {
+	if errors.Is(err, cicadaplatform.ErrCompacted) || errors.Is(err, context.Canceled) {
 		return
 	}
 	f.mu.Lock()
--- a/cicadakernel/cicadaplatform/client.go
+++ b/cicadakernel/cicadaplatform/client.go
@@ -158,7 +158,7 @@
 // acquireRead waits for the read budget and counts the call.
 func (c *Client) acquireRead(ctx context.Context, kind string) error {
 	if err := c.readLimit.Wait(ctx); err != nil {
-		return merry.Errorf("wait for read rate limit: %w: %w: %w", ErrUnavailable, ErrRateLimited, err)
+		return merry.Errorf("wait for read rate limit: %w: %w", ErrUnavailable, err)
 	}
 	c.reads.Add(1)
 	c.scope.Tagged(map[string]string{"call": kind}).Counter("platform_calls").Inc(1)
@@ -227,20 +227,22 @@
 	return page, nil
 }
 
-// Changes returns the changes after store version from to objects whose names have the prefix, without
-// waiting for one. The page reflects every write that was complete when Changes was called.
-func (c *Client) Changes(ctx context.Context, prefix string, from int64) (Page, error) {
+// ChangesAsOf returns the changes after store version from to objects whose names have the prefix, without
+// waiting for one, and the time when the store was asked, after the wait for the read budget. The page reflects
+// every write that was complete then. timeout limits the call; asOf is zero if it was not made.
+func (c *Client) ChangesAsOf(ctx context.Context, prefix string, from int64, timeout time.Duration) (page Page, asOf time.Time, err error) {
 	if err := c.acquireRead(ctx, "changes"); err != nil {
-		return Page{}, err
+		return Page{}, time.Time{}, err
 	}
-	defer c.recordLatency("changes", time.Now())
-	ctx, cancel := context.WithTimeout(ctx, c.deadline)
+	asOf = time.Now()
+	defer c.recordLatency("changes", asOf)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	page, err := c.backend.Changes(ctx, prefix, from)
+	page, err = c.backend.Changes(ctx, prefix, from)
 	if err != nil {
-		return Page{}, merry.Errorf("read changes: %w", err)
+		return Page{}, asOf, merry.Errorf("read changes: %w", err)
 	}
-	return page, nil
+	return page, asOf, nil
 }
 
 // VMs returns the platform's list of VMs.
--- a/cicadakernel/cicadaplatform/store.go
+++ b/cicadakernel/cicadaplatform/store.go
@@ -42,9 +42,6 @@
 	ErrUnavailable = merry.Sentinel("cicadaplatform: store unavailable, call did not take effect")
 	ErrInDoubt     = merry.Sentinel("cicadaplatform: response lost, call may have taken effect")
 	ErrTooLarge    = merry.Sentinel("cicadaplatform: value is larger than 1 MiB")
-	// ErrRateLimited is returned with ErrUnavailable for a call that the client has not made, because of
-	// its own limit.
-	ErrRateLimited = merry.Sentinel("cicadaplatform: limit on the rate of calls reached")
 	ErrCompacted   = merry.Sentinel("cicadaplatform: changes after this version have been compacted")
 )
 
