Repeat watches that waited once a lost read is answered again

Change: the client of the store notes a read without an answer (not one that was refused, or a write, whose answers the store may lose by themselves), and at the next read that is answered the followers repeat their watches, as when the link goes up. With catch-ups, an owner that has items to start makes such reads. A process that makes no read but watches notices nothing still.

TestWatchIsRepeatedWhenAReadIsAnsweredAgain failed before (the first value instead of the second).

--- a/cicadagateway/cicadafollow/confirm_test.go
+++ b/cicadagateway/cicadafollow/confirm_test.go
@@ -96,3 +96,44 @@
 		f.Wait()
 	})
 }
+
+// Guards against watches that stay lost after a silence of the store that none of the followers has noticed,
+// but another read has.
+func TestWatchIsRepeatedWhenAReadIsAnsweredAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ft := newFollowerTest()
+		backend := ft.memory.Backend()
+		var silent atomic.Bool
+		get, watch := backend.Get, backend.Watch
+		backend.Watch = func(ctx context.Context, prefix string, from int64) (cicadaplatform.Page, error) {
+			if silent.Load() {
+				<-ctx.Done()
+				return cicadaplatform.Page{}, cicadaplatform.ErrInDoubt
+			}
+			return watch(ctx, prefix, from)
+		}
+		backend.Get = func(ctx context.Context, name string) (cicadaplatform.Object, error) {
+			if silent.Load() {
+				<-ctx.Done()
+				return cicadaplatform.Object{}, cicadaplatform.ErrInDoubt
+			}
+			return get(ctx, name)
+		}
+		silent.Store(true)
+		store := cicadaplatform.NewClient(backend, cicadaplatform.WithOnAnswered(ft.link.Resume))
+		ctx, cancel := context.WithCancel(t.Context())
+		f := New(ctx, store, "config/", ft.link, hclog.NewNullLogger(), ft.apply)
+		ft.put(t, "config/main", "first")
+		time.Sleep(time.Second)
+		_, err := store.Get(ctx, "config/main")
+		assert.Assert(t, errors.Is(err, cicadaplatform.ErrInDoubt))
+		silent.Store(false)
+		ft.put(t, "config/main", "second")
+		_, err = store.Get(ctx, "config/main")
+		assert.NilError(t, err)
+		time.Sleep(time.Second)
+		assert.Equal(t, ft.value(), "second")
+		cancel()
+		f.Wait()
+	})
+}
--- a/cicadagateway/cicadafollow/link.go
+++ b/cicadagateway/cicadafollow/link.go
@@ -28,7 +28,7 @@
 	pollSince   time.Time // when this process began to poll the store, or the zero time if it does not
 	overdueAt   time.Time // time of the last success that came later than maxStableGap while polling
 	onChange    func(up bool)
-	onUp        []func() // see subscribe
+	onResume    []func() // see subscribe
 	log         hclog.Logger
 }
 
@@ -38,12 +38,12 @@
 	return &Link{log: log, since: time.Now(), onChange: onChange}
 }
 
-// subscribe adds a function that is called when the link goes up, which must not block. What waited for
-// the store before may have been lost.
+// subscribe adds a function that is called when the link goes up, or by Resume, and must not block. What
+// waited for the store before may have been lost.
 func (l *Link) subscribe(f func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.onUp = append(l.onUp, f)
+	l.onResume = append(l.onResume, f)
 }
 
 // Report records the outcome of a call to the store.
@@ -73,9 +73,20 @@
 		l.onChange(up)
 	}
 	if up {
-		for _, f := range l.onUp {
-			f()
-		}
+		l.resumeLocked()
+	}
+}
+
+// Resume makes all followers of the link repeat their watches, which may have been lost.
+func (l *Link) Resume() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.resumeLocked()
+}
+
+func (l *Link) resumeLocked() {
+	for _, f := range l.onResume {
+		f()
 	}
 }
 
--- a/cicadagateway/cicadaprocess/process.go
+++ b/cicadagateway/cicadaprocess/process.go
@@ -110,7 +110,8 @@
 	n.requestMemory = cfg.memoryBudget(requestMemoryFraction, p.Scope(), "requests")
 	n.receivedMemory = receivedMemory
 	n.store = cicadaplatform.NewClient(backend, cicadaplatform.WithWriteRate(cfg.storeWriteRate()),
-		cicadaplatform.WithReadRate(cfg.storeReadRate()), cicadaplatform.WithScope(p.Scope()))
+		cicadaplatform.WithReadRate(cfg.storeReadRate()), cicadaplatform.WithScope(p.Scope()),
+		cicadaplatform.WithOnAnswered(func() { n.link.Resume() }))
 	n.link = cicadafollow.NewLink(n.log, func(up bool) {
 		n.storeUp.Store(up)
 		n.notifyPeers()
--- a/cicadakernel/cicadaplatform/client.go
+++ b/cicadakernel/cicadaplatform/client.go
@@ -68,6 +68,8 @@
 	writes       atomic.Int64
 	reads        atomic.Int64
 	verifyWrites bool
+	unanswered   atomic.Bool // a read had no answer, and none has been answered since
+	onAnswered   func()
 }
 
 // A ClientOption configures a Client.
@@ -116,6 +118,12 @@
 	return func(c *Client) { c.scope = scope }
 }
 
+// WithOnAnswered sets a function that is called when a read was answered after one that had no answer. A
+// watch that waits may have been lost like that one.
+func WithOnAnswered(f func()) ClientOption {
+	return func(c *Client) { c.onAnswered = f }
+}
+
 // WithoutReadBack makes the client retry a write whose response was lost without
 // reading the object back. It exists so that tests can show the failures that
 // reading back prevents.
@@ -127,7 +135,7 @@
 func NewClient(backend Backend, opts ...ClientOption) *Client {
 	c := &Client{
 		backend: backend, deadline: defaultDeadline, scope: tally.NoopScope, verifyWrites: true,
-		readLimit: rate.NewLimiter(rate.Inf, minBurst),
+		readLimit: rate.NewLimiter(rate.Inf, minBurst), onAnswered: func() {},
 	}
 	for class := range classCount {
 		c.limits[class] = rate.NewLimiter(0, 0)
@@ -170,6 +178,18 @@
 	c.scope.Tagged(map[string]string{"call": kind}).Histogram("platform_call_time", latencyBuckets).RecordDuration(time.Since(start))
 }
 
+// recordRead records the outcome of a read other than a watch. One that was refused, or that ended with its
+// caller, shows nothing.
+func (c *Client) recordRead(err error) {
+	switch {
+	case errors.Is(err, ErrUnavailable) || errors.Is(err, context.Canceled):
+	case errors.Is(err, ErrInDoubt):
+		c.unanswered.Store(true)
+	case c.unanswered.CompareAndSwap(true, false):
+		c.onAnswered()
+	}
+}
+
 func (c *Client) countWrite(class Class) {
 	c.writes.Add(1)
 	c.scope.Tagged(map[string]string{"call": "write-" + class.String()}).Counter("platform_calls").Inc(1)
@@ -192,6 +212,7 @@
 	ctx, cancel := context.WithTimeout(ctx, c.deadline)
 	defer cancel()
 	obj, err := c.backend.Get(ctx, name)
+	c.recordRead(err)
 	if err != nil {
 		return Object{}, asOf, merry.Errorf("read object: %w", err)
 	}
@@ -208,6 +229,7 @@
 	ctx, cancel := context.WithTimeout(ctx, c.deadline)
 	defer cancel()
 	page, err := c.backend.List(ctx, prefix, after, limit)
+	c.recordRead(err)
 	if err != nil {
 		return Page{}, merry.Errorf("list objects: %w", err)
 	}
@@ -239,6 +261,7 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	page, err = c.backend.Changes(ctx, prefix, from)
+	c.recordRead(err)
 	if err != nil {
 		return Page{}, asOf, merry.Errorf("read changes: %w", err)
 	}
