Give catch-ups a read budget of their own, and log watches that were lost only

Cause: with 40 jobs to read at 20 reads a second, a read waits 2 s, which is what a reader's read may take.

They wait behind no read and delay none.

--- a/cicadagateway/cicadabatch/owner.go
+++ b/cicadagateway/cicadabatch/owner.go
@@ -232,12 +232,12 @@
 
 // Apply applies a change of the job objects in the store.
 func (o *Owner) Apply(c cicadafollow.Change) {
-	objects, full, asOf := c.Objects(), c.Full(), c.AsOf()
+	objects, full, began := c.Objects(), c.Full(), c.Began()
 	o.enqueue(func() {
 		for _, obj := range objects {
 			o.applyJob(obj, full)
 		}
-		o.confirmJobs(asOf)
+		o.confirmJobs(began)
 		o.jobsReceived = o.jobsReceived || full
 		o.Wake()
 	})
--- a/cicadagateway/cicadafollow/follow.go
+++ b/cicadagateway/cicadafollow/follow.go
@@ -48,7 +48,7 @@
 	objects []cicadaplatform.Object
 	full    bool
 	askedAt time.Duration // of a full list
-	asOf    time.Time
+	began   time.Time     // of the call
 }
 
 // Objects returns the objects. One with a nil value was deleted.
@@ -63,9 +63,9 @@
 // watch, which the store may deliver late.
 func (c Change) AskedAt() (at time.Duration, ok bool) { return c.askedAt, c.full }
 
-// AsOf returns the time at which the call of the change began, by the clock of this process. With it and those
-// before, every write that was acknowledged before that time has been passed on.
-func (c Change) AsOf() time.Time { return c.asOf }
+// Began returns the time at which the call that brought the change began. With this change and those before, every
+// write that was acknowledged before that time has been passed on.
+func (c Change) Began() time.Time { return c.began }
 
 // A Follower keeps track of the objects under one prefix.
 type Follower struct {
@@ -188,7 +188,7 @@
 	defer f.release()
 	var all []cicadaplatform.Object
 	after, version := "", int64(0)
-	askedAt, asOf := f.clock(), time.Now()
+	askedAt, began := f.clock(), time.Now()
 	for {
 		page, err := f.store.List(ctx, f.prefix, after, pageSize)
 		if err != nil {
@@ -206,8 +206,8 @@
 	}
 	f.link.Report(nil)
 	f.asOf.Store(version)
-	f.apply(Change{objects: all, full: true, askedAt: askedAt, asOf: asOf})
-	f.confirm(asOf)
+	f.apply(Change{objects: all, full: true, askedAt: askedAt, began: began})
+	f.confirm(began)
 	return version, nil
 }
 
@@ -235,7 +235,7 @@
 		}
 		if err != nil {
 			f.recordFailure(askedAt, err)
-			f.log.Info("watch failed", "prefix", f.prefix, "version", version, "waited", time.Since(askedAt).String(), "error", err)
+			f.logFailedWatch(version, time.Since(askedAt), err)
 			f.link.Report(err)
 			if time.Since(lastSuccess) > watchStaleAfter {
 				return
@@ -261,6 +261,14 @@
 	}
 }
 
+// logFailedWatch logs a watch that failed after a while. One that is refused at once is retried, and shows in the
+// state of the link.
+func (f *Follower) logFailedWatch(version int64, waited time.Duration, err error) {
+	if waited >= maxBackoff {
+		f.log.Info("watch failed", "prefix", f.prefix, "version", version, "waited", waited.String(), "error", err)
+	}
+}
+
 // applyPage applies the changes of a watch or a catch-up that began at a time, unless they are known, and
 // reports whether there were any.
 func (f *Follower) applyPage(page cicadaplatform.Page, askedAt time.Time) bool {
@@ -271,7 +279,7 @@
 	}
 	f.asOf.Store(page.Version())
 	if len(page.Objects()) > 0 {
-		f.apply(Change{objects: page.Objects(), asOf: askedAt})
+		f.apply(Change{objects: page.Objects(), began: askedAt})
 	}
 	return len(page.Objects()) > 0
 }
--- a/cicadakernel/cicadaplatform/client.go
+++ b/cicadakernel/cicadaplatform/client.go
@@ -50,6 +50,9 @@
 	maxBackoff       = 2 * time.Second
 	burstSeconds     = 0.5
 	minBurst         = 4
+	// defaultChangesRate is the rate of ChangesAsOf, in calls per second, and changesBurst its burst.
+	defaultChangesRate = 1.0
+	changesBurst       = 2
 )
 
 // latencyBuckets are the histogram buckets of call durations, from 1 ms to 8 s.
@@ -64,6 +67,7 @@
 	deadline     time.Duration
 	limits       [classCount]*rate.Limiter
 	readLimit    *rate.Limiter
+	changesLimit *rate.Limiter
 	scope        tally.Scope
 	writes       atomic.Int64
 	reads        atomic.Int64
@@ -94,6 +98,10 @@
 	c.setReadRate(reads)
 }
 
+// SetChangesRate sets the budget of ChangesAsOf, in calls per second, which is apart from that of other reads: a
+// call would wait behind all of them. The default is 1.
+func (c *Client) SetChangesRate(perSecond float64) { c.changesLimit.SetLimit(rate.Limit(perSecond)) }
+
 func (c *Client) setWriteRate(perSecond float64) {
 	for class := range classCount {
 		share := max(perSecond*classShares[class], minClassRates[class])
@@ -135,7 +143,7 @@
 func NewClient(backend Backend, opts ...ClientOption) *Client {
 	c := &Client{
 		backend: backend, deadline: defaultDeadline, scope: tally.NoopScope, verifyWrites: true,
-		readLimit: rate.NewLimiter(rate.Inf, minBurst), onAnswered: func() {},
+		readLimit: rate.NewLimiter(rate.Inf, minBurst), changesLimit: rate.NewLimiter(defaultChangesRate, changesBurst), onAnswered: func() {},
 	}
 	for class := range classCount {
 		c.limits[class] = rate.NewLimiter(0, 0)
@@ -165,7 +173,12 @@
 
 // acquireRead waits for the read budget and counts the call.
 func (c *Client) acquireRead(ctx context.Context, kind string) error {
-	if err := c.readLimit.Wait(ctx); err != nil {
+	return c.acquireReadFrom(ctx, c.readLimit, kind)
+}
+
+// acquireReadFrom waits for a budget and counts the call.
+func (c *Client) acquireReadFrom(ctx context.Context, limit *rate.Limiter, kind string) error {
+	if err := limit.Wait(ctx); err != nil {
 		return merry.Errorf("wait for read rate limit: %w: %w", ErrUnavailable, err)
 	}
 	c.reads.Add(1)
@@ -250,10 +263,10 @@
 }
 
 // ChangesAsOf returns the changes after store version from to objects whose names have the prefix, without
-// waiting for one, and the time when the store was asked, after the wait for the read budget. The page reflects
-// every write that was complete then. timeout limits the call; asOf is zero if it was not made.
+// waiting for one, and the time when the store was asked, after the wait for its budget. The page reflects every
+// write that was complete then. timeout limits the call; asOf is zero if it was not made.
 func (c *Client) ChangesAsOf(ctx context.Context, prefix string, from int64, timeout time.Duration) (page Page, asOf time.Time, err error) {
-	if err := c.acquireRead(ctx, "changes"); err != nil {
+	if err := c.acquireReadFrom(ctx, c.changesLimit, "changes"); err != nil {
 		return Page{}, time.Time{}, err
 	}
 	asOf = time.Now()
