--- a/cicadakernel/cicadaplatform/changes.go
+++ b/cicadakernel/cicadaplatform/changes.go
@@ -49,4 +49,3 @@
 		c.onAnswered()
 	}
 }
-
